Take SIGHUP: read the configuration again and move discovery

Cause: nothing took SIGHUP, so the JVM ended (exit 129) with all it held. Checked by the code and a test of the program itself; not the shutdown hook, which runs on SIGTERM as it should. The discovery client also mixed up the failure of a call it had given up with the call that followed; a move would have met that each time, so it is mended here. A call without an answer now fails 2 s after a watch's wait, as the rule on drains counts. Limits and settings that can't be used now end the start with exit 2.

--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import com.google.gson.JsonPrimitive;
+import damsonworks.Policy;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.wire.SettingsParser;
 import io.netty.util.NetUtil;
@@ -26,6 +27,10 @@
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
         double idleCloseMs, int streamsPerConnection) {
 
+    /** With less the proxy has no room for what it must hold; a limit that small is a slip. */
+    private static final int MIN_MEMORY_MB = 16;
+    private static final int MIN_SOCKETS = 128;
+
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
     static Config read(String path) {
         if (path == null || path.isEmpty()) {
@@ -44,6 +49,8 @@
         Map<String, String> values = new HashMap<>();
         flatten("", need(json, "settings"), values);
         SettingsParser parser = new SettingsParser(values);
+        Settings settings = parser.settings();
+        new Policy(settings, 0); // refuses settings that it can't decide by
         JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
         List<InetSocketAddress> peers = new ArrayList<>();
         if (json.has("peers")) {
@@ -51,10 +58,11 @@
         }
         return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
                 address(need(json, "listen").getAsString()), address(need(json, "discovery").getAsString()),
-                Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
-                (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
+                Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), limit(limits, "cores", 1, 0.01),
+                (int) limit(limits, "memory_mb", 192, MIN_MEMORY_MB),
+                (int) limit(limits, "sockets", 1024, MIN_SOCKETS),
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
-                json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
+                json.has("known") ? json.getAsJsonObject("known") : null, settings, parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
                 Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
     }
@@ -67,8 +75,12 @@
         return value;
     }
 
-    private static double number(JsonObject json, String key, double absent) {
-        return json.has(key) ? json.get(key).getAsDouble() : absent;
+    private static double limit(JsonObject limits, String key, double absent, double least) {
+        double value = limits.has(key) ? limits.get(key).getAsDouble() : absent;
+        if (!(value >= least && value <= Integer.MAX_VALUE)) {
+            throw new IllegalArgumentException("limits: '" + key + "' must be " + least + " or more");
+        }
+        return value;
     }
 
     private static InetSocketAddress optionalAddress(JsonObject json, String key) {
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -41,12 +41,24 @@
 final class DiscoveryClient {
     /** A watch's wait. Each call costs the service some fifty lines of the few hundred it sends in a second. */
     private static final int WAIT_MS = 20_000;
-    /** How much longer than its wait a call may take before it counts as failed. */
+    /** How long a call without a wait may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
+    /**
+     * How much longer than its wait a watch may take. What it should have told counts as told 2 s after the
+     * wait, so a watch that has gone silent has to be seen as such by then.
+     */
+    private static final int WATCH_PATIENCE_MS = 2000;
     private static final int CONNECT_MS = 1000;
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
-    private static final int MAX_LIST = 4 << 20;
+    /** Some thousands of hosts; what is longer is no list. */
+    private static final int MAX_LIST = 1 << 20;
+    /**
+     * After a move to another address a failed watch is begun again after {@link #AGAIN_MS} for so long, as what
+     * discovery has to tell counts as told 4 s after the move; the module's own pauses are made for a discovery
+     * that is down. Should discovery be overloaded just then, it gets a few calls more.
+     */
+    private static final double MOVING_MS = 4000;
 
     /** An entry of the list with the address it is dialled at. */
     record Host(Member member, InetSocketAddress dial) { }
@@ -56,13 +68,16 @@
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
+    private InetSocketAddress address;
     private long version;
     private boolean watching;
+    private double movedMs = Double.NEGATIVE_INFINITY;
 
     DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher) {
         this.loop = loop;
         this.config = config;
         this.dispatcher = dispatcher;
+        address = config.discovery();
     }
 
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
@@ -82,26 +97,50 @@
         }
     }
 
+    /**
+     * Goes on at another address. The old one ends its calls soon, so both lines are given up at once and the
+     * watch is begun anew, also where the module was just waiting to ask again. The version goes along: if it
+     * means nothing at the new address, the answer shows it and the next call asks for everything.
+     */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        movedMs = dispatcher.now();
+        boolean fetching = listLine.waiting != null;
+        listLine.close();
+        watchLine.close();
+        if (fetching) {
+            fetch();
+        }
+        watch(true);
+    }
+
+    /** Begins a watch, or ends it. One that is out goes on: its answer is the answer to this call too. */
     void watch(boolean on) {
         watching = on;
-        if (on) {
-            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS, WAIT_MS, this::watched);
-        } else {
+        if (!on) {
             watchLine.close();
+        } else if (watchLine.waiting == null) {
+            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS,
+                    WAIT_MS + WATCH_PATIENCE_MS, this::watched);
         }
     }
 
     void fetch() {
-        listLine.call("/discovery/hosts", 0, json -> {
-            try {
-                if (json == null || seq(json) < version) {
-                    throw new IllegalArgumentException("no answer, or one that is older than the list held");
-                }
-                apply(json);
-            } catch (RuntimeException e) {
-                failed(e);
+        listLine.call("/discovery/hosts", PATIENCE_MS, this::fetched);
+    }
+
+    private void fetched(JsonObject json) {
+        try {
+            if (json == null || seq(json) < version) {
+                throw new IllegalArgumentException("no answer, or one that is older than the list held");
             }
-        });
+            apply(json);
+        } catch (RuntimeException e) {
+            failed(e);
+        }
     }
 
     private void watched(JsonObject json) {
@@ -114,11 +153,15 @@
             }
             apply(json);
         } catch (RuntimeException e) {
-            watching = false;
-            if (config.settings().askForList()) {
+            if (config.settings().askForList() && dispatcher.now() - movedMs > MOVING_MS) {
+                watching = false;
                 failed(e);
             } else {
-                loop.schedule(() -> watch(true), AGAIN_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> {
+                    if (watching) {
+                        watch(true);
+                    }
+                }, AGAIN_MS, TimeUnit.MILLISECONDS);
             }
             return;
         }
@@ -132,6 +175,7 @@
         boolean whole = json.get("whole").getAsBoolean();
         long seq = seq(json);
         if (!whole && seq < version) {
+            version = 0; // this discovery counts otherwise: the next call asks for the whole list
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
         version = seq;
@@ -202,34 +246,39 @@
         private Future<?> timer;
 
         /** Calls; the consumer gets the answer, or null where there is none that can be used. */
-        void call(String path, int waitMs, Consumer<JsonObject> then) {
+        void call(String path, int patienceMs, Consumer<JsonObject> then) {
             if (waiting != null) {
                 close();
             }
             waiting = then;
-            timer = loop.schedule(() -> done(null), waitMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(() -> done(null), patienceMs, TimeUnit.MILLISECONDS);
             if (channel != null && channel.isActive()) {
                 write(channel, path);
                 return;
             }
-            channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new Initializer(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer()))
-                    .connect(config.discovery()).addListener(f -> {
-                        if (f.isSuccess()) {
-                            write(((ChannelFuture) f).channel(), path);
-                        } else {
-                            done(null);
-                        }
-                    }).channel();
+                    .connect(address);
+            channel = up.channel();
+            up.addListener(f -> {
+                if (up.channel() != channel) {
+                    return; // given up meanwhile; the line may be in another call
+                }
+                if (f.isSuccess()) {
+                    write(up.channel(), path);
+                } else {
+                    done(null);
+                }
+            });
         }
 
         private void write(Channel to, String path) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST,
-                    config.discovery().getAddress().getHostAddress() + ":" + config.discovery().getPort());
+                    address.getAddress().getHostAddress() + ":" + address.getPort());
             to.writeAndFlush(request);
         }
 
@@ -260,6 +309,9 @@
         private final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+                if (ctx.channel() != channel || response.status().code() < 200) {
+                    return;
+                }
                 JsonObject json = null;
                 if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
                     try {
@@ -270,12 +322,10 @@
                     }
                 }
                 if (!HttpUtil.isKeepAlive(response)) {
-                    ctx.close();
                     channel = null;
+                    ctx.close();
                 }
-                if (ctx.channel() == channel || channel == null) {
-                    done(json);
-                }
+                done(json);
             }
 
             @Override
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
@@ -31,6 +32,7 @@
     private final Config config;
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
+    private final DiscoveryClient discovery;
     private final Set<ClientConnection> clients = new HashSet<>();
     private final int maxClients;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -43,7 +45,7 @@
         dispatcher = new Dispatcher(loop, config);
         peers = new PeerSocket(loop, config, dispatcher);
         maxClients = Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS);
-        DiscoveryClient discovery = new DiscoveryClient(loop, config, dispatcher);
+        discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
             dispatcher.start(discovery, peers, this::left);
             discovery.start();
@@ -63,16 +65,24 @@
 
     /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
     public static void main() {
+        String path = System.getenv("BALANCER_CONFIG");
         Config config;
         try {
-            config = Config.read(System.getenv("BALANCER_CONFIG"));
+            config = Config.read(path);
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
             System.exit(2);
             return;
         }
         try {
+            AtomicReference<Proxy> running = new AtomicReference<>();
+            HangUp.handle(() -> {
+                if (running.get() != null) { // before that, the file is still to be read
+                    running.get().reload(path);
+                }
+            });
             Proxy proxy = start(config);
+            running.set(proxy);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
@@ -92,6 +102,23 @@
         return peers.address();
     }
 
+    // ---- a new configuration
+
+    /**
+     * Reads the file again, on the caller's thread, so that the event loop never waits for a disk. Discovery
+     * moves; what sockets and tables were sized by at the start stays until the next one. A file that can't be
+     * used leaves everything as it was.
+     */
+    void reload(String path) {
+        try {
+            Config next = Config.read(path);
+            loop.execute(() -> discovery.move(next.discovery()));
+            System.err.println("configuration read again: discovery at " + next.discovery());
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage() + " (going on with the old one)");
+        }
+    }
+
     // ---- clients
 
     /**
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -0,0 +1,135 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonParser;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BooleanSupplier;
+
+/** A real proxy between scripted peers. Everything waits for conditions, for {@link #PATIENCE} at most. */
+final class Stage implements AutoCloseable {
+    static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    final List<AutoCloseable> open = new ArrayList<>();
+    int sockets = 256;
+    int memoryMb = 64;
+    Proxy proxy;
+
+    <T extends AutoCloseable> T keep(T thing) {
+        open.add(thing);
+        return thing;
+    }
+
+    Peer peer(Peer.Script script) {
+        return keep(new Peer(script));
+    }
+
+    /** Starts the proxy on this list of hosts, which it knows from its configuration. */
+    Stage start(Peer discovery, String... hosts) throws Exception {
+        proxy = Proxy.start(Config.parse(JsonParser.parseString(config(discovery.address(), hosts)).getAsJsonObject()));
+        keep(proxy::close);
+        return this;
+    }
+
+    String config(String discovery, String... hosts) {
+        return """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
+                 "known":%s,
+                 "settings":{"me":0,"balancers":2,"locality":0,"zones":["z"],"kinds":["cache","origin"],
+                  "discovery":"ask","extra":{"mode":"aside","origin-kind":1},
+                  "report":{"how":"piggyback","names":["util"]},"value-by":"request","over-share-worth":1,
+                  "caps":{"may-cancel":true,"may-probe":false,"peers":false,"second-copies":true,"retry-after":true,
+                   "max-attempts":3,"max-retry-after":500,"connect-timeout":500,"idle-close":30000,
+                   "streams-per-conn":128},
+                  "guarantees":{"drain-grace":2000,"grace-to-answer":20,"start-capacity":0.3,"warm-up":9000,
+                   "tip-multiple":3,"fall":1500,"ask-within":10000},
+                  "classes":[
+                   {"name":"read","idempotency":"retryable","promise":2000,"deadline":10000,"late-share":0.2,
+                    "stream":false},
+                   {"name":"pay","idempotency":"fragile","promise":2000,"deadline":10000,"late-share":0.2,
+                    "stream":false},
+                   {"name":"save","idempotency":"dedup","group":"all","window":15000,"promise":2000,
+                    "deadline":10000,"late-share":0.2,"stream":false}],
+                  "tenants":[]}}
+                """.formatted(discovery, memoryMb, sockets, list(1, hosts));
+    }
+
+    /** A whole list in discovery's form. */
+    static String list(int seq, String... hosts) {
+        return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+
+    static String host(String name, String kind, Peer peer, String health) {
+        return host(name, kind, peer.address(), health);
+    }
+
+    static String host(String name, String kind, String dial, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"z\",\"class\":\"" + kind
+                + "\",\"block\":0,\"health\":\"" + health + "\",\"share\":1,\"born_ms\":0}";
+    }
+
+    static String cache(String name, Peer peer) {
+        return host(name, "cache", peer, "up");
+    }
+
+    static String origin(Peer peer) {
+        return host("s-ffff", "origin", peer, "up");
+    }
+
+    /** A discovery whose watches have nothing to tell. */
+    Peer quietDiscovery() {
+        return peer(line -> {
+            while (line.head() != null) {
+                Thread.sleep(PATIENCE.toMillis() * 3);
+            }
+        });
+    }
+
+    /** A cache node that has nothing. */
+    Peer emptyCache() {
+        return peer(line -> {
+            for (String text; (text = line.read()) != null;) {
+                line.write("EN O" + id(text) + "\r\n");
+            }
+        });
+    }
+
+    /** The id in a command's line. */
+    static String id(String command) {
+        int at = command.indexOf(" O") + 2;
+        int end = command.indexOf(' ', at);
+        return command.substring(at, end < 0 ? command.length() : end);
+    }
+
+    Peer.Line client() throws Exception {
+        return keep(new Peer.Line(new Socket("127.0.0.1", proxy.address().getPort()), new ConcurrentLinkedQueue<>()));
+    }
+
+    static String read(String key, String id) {
+        return "mg " + key + " v O" + id + " Pc=read,t=a,d=8000\r\n";
+    }
+
+    static String write(String key, String id, String kind, String value) {
+        return "ms " + key + " " + value.length() + " O" + id + " Pc=" + kind + ",t=a,d=8000,k=1\r\n" + value + "\r\n";
+    }
+
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("still not so after " + PATIENCE);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+}
