--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -66,6 +66,8 @@
         int doubts;
         boolean trial;
         boolean probed;
+        /** Of the origin's kind; the one in use is {@link Policy#origin}, others may have attempts out. */
+        boolean ofOrigin;
 
         Server(int id) {
             this.id = id;
@@ -93,10 +95,14 @@
         boolean waiting;
         boolean doubted;
         Server missedAt;
+        /** Where the last attempt failed with the server in reach: the next stays there. */
+        Server stayAt;
         double maybeRanSince = Double.NaN;
         Server maybeRanAt;
         /** Those who wait for this request's fetch; null while it has none out. */
         ArrayDeque<Flight> followers;
+        /** The attempt that is the fetch. */
+        int fetch;
 
         Flight(Request request, double now) {
             this.request = request;
@@ -286,6 +292,7 @@
                 s.shunnedUntil = 0;
             }
             s.member = m;
+            s.ofOrigin = cfg.aside() && m.kind() == cfg.originKind();
         }
         rank();
     }
@@ -314,7 +321,7 @@
             if (s.member.state() != State.READY) {
                 continue;
             }
-            if (cfg.aside() && s.member.kind() == cfg.originKind()) {
+            if (s.ofOrigin) {
                 origin = s;
             } else {
                 list.add(s);
@@ -417,6 +424,7 @@
             }
             fetches.put(f.request.key(), f);
             f.followers = new ArrayDeque<>();
+            f.fetch = f.attempts;
         } else if (s == origin) {
             throttle.asked(now);
         }
@@ -453,7 +461,7 @@
     private void overdue(double now, Flight f, Actions out) {
         int a = f.attempts - 1;
         Server s = f.at[a];
-        if (f.done || f.streaming || f.ended[a] || s == origin) {
+        if (f.done || f.streaming || f.ended[a] || s.ofOrigin) {
             return;
         }
         if (cfg.secondCopies() || ++s.doubts > 1) {
@@ -525,6 +533,12 @@
 
     private Server choose(double now, Flight f, Actions out) {
         int want = Math.min(ranked.length, Math.max(RANKS, f.spread + RANKS));
+        Server stay = f.stayAt;
+        f.stayAt = null;
+        if (stay != null && stay.failures == 0 && servers.get(stay.id) == stay
+                && stay.member.state() == State.READY && !cold(now, stay)) {
+            return stay;
+        }
         topRanks(f.keyHash, want);
         int offset = f.spread > 1 ? random.nextInt(f.spread) : 0;
         Server untried = null;
@@ -638,7 +652,7 @@
         if (end.over() || f.done) {
             finish(f);
         }
-        if (f.followers != null && s == origin) {
+        if (f.followers != null && end.attempt() == f.fetch) {
             fetchEnded(now, f, end.outcome() == Outcome.OK, out);
         }
         if (!wasDone && end.over()) {
@@ -658,13 +672,22 @@
                 timer(fetchMs, AGAIN, f, out);
                 return;
             }
-        } else if (s == origin && end.outcome() == Outcome.FULL && f.request.write()
+        } else if (s.ofOrigin && end.outcome() == Outcome.FULL && f.request.write()
                 && f.attempts < cfg.maxAttempts()) {
             f.waiting = true;
             timer(fetchMs * (0.5 + random.nextDouble()), AGAIN, f, out);
             return;
         }
-        if (s == origin && !f.request.write()) {
+        boolean broke = end.outcome() == Outcome.ERROR || end.outcome() == Outcome.RESET
+                || end.outcome() == Outcome.CONNECT_FAILED;
+        if (broke && f.safe) {
+            // The design: other failures stay put. Guards against answers that come spoilt, which say
+            // nothing of the server and would move a kept key to where it is not. Harm: a server that can
+            // only fail gets two tries of a request before the origin does.
+            f.stayAt = end.outcome() == Outcome.ERROR && !s.ofOrigin ? s : null;
+        }
+        // A fetch that broke is asked for once more; one that was refused or too slow makes a jam.
+        if (s.ofOrigin && !f.request.write() && !(broke && f.safe)) {
             giveUp(f, out);
         } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
             advance(now, f, out);
@@ -702,17 +725,17 @@
         }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
-                if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
+                if (!s.ofOrigin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
                     crowd.asked(now);
                 }
                 // Answering only after the aim is no better than silence and does not clear a server,
                 // unless all are slow together: a shared slowdown must not become mass ejection.
                 boolean timely = end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > Throttle.HEADROOM;
-                if (s == origin || timely) {
+                if (s.ofOrigin || timely) {
                     s.failures = s.doubts = 0;
                 }
                 s.trial = false;
-                if (s != origin && end.outcome() == Outcome.OK) {
+                if (!s.ofOrigin && end.outcome() == Outcome.OK) {
                     crowd.asked(now);
                     if (end.elapsedMs() <= f.kind.aimMs() - fetchMs) {
                         crowd.answered(now);
@@ -722,7 +745,7 @@
                     pace += (x - pace) / 16;
                     doubts = Math.min(DOUBT_SAVED, doubts + DOUBT_SHARE);
                 }
-                if (s == origin && end.outcome() == Outcome.OK) {
+                if (s.ofOrigin && end.outcome() == Outcome.OK) {
                     if (now <= f.arrivedMs + f.kind.aimMs()) {
                         throttle.answered(now);
                     }
@@ -730,7 +753,7 @@
                 }
             }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
-                if (s != origin) {
+                if (!s.ofOrigin) {
                     // One already doubted is likely hung: no sign of crowding unless others are late too.
                     boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
                     if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -13,15 +13,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** The meta protocol towards a cache node. */
+/**
+ * The meta protocol towards a cache node. An answer is handed on only when it has all been read and is what was
+ * asked for, so that nothing of a spoilt one reaches a client.
+ */
 final class CacheCodec extends ByteToMessageDecoder implements UpstreamConnection.Codec {
+    private static final String FAILED = "SERVER_ERROR failed";
+
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
-    /** Bytes of the value and its line's end that are to come; negative: none, a line is next. */
-    private int missing = -1;
-    private int length;
-    private boolean streamed;
-    private boolean dropped;
+    /** The length of the value that is to come; negative: none, a line is next. */
+    private int length = -1;
     private int note;
     private float[] report;
     /** The figures of a probe's answer so far. */
@@ -50,63 +52,76 @@
         return channel.writeAndFlush(command.value.retainedDuplicate());
     }
 
+    @Override
+    public boolean within() {
+        return length >= 0 || actualReadableBytes() > 0 || !stats.isEmpty();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (connection.closing() && connection.head() == null) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
         try {
-            if (missing >= 0) {
+            if (length >= 0) {
                 value(in);
             } else {
                 String line = MetaCodec.line(in);
                 if (line != null) {
-                    answer(ctx, line);
+                    answer(in, line);
                 }
             }
         } catch (MetaCodec.SyntaxException e) {
             in.skipBytes(in.readableBytes());
-            missing = -1;
+            length = -1;
             connection.garbage(e.getMessage());
         }
     }
 
-    private void answer(ChannelHandlerContext ctx, String line) throws MetaCodec.SyntaxException {
+    private void answer(ByteBuf in, String line) throws MetaCodec.SyntaxException {
         Attempt attempt = connection.head();
         if (attempt == null) {
             throw new MetaCodec.SyntaxException("answer to nothing");
         }
         if (attempt.exchange == null) {
-            probed(line);
-        } else if (line.startsWith(MetaCodec.BUSY)) {
-            connection.ended(Outcome.FULL, 0, report(line), null);
-        } else if (line.startsWith("SERVER_ERROR")) {
-            connection.ended(Outcome.ERROR, 0, report(line), null);
+            probed(in, line);
+        } else if (is(line, MetaCodec.BUSY)) {
+            ended(in, Outcome.FULL, 0, report(line, MetaCodec.BUSY.length()), null);
+        } else if (is(line, FAILED)) {
+            ended(in, Outcome.ERROR, 0, report(line, FAILED.length()), null);
         } else if (line.startsWith("VA ") && !attempt.exchange.command.write) {
             String word = MetaCodec.wordAt(line, 3);
-            length = MetaCodec.length(word);
+            int n = MetaCodec.length(word);
             flags(attempt, line, 4 + word.length());
-            missing = length + 2;
-            streamed = length > MetaCodec.WHOLE;
-            if (streamed) {
-                String head = MetaCodec.valueHead(length, attempt.exchange.command.id);
-                dropped = !connection.begin(MetaCodec.text(ctx.alloc(), head));
-            }
+            length = n;
         } else if (line.startsWith("HD ") && attempt.exchange.command.write) {
             flags(attempt, line, 3);
             String receipt = MetaCodec.flag(line, 3, 'c');
-            if (receipt == null) {
+            if (receipt == null || !MetaCodec.isWord(receipt)) {
                 throw new MetaCodec.SyntaxException("no receipt");
             }
             String text = MetaCodec.receipt(attempt.exchange.command.id, receipt);
-            connection.ended(Outcome.OK, note, report, MetaCodec.text(ctx.alloc(), text));
-        } else if (line.startsWith("EN")) {
+            ended(in, Outcome.OK, note, report, MetaCodec.text(in.alloc(), text));
+        } else if (line.startsWith("EN ")) {
             flags(attempt, line, 3);
-            connection.ended(Outcome.MISS, note, report, null);
+            ended(in, Outcome.MISS, note, report, null);
         } else {
             throw new MetaCodec.SyntaxException("unknown line");
         }
     }
 
-    private float[] report(String line) {
-        return dispatcher.report(MetaCodec.flag(line, MetaCodec.BUSY.length() + 1, 'L'));
+    /** Whether the line says this, and at most flags behind it. */
+    private static boolean is(String line, String text) {
+        return line.startsWith(text) && (line.length() == text.length() || line.charAt(text.length()) == ' ');
+    }
+
+    private void ended(ByteBuf in, Outcome outcome, int how, float[] load, ByteBuf answer) {
+        connection.ended(outcome, how, load, answer, in.isReadable());
+    }
+
+    private float[] report(String line, int end) {
+        return dispatcher.report(MetaCodec.flag(line, end + 1, 'L'));
     }
 
     /** What the flags tell; the id must be the attempt's, or answers have lost their order. */
@@ -121,55 +136,43 @@
     }
 
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
-        if (!streamed) {
-            if (in.readableBytes() < missing) {
-                return;
-            }
-            end(in, in.readerIndex() + length);
-            String head = MetaCodec.valueHead(length, connection.head().exchange.command.id);
-            ByteBuf answer = in.alloc().buffer(head.length() + missing);
-            answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-            answer.writeBytes(in, missing);
-            missing = -1;
-            connection.ended(Outcome.OK, note, report, answer);
+        int whole = length + 2;
+        if (in.readableBytes() < whole) {
             return;
         }
-        // The value's end of line is passed on only when it is seen to be one.
-        int n = Math.min(missing - 2, in.readableBytes());
-        if (n > 0) {
-            missing -= n;
-            if (dropped) {
-                in.skipBytes(n);
-            } else {
-                connection.part(in.readRetainedSlice(n));
-            }
-        }
-        if (missing == 2 && in.readableBytes() >= 2) {
-            end(in, in.readerIndex());
-            in.skipBytes(2);
-            missing = -1;
-            connection.ended(Outcome.OK, note, report, dropped ? null : MetaCodec.text(in.alloc(), "\r\n"));
-        }
-    }
-
-    private static void end(ByteBuf in, int at) throws MetaCodec.SyntaxException {
-        if (in.getByte(at) != '\r' || in.getByte(at + 1) != '\n') {
+        int end = in.readerIndex() + length;
+        if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
             throw new MetaCodec.SyntaxException("value without end");
         }
+        String head = MetaCodec.valueHead(length, connection.head().exchange.command.id);
+        ByteBuf answer = in.alloc().buffer(head.length() + whole);
+        answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+        answer.writeBytes(in, whole);
+        length = -1;
+        ended(in, Outcome.OK, note, report, answer);
     }
 
-    private void probed(String line) {
+    private void probed(ByteBuf in, String line) throws MetaCodec.SyntaxException {
         if (line.startsWith("STAT ")) {
             String name = MetaCodec.wordAt(line, 5);
             stats += name + "=" + MetaCodec.wordAt(line, 6 + name.length()) + ",";
+            if (stats.length() > MetaCodec.MAX_LINE) {
+                throw new MetaCodec.SyntaxException("figures without end");
+            }
         } else {
             boolean ok = line.equals("MN") || line.equals("END");
             float[] figures = MetaCodec.report(stats, dispatcher.reportNames());
             stats = "";
-            connection.ended(ok ? Outcome.OK : Outcome.ERROR, 0, figures, null);
+            ended(in, ok ? Outcome.OK : Outcome.ERROR, 0, figures, null);
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        super.channelReadComplete(ctx);
+        connection.readSome();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         super.channelInactive(ctx);
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
@@ -17,23 +16,44 @@
  */
 final class ClientConnection extends ByteToMessageDecoder {
     /** Commands in hand on one connection; guards memory against a client that only writes. */
-    private static final int MAX_PIPELINED = 32;
+    private static final int MAX_PIPELINED = 16;
+    /** So many whole commands in one read are a flood: none of them is taken. */
+    private static final int FLOOD = 2 * MAX_PIPELINED;
     /** A connection that is to close waits so long for the client's end, so that no answer is cut by a reset. */
     private static final long LINGER_MS = 300;
-    /** A client takes 2 s at most to write a command; one that takes this long holds its socket for nothing. */
-    private static final double STALLED_MS = 10_000;
+    /** A client takes 2 s at most to write a command, and has no use for a connection that it says nothing on. */
+    private static final double SILENT_MS = 2200;
+    /** A client that takes none of its answers for so long gets no more. */
+    private static final double UNREAD_MS = 5000;
+    /**
+     * An error is told after this time, but within {@link #ERROR_BY_MS} of the connection's start. Guards usual
+     * clients against those who send at full speed and come again as soon as they are turned away: these now
+     * come once a second each. A client with a mere slip in its command waits as long for its error.
+     */
+    private static final double ERROR_AFTER_MS = 1000;
+    private static final double ERROR_BY_MS = 2000;
+    /** A connection with more errors than this is closed, though its commands could be told apart. */
+    private static final int MAX_ERRORS = 3;
 
     private final Dispatcher dispatcher;
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
-    /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
+    /** The write whose value is being read, with the bytes still to come. */
     private Command incoming;
     private int missing;
     private int reserved;
+    /** What the incoming write will be answered at once, as its value is not kept; null: it is. */
+    private String refusal;
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
+    private boolean penalised;
+    private int errors;
+    private long answered;
+    private double bornMs;
     private double activeMs;
+    /** Since when part of a command has waited for the rest; NaN: none does. */
+    private double partSinceMs = Double.NaN;
 
     ClientConnection(Dispatcher dispatcher) {
         this.dispatcher = dispatcher;
@@ -42,7 +62,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
-        activeMs = dispatcher.now();
+        bornMs = activeMs = dispatcher.now();
     }
 
     /** Between requests: nothing owed and nothing begun. */
@@ -50,13 +70,20 @@
         return exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
     }
 
+    /** Nothing that it asked was ever answered, and nothing that it asked is open: the first to make room. */
+    boolean useless() {
+        return penalised || finished || answered == 0 && exchanges.isEmpty();
+    }
+
     double activeMs() {
         return activeMs;
     }
 
-    /** Whether a command has been begun and not been gone on with for long. */
+    /** Whether it says nothing, goes not on with what it has begun, or does not take what it asked for. */
     boolean stalled(double now) {
-        return now - activeMs > STALLED_MS && (!idle() || finished);
+        return !penalised && (now - partSinceMs > SILENT_MS
+                || answered == 0 && exchanges.isEmpty() && now - bornMs > SILENT_MS
+                || !ctx.channel().isWritable() && now - activeMs > UNREAD_MS);
     }
 
     void close() {
@@ -67,12 +94,11 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
-        activeMs = dispatcher.now();
         if (closing) {
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (exchanges.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
+        if (penalised || exchanges.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
             pauseReading();
             return;
         }
@@ -80,6 +106,9 @@
             if (incoming != null) {
                 value(in);
             } else {
+                if (exchanges.isEmpty()) {
+                    checkFlood(in);
+                }
                 String line = MetaCodec.line(in);
                 if (line != null) {
                     command(line);
@@ -87,67 +116,59 @@
             }
         } catch (MetaCodec.SyntaxException e) {
             // What follows can't be told apart any more.
-            say("CLIENT_ERROR " + e.getMessage() + "\r\n");
             closing = true;
-            flushAnswers();
+            error("CLIENT_ERROR " + e.getMessage());
         }
     }
 
+    /** Counts lines only up to a value, which may hold anything. */
+    private static void checkFlood(ByteBuf in) throws MetaCodec.SyntaxException {
+        int lines = 0;
+        for (int at = in.readerIndex(); lines <= FLOOD; lines++) {
+            int end = in.indexOf(at, in.writerIndex(), (byte) '\n');
+            if (end < 0 || end > at + 1 && in.getByte(at) == 'm' && in.getByte(at + 1) == 's') {
+                return;
+            }
+            at = end + 1;
+        }
+        throw new MetaCodec.SyntaxException("too many commands at once");
+    }
+
     private void command(String line) throws MetaCodec.SyntaxException {
         if (line.equals("mn")) {
-            say("MN\r\n");
+            say("MN");
             return;
         }
         boolean write = line.startsWith("ms ");
         if (!write && !line.startsWith("mg ")) {
-            say("ERROR\r\n");
-            return;
-        }
-        String key = MetaCodec.wordAt(line, 3);
-        int flags = 3 + key.length() + 1;
-        int length = 0;
-        if (write) {
-            String word = MetaCodec.wordAt(line, flags);
-            length = MetaCodec.length(word);
-            flags += word.length() + 1;
-        }
-        String id = MetaCodec.flag(line, flags, 'O');
-        String extras = MetaCodec.flag(line, flags, 'P');
-        boolean bad = key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null;
-        if (bad && !write) {
-            say("CLIENT_ERROR bad command line format\r\n");
+            error("ERROR");
             return;
         }
-        Command command = bad ? null : command(line, key, id, extras, flags, write);
+        // The length comes first: with it the value of a command that is no good can be read past.
+        int length = write ? MetaCodec.length(MetaCodec.wordAt(line, 4 + MetaCodec.wordAt(line, 3).length())) : 0;
+        Command command = MetaCodec.command(line, write);
+        String bad = command == null ? "bad command line format" : dispatcher.unusable(command);
         if (write) {
-            incoming = command != null ? command : new Command(key, null, true, "", "", "");
+            incoming = command;
             missing = length + 2;
-            if (command != null && dispatcher.reserve(missing)) {
+            refusal = bad != null ? bad : dispatcher.reserve(missing) ? null : MetaCodec.BUSY;
+            if (refusal == null) {
                 reserved = missing;
-                command.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
+                incoming.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
+            } else {
+                incoming = new Command("", "", true, "", "", "");
             }
+        } else if (bad != null) {
+            error("CLIENT_ERROR " + bad);
         } else {
-            Exchange exchange = new Exchange(this, command);
-            exchanges.add(exchange);
-            dispatcher.take(exchange);
-        }
-    }
-
-    private static Command command(String line, String key, String id, String extras, int flags, boolean write) {
-        int list = line.indexOf(" P", flags - 1) + 2;
-        int d = MetaCodec.valueAt(extras, "d");
-        int at = d < 0 ? line.length() : list + d;
-        int end = at;
-        while (end < line.length() && line.charAt(end) != ',' && line.charAt(end) != ' ') {
-            end++;
+            take(command);
         }
-        return new Command(key, id, write, extras, line.substring(0, at), line.substring(end));
     }
 
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
         int n = Math.min(missing, in.readableBytes());
         missing -= n;
-        if (incoming.value == null) {
+        if (refusal != null) {
             in.skipBytes(n);
         } else {
             incoming.value.writeBytes(in, n);
@@ -157,19 +178,25 @@
         }
         Command command = incoming;
         incoming = null;
-        if (command.value == null) {
-            // No room for the value, or no request that could be made of it. Nothing was sent on.
-            say(command.id == null ? "CLIENT_ERROR bad command line format\r\n" : MetaCodec.BUSY + "\r\n");
-            return;
-        }
-        int end = command.value.writerIndex();
-        if (command.value.getByte(end - 2) != '\r' || command.value.getByte(end - 1) != '\n') {
-            dropValue(command);
-            throw new MetaCodec.SyntaxException("bad data chunk");
+        if (refusal == null) {
+            int end = command.value.writerIndex();
+            if (command.value.getByte(end - 2) != '\r' || command.value.getByte(end - 1) != '\n') {
+                dropValue(command);
+                throw new MetaCodec.SyntaxException("bad data chunk");
+            }
+            reserved = 0; // given back when the request is over
+            take(command);
+        } else if (refusal.equals(MetaCodec.BUSY)) {
+            say(MetaCodec.BUSY); // no room for the value; nothing was sent on
+        } else {
+            error("CLIENT_ERROR " + refusal);
         }
-        reserved = 0; // given back when the request is over
+    }
+
+    private void take(Command command) {
         Exchange exchange = new Exchange(this, command);
         exchanges.add(exchange);
+        activeMs = dispatcher.now();
         dispatcher.take(exchange);
     }
 
@@ -182,86 +209,76 @@
     // ---- answers
 
     /** Answers a command by the proxy itself. */
-    private void say(String text) {
+    private void say(String line) {
         Exchange exchange = new Exchange(this, null);
         exchanges.add(exchange);
-        answer(exchange, MetaCodec.text(ctx.alloc(), text));
+        answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"));
     }
 
-    /** The whole final answer; takes the buffer over. */
-    void answer(Exchange exchange, ByteBuf answer) {
-        exchange.answer = answer;
-        exchange.whole = true;
-        flushAnswers();
+    /** Turns a command down, in its turn and not at once; until then nothing more is read. */
+    private void error(String line) {
+        closing |= ++errors > MAX_ERRORS || dispatcher.now() - bornMs > ERROR_BY_MS;
+        penalised = true;
+        pauseReading();
+        Exchange exchange = new Exchange(this, null);
+        exchanges.add(exchange);
+        double wait = Math.max(0, Math.min(ERROR_AFTER_MS, bornMs + ERROR_BY_MS - dispatcher.now()));
+        ctx.executor().schedule(() -> {
+            penalised = false;
+            if (ctx.channel().isActive()) {
+                answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"));
+            }
+        }, (long) wait, TimeUnit.MILLISECONDS);
     }
 
-    /** More of a long answer; the source is held back while the client's connection takes no more. */
-    void pass(Exchange exchange, ByteBuf part) {
+    /** The whole final answer; takes the buffer over. */
+    void answer(Exchange exchange, ByteBuf answer) {
         if (finished) {
-            part.release();
-        } else if (exchange.answer == null) {
-            exchange.answer = part;
-        } else {
-            CompositeByteBuf parts = exchange.answer instanceof CompositeByteBuf c ? c
-                    : ctx.alloc().compositeBuffer(64).addComponent(true, exchange.answer);
-            exchange.answer = parts.addComponent(true, part);
+            answer.release();
+            return;
+        }
+        exchange.answer = answer;
+        if (exchange.command != null) {
+            answered++;
         }
         flushAnswers();
     }
 
-    /** A long answer has all been passed on. */
-    void passed(Exchange exchange) {
-        exchange.whole = true;
-        exchange.source = null;
-        flushAnswers();
-    }
-
-    /** A long answer breaks off: only the connection's end tells the client that it is not whole. */
-    void breakOff(Exchange exchange) {
-        exchange.source = null;
-        ctx.close();
-    }
-
     private void flushAnswers() {
         boolean wrote = false;
         Exchange head;
-        while (!finished && (head = exchanges.peek()) != null) {
-            if (head.answer != null) {
-                ctx.write(head.answer);
-                head.answer = null;
-                wrote = true;
-            }
-            if (!head.whole) {
-                break;
-            }
+        while (!finished && (head = exchanges.peek()) != null && head.answer != null) {
+            int bytes = head.answer.readableBytes();
+            dispatcher.holding(bytes);
+            ctx.write(head.answer).addListener(f -> dispatcher.holding(-bytes));
+            head.answer = null;
+            wrote = true;
             exchanges.poll();
         }
         if (wrote) {
             activeMs = dispatcher.now();
             ctx.flush();
+            if (!ctx.channel().isWritable() && dispatcher.holdsTooMuch()) {
+                ctx.close(); // of those who don't take their answers, the first to ask for one more
+                return;
+            }
         }
         regulate();
-        if (exchanges.isEmpty() && (closing || dispatcher.draining()) && idleOrLost()) {
+        if (exchanges.isEmpty() && (closing || dispatcher.draining() && idle())) {
             finish();
         }
     }
 
-    private boolean idleOrLost() {
-        return closing || idle();
-    }
-
-    /** Lets the head's source go on only while the client takes what is written, and holds back all others. */
+    /** Reads on once there is room for what may come of it. */
     private void regulate() {
-        for (Exchange e : exchanges) {
-            if (e.source != null) {
-                e.source.hold(e != exchanges.peek() || !ctx.channel().isWritable());
-            }
-        }
-        if (readPaused && exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
+        if (readPaused && !penalised && exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
             readPaused = false;
             ctx.channel().config().setAutoRead(true);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
-            ctx.executor().execute(() -> ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER));
+            ctx.executor().execute(() -> {
+                ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+                partBegun();
+            });
         }
     }
 
@@ -280,13 +297,26 @@
         }
         finished = true;
         closing = true;
-        ctx.channel().config().setAutoRead(true);
+        // After an error nothing of what may still come is of use, and it may be a lot.
+        ctx.channel().config().setAutoRead(errors == 0);
         ((DuplexChannel) ctx.channel()).shutdownOutput();
         ctx.executor().schedule(() -> {
             ctx.close();
         }, LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Notes whether the client is in the middle of a command; the time while we don't read is not its own. */
+    private void partBegun() {
+        boolean part = !readPaused && (incoming != null || actualReadableBytes() > 0);
+        partSinceMs = !part ? Double.NaN : Double.isNaN(partSinceMs) ? dispatcher.now() : partSinceMs;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        super.channelReadComplete(context);
+        partBegun();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         activeMs = dispatcher.now();
@@ -307,10 +337,6 @@
                 e.answer.release();
                 e.answer = null;
             }
-            if (e.source != null) {
-                e.source.hold(false);
-                e.source = null;
-            }
             if (e.command != null) {
                 dispatcher.gone(e);
             }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -3,6 +3,7 @@
 import damsonworks.Policy;
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.Effect;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Reports;
@@ -35,13 +36,22 @@
  * module is never called from within one of its own orders, what happens meanwhile waits in line.
  */
 final class Dispatcher implements Actions {
-    private static final int MAX_LOG_LINES = 300;
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Idle upstream connections are closed this part of the servers' own limit before it. */
     private static final double RETIRE_AT = 0.7;
-    private static final long SWEEP_MS = 1000;
+    private static final long SWEEP_MS = 50;
+    /**
+     * The last answer goes out this much before the client gives up: a client that has gone away by then could
+     * not tell a late answer from none. Guards against a loop that is held up by the machine. An upstream's
+     * answer that would have come in just that time is given up for it.
+     */
+    private static final double ANSWER_AHEAD_MS = 20;
+    private static final int MAX_LOG_LINES_A_MINUTE = 40;
+    private static final String ID_IN_USE = "the id is another open request's";
+    /** The byte budget's part of the memory limit: values of clients, and as much again of answers not taken. */
+    private static final int BUDGET_PART = 16;
 
     private final EventLoop loop;
     private final Config config;
@@ -50,6 +60,10 @@
     private final Map<String, Integer> tenants = new HashMap<>();
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
     private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
+    /** Servers that are gone, until their last connection is. */
+    private final Set<Upstream> leaving = new HashSet<>();
+    /** The clients' ids of the requests that are open. */
+    private final Set<String> openIds = new HashSet<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private final Bootstrap bootstrap;
     private final double epochMs = System.currentTimeMillis();
@@ -64,8 +78,10 @@
     private boolean draining;
     private int nextId;
     private int logLines;
+    private double logMinuteMs;
     private int upstreamCount;
     private long valueBytes;
+    private long heldBytes;
 
     /** What wants to know of clients that have left. */
     interface ClientListener {
@@ -80,7 +96,7 @@
             classes.put(c.name(), classes.size());
         }
         settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
-        maxValueBytes = (long) config.memoryMb() << 20 >> 3;
+        maxValueBytes = ((long) config.memoryMb() << 20) / BUDGET_PART;
         maxUpstream = config.sockets() / 3;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -128,7 +144,32 @@
         valueBytes -= bytes;
     }
 
+    /** Counts answers that wait for their clients' connections to take them. */
+    void holding(int bytes) {
+        heldBytes += bytes;
+    }
+
+    boolean holdsTooMuch() {
+        return heldBytes > maxValueBytes;
+    }
+
+    /**
+     * Whether one more upstream connection may be opened. At the bound the one that has stood idle longest
+     * makes room, or a server that is new would never get one.
+     */
     boolean roomUpstream() {
+        if (upstreamCount >= maxUpstream) {
+            UpstreamConnection longest = null;
+            for (Upstream u : upstreams.values()) {
+                UpstreamConnection c = u.longestIdle();
+                if (c != null && (longest == null || c.idleSinceMs() < longest.idleSinceMs())) {
+                    longest = c;
+                }
+            }
+            if (longest != null) {
+                longest.close();
+            }
+        }
         return upstreamCount < maxUpstream;
     }
 
@@ -158,6 +199,8 @@
             u.closeIdle(now - config.idleCloseMs() * RETIRE_AT);
             u.sweep(now);
         }
+        leaving.forEach(u -> u.sweep(now));
+        leaving.removeIf(Upstream::isEmpty);
     }
 
     // ---- calls of the module
@@ -212,7 +255,7 @@
                 upstreams.put(id, u);
             }
             if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
-                u.closeIdle(Double.MAX_VALUE);
+                u.retire(); // what its connections lead to is not the server that is listed now
             }
             u.dial = h.dial();
             u.bornMs = h.member().bornMs();
@@ -232,7 +275,8 @@
     private void forget(int id) {
         Upstream u = upstreams.remove(id);
         if (u != null) {
-            u.closeIdle(Double.MAX_VALUE);
+            u.retire();
+            leaving.add(u);
         }
     }
 
@@ -249,21 +293,42 @@
         tell(() -> module.onPeer(now(), peer, message, this));
     }
 
-    /** Takes a request whose last byte has come; it will be answered once. */
+    /** Why a command can't be made a request; null if it can. Figures that are none never reach the module. */
+    String unusable(Command c) {
+        Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
+        if (kind == null) {
+            return "unknown class";
+        }
+        if (!tenants.isEmpty() && !tenants.containsKey(String.valueOf(MetaCodec.named(c.extras, "t")))) {
+            return "unknown tenant";
+        }
+        if (!(figure(c, "d", 0) > 0)) {
+            return "bad deadline";
+        }
+        if (figure(c, "h", 0) != figure(c, "h", 0) || figure(c, "size", 0) != figure(c, "size", 0)) {
+            return "bad figure";
+        }
+        if (c.write && settings.classes().get(kind).effect() == Effect.KEYED
+                && MetaCodec.named(c.extras, "k") == null) {
+            return "no idempotency key";
+        }
+        return openIds.contains(c.id) ? ID_IN_USE : null;
+    }
+
+    /** Takes a request whose last byte has come and that is usable; it will be answered once. */
     void take(Exchange x) {
         Command c = x.command;
         double now = now();
-        Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
-        String owner = MetaCodec.named(c.extras, "t");
-        Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
-        double wait = figure(c, "d", kind == null ? 0 : settings.classes().get(kind).deadlineMs());
-        if (kind == null || tenant == null || !(wait > 0)) {
+        if (!openIds.add(c.id)) { // since it was looked at, another command has brought it
             x.over = true;
-            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
-                    "CLIENT_ERROR unknown class, tenant or deadline\r\n"));
-            free(x);
+            giveBackValue(x);
+            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR " + ID_IN_USE + "\r\n"));
             return;
         }
+        int kind = classes.get(MetaCodec.named(c.extras, "c"));
+        int tenant = tenants.isEmpty() ? 0 : tenants.get(MetaCodec.named(c.extras, "t"));
+        double wait = figure(c, "d", 0);
+        wait -= Math.min(ANSWER_AHEAD_MS, wait / 10);
         x.id = nextId++;
         x.dueMs = now + wait;
         exchanges.put(x.id, x);
@@ -277,11 +342,7 @@
 
     private static double figure(Command c, String name, double absent) {
         String text = MetaCodec.named(c.extras, name);
-        try {
-            return text == null ? absent : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return absent;
-        }
+        return text == null ? absent : MetaCodec.figure(text);
     }
 
     /** The module's key: what the text's hexadecimal digits say, else a hash of it that is alike everywhere. */
@@ -299,11 +360,14 @@
     }
 
     private void due(Exchange x) {
-        for (int i = 0; i < x.attempts.size() && !x.streaming; i++) {
+        for (int i = 0; i < x.attempts.size(); i++) {
             expire(x.attempts.get(i));
         }
+        if (x.over) {
+            return;
+        }
         x.timer = after(OVERDUE_MS, () -> {
-            if (!x.over && !x.streaming) {
+            if (!x.over) {
                 log("request left unanswered by the module");
                 finish(x, MetaCodec.FAILED);
             }
@@ -325,15 +389,8 @@
     /** The client has closed its connection: what is not answered yet is over. */
     void gone(Exchange x) {
         if (!x.over) {
-            x.over = true;
-            stop(x.timer);
+            over(x);
             tell(() -> module.onGone(now(), x.id, this));
-            for (Attempt a : x.attempts) {
-                if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
-                    a.connection.giveUp(a);
-                    end(a, Outcome.CANCELLED, 0, null, null);
-                }
-            }
             free(x);
         }
     }
@@ -350,7 +407,7 @@
         }
         a.ended = true;
         stop(a.timer);
-        double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : now()) - a.sentMs;
+        double elapsed = now() - a.sentMs;
         Exchange x = a.exchange;
         if (x == null) {
             tell(() -> module.onProbed(now(), a.server, outcome, elapsed, report, this));
@@ -359,14 +416,6 @@
         x.out--;
         if (answer != null && x.over) {
             answer.release();
-        } else if (a.firstByteMs != 0) {
-            over(x);
-            if (answer != null) {
-                x.client.pass(x, answer);
-                x.client.passed(x);
-            } else {
-                x.client.breakOff(x);
-            }
         } else if (answer != null) {
             over(x);
             x.client.answer(x, answer);
@@ -377,44 +426,15 @@
         free(x);
     }
 
-    /** A long answer begins; false if the request is over or another answer has begun. */
-    boolean begin(Attempt a, ByteBuf head) {
-        Exchange x = a.exchange;
-        if (a.ended || x.over || x.streaming) {
-            head.release();
-            return false;
-        }
-        x.streaming = true;
-        x.source = a.connection;
-        a.firstByteMs = now();
-        stop(x.timer);
-        stop(a.timer);
-        x.client.pass(x, head);
-        tell(() -> module.onFirstByte(now(), x.id, a.index, a.server, this));
-        for (Attempt other : x.attempts) {
-            if (other != a) {
-                cancel(x.id, other.index);
-            }
-        }
-        return true;
-    }
-
-    void part(Attempt a, ByteBuf part) {
-        if (a.ended || a.exchange.over) {
-            part.release();
-        } else {
-            a.exchange.client.pass(a.exchange, part);
-        }
-    }
-
     private void over(Exchange x) {
         x.over = true;
+        openIds.remove(x.command.id);
         stop(x.timer);
     }
 
     /** The final answer where no server gave it. */
     private void finish(Exchange x, String text) {
-        if (x.over || x.streaming) {
+        if (x.over) {
             return;
         }
         over(x);
@@ -427,13 +447,17 @@
         if (!x.over) {
             return;
         }
+        giveBackValue(x);
+        if (x.out == 0) {
+            exchanges.remove(x.id);
+        }
+    }
+
+    private void giveBackValue(Exchange x) {
         if (x.command.value != null) {
             giveBack(x.command.value.maxCapacity());
             x.command.release();
         }
-        if (x.out == 0) {
-            exchanges.remove(x.id);
-        }
     }
 
     // ---- the module's orders
@@ -456,9 +480,8 @@
             tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
             return;
         }
-        if (wait < left) {
-            a.timer = after(wait, () -> expire(a));
-        }
+        // Its own end, also where it is the request's: it may outlast its request, and must not do so for ever.
+        a.timer = after(wait, () -> expire(a));
         if (!u.send(a)) {
             tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
         }
@@ -485,7 +508,7 @@
     public void cancel(int request, int attempt) {
         Exchange x = exchanges.get(request);
         Attempt a = x == null || attempt >= x.attempts.size() ? null : x.attempts.get(attempt);
-        if (a == null || a.ended || a.firstByteMs != 0) {
+        if (a == null || a.ended) {
             return;
         }
         if (a.connection != null) {
@@ -534,10 +557,15 @@
         discovery.fetch();
     }
 
-    /** A line on standard error; their number is bounded. */
+    /** A line on standard error; their number is bounded for each minute, so that long runs stay readable. */
     @Override
     public void log(String line) {
-        if (++logLines <= MAX_LOG_LINES) {
+        double now = now();
+        if (now - logMinuteMs >= 60_000) {
+            logMinuteMs = now;
+            logLines = 0;
+        }
+        if (++logLines <= MAX_LOG_LINES_A_MINUTE) {
             System.err.println(line.getBytes(StandardCharsets.UTF_8).length > 500 ? line.substring(0, 500) : line);
         }
     }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -14,19 +14,13 @@
     /** Null where the proxy answers by itself. */
     final Command command;
 
-    /** What is ready to go to the client, null once it has been handed on. */
+    /** The answer, until it is its turn to go to the client. */
     ByteBuf answer;
-    /** Whether all of the answer has come. */
-    boolean whole;
-    /** The upstream connection that a long answer is read from. */
-    UpstreamConnection source;
 
     int id;
     double dueMs;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
-    /** The first bytes of a long answer have been passed on: it is over when the last have. */
-    boolean streaming;
     int out;
     Future<?> timer;
     final List<Attempt> attempts = new ArrayList<>(3);
@@ -79,8 +73,8 @@
         boolean written;
         /** It has had its one outcome. */
         boolean ended;
-        /** When the first bytes of a long answer came, else 0. */
-        double firstByteMs;
+        /** Its answer is not waited for any more, but still to be read. */
+        boolean abandoned;
         Future<?> timer;
 
         Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -1,19 +1,22 @@
 package damsonworks.proxy;
 
+import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** The grammar of the meta text protocol, shared by the sides of clients and of cache nodes. */
 final class MetaCodec {
     /** The longest value the protocol has. */
-    static final int MAX_VALUE = 4 << 20;
-    /** Answers up to this size are passed on whole, longer ones as they come. */
-    static final int WHOLE = 64 << 10;
+    static final int MAX_VALUE = 64 << 10;
     /** Lines hold a key (250 bytes at most) and short lists; one that is longer has lost its framing. */
     static final int MAX_LINE = 4096;
+    /** A key's greatest length in this protocol; ids and receipts are shorter. */
+    static final int MAX_WORD = 250;
     static final String FAILED = "SERVER_ERROR failed\r\n";
     static final String BUSY = "SERVER_ERROR busy";
 
@@ -63,6 +66,77 @@
         return n;
     }
 
+    /**
+     * A client's command as the protocol has it, each flag once and no other; null if it is not of that form.
+     * Strict, as a cache node that is sent what it can't read ends the connection for all who share it.
+     */
+    static Command command(String line, boolean write) {
+        String[] words = line.split(" ", -1);
+        String id = null;
+        String extras = null;
+        int list = 0;
+        int value = write ? 1 : 0;
+        int at = 0;
+        for (int i = 0; i < words.length; i++) {
+            String word = words[i];
+            if (word.isEmpty()) {
+                return null;
+            }
+            if (i >= (write ? 3 : 2)) {
+                if (word.equals("v") && !write) {
+                    value++;
+                } else if (word.charAt(0) == 'O' && id == null) {
+                    id = word.substring(1);
+                } else if (word.charAt(0) == 'P' && extras == null) {
+                    extras = word.substring(1);
+                    list = at + 1;
+                } else {
+                    return null;
+                }
+            }
+            at += word.length() + 1;
+        }
+        if (id == null || extras == null || value != 1 || !isWord(words[1]) || !isWord(id) || !isList(extras)) {
+            return null;
+        }
+        int d = valueAt(extras, "d");
+        if (d < 0) {
+            return null;
+        }
+        int end = extras.indexOf(',', d);
+        return new Command(words[1], id, write, extras, line.substring(0, list + d),
+                line.substring(list + (end < 0 ? extras.length() : end)));
+    }
+
+    /** Whether this is a list of names and values, no name twice. */
+    private static boolean isList(String list) {
+        Set<String> names = new HashSet<>();
+        for (String entry : list.split(",", -1)) {
+            int eq = entry.indexOf('=');
+            if (eq <= 0 || !isWord(entry) || !names.add(entry.substring(0, eq))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A plain decimal figure of 0 or more, not beyond nine digits; NaN if the text is none. */
+    static double figure(String text) {
+        int digits = 0;
+        int points = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '.' && i > 0 && i < text.length() - 1) {
+                points++;
+            } else if (c < '0' || c > '9') {
+                return Double.NaN;
+            } else if (points == 0) {
+                digits++;
+            }
+        }
+        return digits == 0 || digits > 9 || points > 1 || text.length() > 20 ? Double.NaN : Double.parseDouble(text);
+    }
+
     /** The word after this one's start, or "" at the line's end. */
     static String wordAt(String line, int start) {
         int end = line.indexOf(' ', start);
@@ -118,6 +192,9 @@
             }
             try {
                 report[i] = Float.parseFloat(value);
+                if (!Float.isFinite(report[i])) {
+                    return null;
+                }
             } catch (NumberFormatException e) {
                 return null;
             }
@@ -125,6 +202,16 @@
         return report;
     }
 
+    /** Whether this can stand as one word in a line: some visible ASCII, not too much of it. */
+    static boolean isWord(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) > '~') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= MAX_WORD;
+    }
+
     /** The first line of a served read. */
     static String valueHead(int length, String id) {
         return "VA " + length + " O" + id + "\r\n";
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -4,7 +4,6 @@
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,15 +25,17 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 
-/** HTTP/1.1 towards the origin. */
+/**
+ * HTTP/1.1 towards the origin. As with cache nodes, an answer is handed on only when it has all been read.
+ */
 final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
+    private static final String ID = "Req-Id";
+
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
     private HttpResponse response;
-    /** A short answer's body so far, or one whose length was not told; null where it is dropped or streamed. */
-    private CompositeByteBuf body;
-    private long missing;
-    private boolean streamed;
+    /** The body so far; null before its first part. */
+    private ByteBuf body;
     private boolean broken;
 
     private OriginCodec(UpstreamConnection connection) {
@@ -44,7 +45,7 @@
     }
 
     static ChannelHandler[] handlers(UpstreamConnection connection) {
-        return new ChannelHandler[] {new HttpClientCodec(MetaCodec.MAX_LINE, 8192, 64 << 10),
+        return new ChannelHandler[] {new HttpClientCodec(MetaCodec.MAX_LINE, 8192, MetaCodec.MAX_VALUE),
             new OriginCodec(connection)};
     }
 
@@ -61,7 +62,7 @@
                     : command.value.retainedSlice(0, command.value.readableBytes() - 2);
             request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
-            request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras);
+            request.headers().set(ID, command.id).set("Req-Extra", command.extras);
             if (command.write) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
             }
@@ -70,6 +71,11 @@
         return channel.writeAndFlush(request);
     }
 
+    @Override
+    public boolean within() {
+        return response != null;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (broken) {
@@ -83,7 +89,7 @@
             begin(ctx, r);
         }
         if (response != null && message instanceof HttpContent content) {
-            content(content);
+            content(ctx, content.content());
             if (!broken && content instanceof LastHttpContent) {
                 end(ctx);
             }
@@ -96,42 +102,32 @@
             response = null;
             return;
         }
+        String id = r.headers().get(ID);
+        long length = HttpUtil.getContentLength(r, -1L);
         if (attempt == null) {
             fail("answer to nothing");
-            return;
-        }
-        response = r;
-        missing = HttpUtil.getContentLength(r, -1L);
-        if (missing < 0 && !HttpUtil.isTransferEncodingChunked(r) || missing > MetaCodec.MAX_VALUE) {
+        } else if (r.headers().entries().stream().anyMatch(h -> h.getValue().isEmpty())) {
+            // So the parser reads a line in the head that is no header at all. An origin that sends headers with
+            // nothing in them would be taken for one whose answers are spoilt.
+            fail("no header");
+        } else if (id != null && attempt.exchange != null && !id.equals(attempt.exchange.command.id)) {
+            fail("answer to another request");
+        } else if (length < 0 && !HttpUtil.isTransferEncodingChunked(r) || length > MetaCodec.MAX_VALUE) {
             // Where only the connection's end ends the body, none can tell whether it is whole.
             fail("no length or too long");
-            return;
-        }
-        streamed = r.status().code() == 200 && attempt.exchange != null && !attempt.exchange.command.write
-                && missing > MetaCodec.WHOLE;
-        body = null;
-        if (!streamed) {
-            body = ctx.alloc().compositeBuffer(64);
-        } else if (connection.begin(MetaCodec.text(ctx.alloc(),
-                MetaCodec.valueHead((int) missing, attempt.exchange.command.id)))) {
-            return;
         } else {
-            streamed = false; // nobody waits: what comes is read and dropped
+            response = r;
         }
     }
 
-    private void content(HttpContent content) {
-        ByteBuf part = content.content();
-        if (streamed) {
-            if (part.isReadable()) {
-                connection.part(part.retain());
-            }
-        } else if (body != null) {
-            if (body.readableBytes() + part.readableBytes() > MetaCodec.MAX_VALUE) {
-                fail("too long");
-                return;
-            }
-            body.addComponent(true, part.retain());
+    private void content(ChannelHandlerContext ctx, ByteBuf part) {
+        if (body == null) {
+            body = ctx.alloc().buffer(part.readableBytes());
+        }
+        if (body.readableBytes() + part.readableBytes() > MetaCodec.MAX_VALUE) {
+            fail("too long");
+        } else {
+            body.writeBytes(part);
         }
     }
 
@@ -140,61 +136,72 @@
         ByteBuf whole = body;
         response = null;
         body = null;
-        if (!HttpUtil.isKeepAlive(r)) {
-            connection.retire();
-        }
+        boolean last = !HttpUtil.isKeepAlive(r);
         Attempt attempt = connection.head();
         float[] report = dispatcher.report(r.headers().get("Srv-Load"));
         int code = r.status().code();
-        if (attempt.exchange == null) {
-            release(whole);
-            connection.ended(code == 200 ? Outcome.OK : Outcome.ERROR, 0, report, null);
-        } else if (code == 200) {
-            connection.ended(Outcome.OK, 0, report, answer(ctx, attempt.exchange.command, whole));
-        } else {
-            release(whole);
-            boolean declined = (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
-            connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null);
+        try {
+            if (attempt.exchange == null) {
+                connection.ended(code == 200 ? Outcome.OK : Outcome.ERROR, 0, report, null, last);
+            } else if (code == 200) {
+                ByteBuf answer = answer(ctx, attempt.exchange.command, whole);
+                if (answer != null) {
+                    connection.ended(Outcome.OK, 0, report, answer, last);
+                }
+            } else {
+                boolean declined = (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
+                connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null, last);
+            }
+        } finally {
+            whole.release();
         }
     }
 
+    /** The client's answer; null if the body is no receipt. */
     private ByteBuf answer(ChannelHandlerContext ctx, Command command, ByteBuf whole) {
-        if (streamed || whole == null) {
-            return MetaCodec.text(ctx.alloc(), "\r\n");
-        }
         if (command.write) {
             String receipt = whole.toString(StandardCharsets.ISO_8859_1).trim();
-            whole.release();
+            if (!MetaCodec.isWord(receipt)) {
+                fail("no receipt");
+                return null;
+            }
             return MetaCodec.text(ctx.alloc(), MetaCodec.receipt(command.id, receipt));
         }
-        ByteBuf head = MetaCodec.text(ctx.alloc(), MetaCodec.valueHead(whole.readableBytes(), command.id));
-        return ctx.alloc().compositeBuffer(3).addComponent(true, head).addComponent(true, whole)
-                .addComponent(true, MetaCodec.text(ctx.alloc(), "\r\n"));
-    }
-
-    private static void release(ByteBuf buf) {
-        if (buf != null) {
-            buf.release();
-        }
+        String head = MetaCodec.valueHead(whole.readableBytes(), command.id);
+        ByteBuf answer = ctx.alloc().buffer(head.length() + whole.readableBytes() + 2);
+        answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+        return answer.writeBytes(whole).writeByte('\r').writeByte('\n');
     }
 
     private void fail(String what) {
         broken = true;
-        release(body);
-        body = null;
+        drop();
         connection.garbage(what);
     }
 
+    private void drop() {
+        response = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        super.channelReadComplete(ctx);
+        connection.readSome();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
-        release(body);
-        body = null;
+        drop();
         connection.closed();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close();
+        fail(String.valueOf(cause));
     }
 }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -2,6 +2,7 @@
 
 import damsonworks.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -26,6 +27,9 @@
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
+    private static final long SWEEP_MS = 200;
+    /** What is read from a client at once: at first enough to see a flood of commands as one. */
+    private static final int READ_BYTES = 8 << 10;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -49,11 +53,13 @@
         loop.submit(() -> {
             dispatcher.start(discovery, peers, this::left);
             discovery.start();
-            loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
+            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).syncUninterruptibly();
         server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(READ_BYTES, READ_BYTES, 64 << 10))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -122,26 +128,29 @@
     // ---- clients
 
     /**
-     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
-     * stood idle longest makes room.
+     * A connection that the kernel has accepted counts as taken, so where there are too many one makes room: of
+     * those that never asked anything usable the oldest, and only then the one that has stood idle longest.
+     * Guards usual clients' connections against those who connect by hundreds and say nothing.
      */
     private void accepted(Channel channel) {
         ClientConnection client = new ClientConnection(dispatcher);
         channel.pipeline().addLast(client);
         clients.add(client);
-        if (clients.size() > maxClients) {
-            ClientConnection oldest = null;
-            for (ClientConnection c : clients) {
-                if (c != client && c.idle() && (oldest == null || c.activeMs() < oldest.activeMs())) {
-                    oldest = c;
-                }
-            }
-            if (oldest != null) {
-                oldest.close();
-            } else {
-                server.config().setAutoRead(false);
+        if (clients.size() <= maxClients) {
+            return;
+        }
+        ClientConnection first = null;
+        for (ClientConnection c : clients) {
+            if (c != client && (c.useless() || c.idle()) && (first == null
+                    || (c.useless() == first.useless() ? c.activeMs() < first.activeMs() : c.useless()))) {
+                first = c;
             }
         }
+        if (first != null) {
+            first.close();
+        } else {
+            server.config().setAutoRead(false);
+        }
     }
 
     private void left(ClientConnection client) {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -41,16 +41,26 @@
     /** Sends the attempt; false if no connection has room for it. */
     boolean send(Attempt attempt) {
         UpstreamConnection best = null;
+        UpstreamConnection unsettled = null;
+        int open = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection c = connections.get(i);
-            if (c.usable(maxDepth) && (best == null || c.better(best))) {
+            open += c.closing() ? 0 : 1;
+            if (!c.usable(maxDepth)) {
+                continue;
+            }
+            if (!c.settled()) {
+                unsettled = c;
+            } else if (best == null || c.better(best)) {
                 best = c;
             }
         }
-        if ((best == null || best.depth() > 0) && connections.size() < maxConnections
-                && dispatcher.roomUpstream()) {
+        if ((best == null || best.depth() > 0) && open < maxConnections && dispatcher.roomUpstream()) {
             best = open();
         }
+        if (best == null && !origin) {
+            best = unsettled; // a cache node's answers tell by their id what they belong to
+        }
         if (best == null) {
             return false;
         }
@@ -58,6 +68,7 @@
         return true;
     }
 
+    /** A new connection; null if it failed at once. */
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
@@ -66,7 +77,7 @@
                 : new ChannelHandler[] {new CacheCodec(connection)};
         ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers)).connect(dial);
         connection.opening(future, dial);
-        return connection;
+        return connection.closing() ? null : connection;
     }
 
     void closed(UpstreamConnection connection) {
@@ -75,6 +86,21 @@
         }
     }
 
+    boolean isEmpty() {
+        return connections.isEmpty();
+    }
+
+    /** The connection that has stood idle longest; null if none does. */
+    UpstreamConnection longestIdle() {
+        UpstreamConnection longest = null;
+        for (UpstreamConnection c : connections) {
+            if (c.depth() == 0 && !c.closing() && (longest == null || c.idleSinceMs() < longest.idleSinceMs())) {
+                longest = c;
+            }
+        }
+        return longest;
+    }
+
     /** Closes the connections that have stood idle since before this time. */
     void closeIdle(double sinceMs) {
         for (UpstreamConnection c : List.copyOf(connections)) {
@@ -84,6 +110,11 @@
         }
     }
 
+    /** The server is gone or has become another: no connection is used again, each ends with what is on it. */
+    void retire() {
+        List.copyOf(connections).forEach(UpstreamConnection::retire);
+    }
+
     /** Ends attempts whose answer has stopped in its middle. */
     void sweep(double now) {
         for (UpstreamConnection c : List.copyOf(connections)) {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -16,10 +16,23 @@
     /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
     interface Codec {
         ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial);
+
+        /** Whether part of an answer has come and the rest is awaited. */
+        boolean within();
     }
 
-    /** A server pauses for 0.1 s at most within an answer; one that stops for this long will not go on. */
-    private static final double STALLED_MS = 3000;
+    /**
+     * An answer is written in one go, so one that takes this long from its first byte to its last is spoilt: a
+     * length that does not fit, a line without end, a trickle. A node that pauses for longer within an answer
+     * loses it, and the request one of its attempts.
+     */
+    private static final double ANSWER_MS = 150;
+    /**
+     * A connection rests this long after its last answer. Guards against a second answer or noise right behind
+     * a good one, which would be read as the answer to whatever is sent next; over HTTP, where answers carry no
+     * id, a client would get another key's value. Costs a further connection where requests follow that closely.
+     */
+    private static final double SETTLE_MS = 3;
 
     private final Upstream upstream;
     private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
@@ -29,11 +42,12 @@
     private boolean connected;
     private boolean closed;
     private boolean retired;
-    private boolean held;
-    private int givenUp;
+    private boolean spoilt;
+    private int abandoned;
     private double idleSinceMs;
-    private double progressMs;
-    private boolean begun;
+    private double answeredMs = Double.NEGATIVE_INFINITY;
+    /** Since when part of an answer waits for the rest; NaN: none does. */
+    private double withinSinceMs = Double.NaN;
 
     UpstreamConnection(Upstream upstream) {
         this.upstream = upstream;
@@ -59,6 +73,9 @@
             connected = true;
             if (attempts.isEmpty()) {
                 idleSinceMs = upstream.dispatcher().now();
+                if (retired) {
+                    close();
+                }
             }
             attempts.forEach(this::write);
         });
@@ -72,12 +89,21 @@
         return idleSinceMs;
     }
 
+    boolean closing() {
+        return closed || retired;
+    }
+
     /** Not closing, and no answer that nobody waits for stands before what would be sent. */
     boolean usable(int maxDepth) {
-        return !closed && !retired && givenUp == 0 && attempts.size() < maxDepth
+        return !closed && !retired && abandoned == 0 && attempts.size() < maxDepth
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
+    /** Whether what may yet follow the last answer has had its time to show. */
+    boolean settled() {
+        return !attempts.isEmpty() || upstream.dispatcher().now() - answeredMs >= SETTLE_MS;
+    }
+
     boolean better(UpstreamConnection other) {
         return depth() != other.depth() ? depth() < other.depth() : idleSinceMs > other.idleSinceMs;
     }
@@ -104,32 +130,33 @@
      * as the connection was not up yet.
      */
     boolean giveUp(Attempt attempt) {
+        if (attempt.abandoned) {
+            return false;
+        }
         if (!connected) {
             return attempts.remove(attempt);
         }
-        if (attempts.contains(attempt) && ++givenUp == attempts.size()) {
-            close();
+        if (attempts.contains(attempt)) {
+            attempt.abandoned = true;
+            if (++abandoned == attempts.size()) {
+                close();
+            }
         }
         return false;
     }
 
-    /** The server takes no more on this connection once what is on it has been answered. */
+    /** Nothing more goes out on this connection; it ends once what is on it has been answered. */
     void retire() {
         retired = true;
-    }
-
-    /** Stops reading while the client can't take more. */
-    void hold(boolean on) {
-        if (held != on) {
-            held = on;
-            progressMs = upstream.dispatcher().now();
-            channel.config().setAutoRead(!on);
+        if (attempts.isEmpty() && connected) {
+            close();
         }
     }
 
+    /** An answer that has begun and does not end is spoilt. */
     void sweep(double now) {
-        if (begun && !held && now - progressMs > STALLED_MS) {
-            close();
+        if (now - withinSinceMs > ANSWER_MS) {
+            garbage("an answer that does not end");
         }
     }
 
@@ -138,6 +165,9 @@
         if (channel != null) {
             channel.close();
         }
+        if (attempts.isEmpty()) {
+            closed(); // gives its place back now, not when the network is done with it
+        }
     }
 
     // ---- what the codec has read
@@ -147,40 +177,48 @@
         return attempts.peek();
     }
 
-    /** A short answer or a long one's end has come whole. */
-    void ended(Outcome outcome, int note, float[] report, ByteBuf answer) {
+    /** Some bytes have been read and used as far as they go. */
+    void readSome() {
+        if (!codec.within()) {
+            withinSinceMs = Double.NaN;
+        } else if (Double.isNaN(withinSinceMs)) {
+            withinSinceMs = upstream.dispatcher().now();
+        }
+    }
+
+    /** An answer has come whole. {@code surplus}: more has come behind it. */
+    void ended(Outcome outcome, int note, float[] report, ByteBuf answer, boolean surplus) {
         Attempt attempt = attempts.poll();
-        begun = false;
-        if (attempt.ended) {
-            givenUp--;
+        withinSinceMs = Double.NaN;
+        if (attempt.abandoned) {
+            abandoned--;
         }
         if (attempts.isEmpty()) {
-            idleSinceMs = upstream.dispatcher().now();
+            idleSinceMs = answeredMs = upstream.dispatcher().now();
+            retired |= surplus;
         }
-        hold(false);
-        upstream.dispatcher().end(attempt, outcome, note, report, answer);
-        if (attempts.isEmpty() ? retired : givenUp == attempts.size()) {
+        // Before the module hears of it, which may want to send at once.
+        if (attempts.isEmpty() ? retired : abandoned == attempts.size()) {
             close();
         }
+        upstream.dispatcher().end(attempt, outcome, note, report, answer);
     }
 
-    /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
-    boolean begin(ByteBuf head) {
-        begun = true;
-        progressMs = upstream.dispatcher().now();
-        return upstream.dispatcher().begin(attempts.peek(), head);
-    }
-
-    /** Part of a long answer that was begun; takes the buffer over. */
-    void part(ByteBuf part) {
-        progressMs = upstream.dispatcher().now();
-        upstream.dispatcher().part(attempts.peek(), part);
-    }
-
-    /** What came is not the protocol's. */
+    /**
+     * What came is not the protocol's: none of the attempts on the connection will have an answer. They end as
+     * errors, which may have run; it is this connection that failed, and no sign that the server can't be
+     * reached.
+     */
     void garbage(String what) {
-        upstream.dispatcher().log("bad answer of " + dial + ": " + what);
+        if (spoilt || closed) {
+            return;
+        }
+        spoilt = true;
+        if (!attempts.isEmpty()) {
+            upstream.dispatcher().log("bad answer of " + dial + ": " + what);
+        }
         close();
+        closed();
     }
 
     /** The connection never came up or has ended. */
@@ -191,7 +229,7 @@
         closed = true;
         upstream.closed(this);
         for (Attempt a; (a = attempts.poll()) != null;) {
-            Outcome outcome = a.written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            Outcome outcome = !a.written ? Outcome.CONNECT_FAILED : spoilt ? Outcome.ERROR : Outcome.RESET;
             upstream.dispatcher().end(a, outcome, 0, null, null);
         }
     }
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -507,4 +507,35 @@
         assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 0, 3, 1, rig.now + 10, 1, 0, false, false), rig))
                 .hasMessageContaining("tenant 3");
     }
+
+    /** The fetch of an origin that was replaced meanwhile was never taken off: its key stayed out of reach. */
+    @Test
+    void aFetchOfAnOriginThatIsGoneDoesNotBarItsKey() {
+        Rig rig = Rig.aside().fleet(8);
+        rig.read(1, 5);
+        rig.end(rig.last(), Outcome.MISS);
+        Rig.Placed fetch = rig.last();
+        assertThat(fetch.server()).isEqualTo(Rig.ORIGIN);
+        rig.change(Rig.member(Rig.ORIGIN, State.GONE, 0), new RoutingApi.Member(77, 1, 1, 0, State.READY, 1, 0));
+        rig.end(fetch, Outcome.RESET);
+        assertThat(rig.last().server()).isEqualTo(77);
+        rig.end(rig.last(), Outcome.OK);
+        rig.read(2, 5);
+        rig.end(rig.last(), Outcome.MISS);
+        assertThat(rig.last().server()).isEqualTo(77);
+        assertThat(rig.last().request()).isEqualTo(2);
+    }
+
+    /** An error is no failed connection: the key is kept there, so that is where it is asked for again. */
+    @Test
+    void anErrorStaysPut() {
+        Rig rig = Rig.aside().fleet(8);
+        rig.read(1, 5);
+        Rig.Placed first = rig.last();
+        rig.end(first, Outcome.ERROR);
+        assertThat(rig.last().attempt()).isEqualTo(1);
+        assertThat(rig.last().server()).isEqualTo(first.server());
+        rig.end(rig.last(), Outcome.ERROR);
+        assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
+    }
 }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/ClientTest.java
@@ -0,0 +1,140 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that send what can't be used, and those beside them. */
+class ClientTest {
+    private static final String DEAD = "127.0.0.1:1";
+
+    private static Peer cache(Stage stage) {
+        return stage.peer(line -> {
+            for (String text; (text = line.read()) != null;) {
+                line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+            }
+        });
+    }
+
+    private static void serves(Peer.Line client, String id) throws Exception {
+        client.write(Stage.read("a", id));
+        assertThat(client.read()).isEqualTo("VA 2 O" + id);
+        assertThat(client.read()).isEqualTo("hi");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "hello\r\n",
+        "\u0000\u00ff\u0007\r\n",
+        "mg a v O1 Pc=nothing,t=a,d=480\r\n",
+        "mg a v O1 Pc=read,t=a,d=soon\r\n",
+        "mg a v O1 Pc=read,t=a,d=-5\r\n",
+        "mg a v O1 Pc=read,t=a,d=NaN\r\n",
+        "mg a v O1 Pc=read,t=a,d=1e300\r\n",
+        "mg a v O1 Pc=read,t=a,d=480,h=Infinity\r\n",
+        "mg a v O1 Pc=read,t=a\r\n",
+        "mg a v O1 Pc=read,t=a,d=480,d=481\r\n",
+        "mg a v Pc=read,t=a,d=480\r\n",
+        "mg a v O Pc=read,t=a,d=480\r\n",
+        "mg a O1 Pc=read,t=a,d=480\r\n",
+        "mg a\u0001 v O1 Pc=read,t=a,d=480\r\n",
+        "mg  v O1 Pc=read,t=a,d=480\r\n",
+        "mg a v O1 O2 Pc=read,t=a,d=480\r\n",
+        "ms a -1 O1 Pc=pay,t=a,d=480\r\nxx\r\n",
+        "ms a 3221225472 O1 Pc=pay,t=a,d=480\r\nxx\r\n",
+        "ms a two O1 Pc=pay,t=a,d=480\r\nxx\r\n",
+        "ms a 1 O1 Pc=pay,t=a,d=480\r\nxx\r\n",
+        "ms a 2 O1 Pc=nothing,t=a,d=480\r\nxx\r\n",
+        "ms a 2 O1 Pc=save,t=a,d=480\r\nxx\r\n",
+        "", "mg a v O1 Pc=re", "ms a 9 O1 Pc=pay,t=a,d=480\r\nxx",
+    })
+    void whatCantBeUsedIsAnErrorOrACloseAndGoesNowhere(String text) throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer cache = cache(stage);
+            Peer origin = stage.peer(Peer.Line::head);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+            Peer.Line bad = stage.client();
+            bad.write(text);
+            String answer = bad.read();
+            if (answer != null) {
+                assertThat(answer).startsWith(answer.startsWith("CLIENT_ERROR") ? "CLIENT_ERROR " : "ERROR");
+            }
+            serves(stage.client(), "2");
+            assertThat(cache.heard).hasSize(1);
+            assertThat(origin.heard).isEmpty();
+        }
+    }
+
+    @Test
+    void aFloodOfCommandsIsTurnedAwayWhole() throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer cache = cache(stage);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+            Peer.Line bad = stage.client();
+            StringBuilder flood = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                flood.append(Stage.read("a", "flood" + i));
+            }
+            bad.write(flood.toString());
+            assertThat(bad.read()).startsWith("CLIENT_ERROR");
+            assertThat(bad.read()).isNull();
+            assertThat(cache.heard).isEmpty();
+        }
+    }
+
+    @Test
+    void theIdOfAnOpenRequestIsTurnedDownAndTheRequestServed() throws Exception {
+        try (Stage stage = new Stage()) {
+            Object gate = new Object();
+            boolean[] go = new boolean[1];
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    synchronized (gate) {
+                        while (!go[0]) {
+                            gate.wait();
+                        }
+                    }
+                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+            Peer.Line first = stage.client();
+            first.write(Stage.read("a", "same"));
+            Stage.await(() -> !cache.heard.isEmpty());
+            Peer.Line second = stage.client();
+            second.write(Stage.read("a", "same"));
+            assertThat(second.read()).startsWith("CLIENT_ERROR");
+            synchronized (gate) {
+                go[0] = true;
+                gate.notifyAll();
+            }
+            assertThat(first.read()).isEqualTo("VA 2 Osame");
+            assertThat(first.read()).isEqualTo("hi");
+            serves(first, "same"); // no longer open
+        }
+    }
+
+    /** Those who connect and say nothing make room before a client whose connection only stands idle. */
+    @Test
+    void silentConnectionsAreSacrificedFirst() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.sockets = 128;
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache(stage)), Stage.host("s-2", "origin", DEAD, "up"));
+            Peer.Line usual = stage.client();
+            serves(usual, "1");
+            List<Peer.Line> silent = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                silent.add(stage.client());
+            }
+            serves(stage.client(), "2");
+            serves(usual, "3");
+            for (Peer.Line line : silent) {
+                assertThat(line.read()).isNull();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -0,0 +1,207 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Cache nodes and origins that answer otherwise than they should. */
+class UpstreamTest {
+    /** The first answer is spoilt in this way; all others are good. %s: the request's id. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\u0001\u0002noise\r\n",
+        "VA two O%s\r\nhi\r\n",
+        "VA -2 O%s\r\nhi\r\n",
+        "VA 3221225472 O%s\r\nhi",
+        "VA 2 Oanother\r\nhi\r\n",
+        "VA 1 O%s\r\nhi\r\n",
+        "VA 9 O%s\r\nhi\r\n",
+        "VA 2\r\nhi\r\n",
+        "HD O%s cabc\r\n",
+        "SERVER_ERROR busybody\r\n",
+        "ENd O%s\r\n",
+        "LINE WITHOUT END",
+    })
+    void aSpoiltAnswerCostsAnAttemptAndItsConnection(String spoilt) throws Exception {
+        try (Stage stage = new Stage()) {
+            AtomicInteger asked = new AtomicInteger();
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    String good = "VA 2 O%s\r\nhi\r\n";
+                    line.write((asked.getAndIncrement() == 0 ? spoilt : good).replace("%s", Stage.id(text)));
+                }
+            });
+            Peer origin = stage.peer(Peer.Line::head);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            client.write(Stage.read("a", "1"));
+            assertThat(client.read()).isEqualTo("VA 2 O1");
+            assertThat(client.read()).isEqualTo("hi");
+            Stage.await(() -> cache.lines.iterator().next().ended);
+            assertThat(origin.heard).isEmpty();
+        }
+    }
+
+    /** An answer over HTTP carries no id: a second copy was served to whoever asked next on that connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"copy", "noise"})
+    void whatComesBehindAnOriginsAnswerIsNobodys(String surplus) throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer origin = stage.peer(line -> {
+                for (String head; (head = line.head()) != null;) {
+                    String value = head.split("[ /]")[2];
+                    String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value;
+                    line.write(answer + (surplus.equals("copy") ? answer : "\u0000\u0001 no HTTP\r\n\r\n"));
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            for (int i = 0; i < 20; i++) {
+                client.write(Stage.read("key" + i, "id" + i));
+                assertThat(client.read()).isEqualTo("VA " + ("key" + i).length() + " Oid" + i);
+                assertThat(client.read()).isEqualTo("key" + i);
+            }
+        }
+    }
+
+    @Test
+    void surplusBehindACacheNodesAnswerCostsOnlyTheConnection() throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    String answer = "VA 2 O" + Stage.id(text) + " h1 Lutil=what?\r\nhi\r\n";
+                    line.write(answer + answer);
+                }
+            });
+            Peer origin = stage.peer(Peer.Line::head);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            for (int i = 0; i < 10; i++) {
+                client.write(Stage.read("a", "id" + i));
+                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+                assertThat(client.read()).isEqualTo("hi");
+            }
+            assertThat(cache.heard.stream().filter(l -> !l.isEmpty())).hasSize(10);
+            Stage.await(() -> cache.open() == 0);
+        }
+    }
+
+    /** It has run, whatever came back: it fails, is not sent again, and nothing of what came is passed on. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "a b", "a\r\nHD O7 c1", "no HTTP", "3 GB", "no length", "another's",
+        "no header"})
+    void aSpoiltReceiptFailsAnUnsafeWriteOnce(String body) throws Exception {
+        try (Stage stage = new Stage()) {
+            AtomicInteger puts = new AtomicInteger();
+            Peer origin = stage.peer(line -> {
+                while (line.head() != null) {
+                    line.bytes(3);
+                    puts.incrementAndGet();
+                    switch (body) {
+                        case "no HTTP" -> line.write("SMTP ready\r\n\r\n");
+                        case "3 GB" -> line.write("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc");
+                        case "no length" -> line.write("HTTP/1.1 200 OK\r\n\r\nabc");
+                        case "no header" -> line.http("200 OK", "no colon here\r\n", "abc");
+                        case "another's" -> line.http("200 OK", "Req-Id: 8\r\n", "abc");
+                        default -> line.http("200 OK", "", body);
+                    }
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            client.write(Stage.write("a", "7", "pay", "xyz"));
+            assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
+            assertThat(puts).hasValue(1);
+            Stage.await(() -> origin.open() == 0);
+        }
+    }
+
+    @Test
+    void interimAnswersAreSkipped() throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer origin = stage.peer(line -> {
+                while (line.head() != null) {
+                    line.bytes(3);
+                    line.write("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+                    line.http("200 OK", "Srv-Load: util=???\r\n", "r1");
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            client.write(Stage.write("a", "7", "pay", "xyz"));
+            assertThat(client.read()).isEqualTo("HD O7 cr1");
+        }
+    }
+
+    /** Connections to servers that had gone stayed open for as long as those did not close them. */
+    @Test
+    void aServerThatIsGoneKeepsNoConnection() throws Exception {
+        try (Stage stage = new Stage()) {
+            Object gate = new Object();
+            boolean[] go = new boolean[1];
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    synchronized (gate) {
+                        while (!go[0]) {
+                            gate.wait();
+                        }
+                    }
+                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                }
+            });
+            Peer other = stage.emptyCache();
+            AtomicInteger calls = new AtomicInteger();
+            Peer discovery = stage.peer(line -> {
+                while (line.head() != null) {
+                    Stage.await(() -> !cache.heard.isEmpty());
+                    if (calls.incrementAndGet() > 1) {
+                        Thread.sleep(60_000);
+                    }
+                    line.http("200 OK", "", Stage.list(2, Stage.cache("s-2", other)));
+                }
+            });
+            stage.start(discovery, Stage.cache("s-1", cache));
+            Peer.Line client = stage.client();
+            client.write(Stage.read("a", "1"));
+            Stage.await(() -> calls.get() > 1); // the list without the server has been read
+            synchronized (gate) {
+                go[0] = true;
+                gate.notifyAll();
+            }
+            assertThat(client.read()).isEqualTo("VA 2 O1");
+            Stage.await(() -> cache.open() == 0);
+        }
+    }
+
+    /** Once idle connections had taken all room, servers without one could not be sent to at all. */
+    @Test
+    void idleConnectionsMakeRoomForOtherServers() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.sockets = 128;
+            List<Peer> caches = new ArrayList<>();
+            List<String> hosts = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                caches.add(stage.peer(line -> {
+                    for (String text; (text = line.read()) != null;) {
+                        line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                    }
+                }));
+                hosts.add(Stage.cache("s-" + Integer.toHexString(i + 1), caches.get(i)));
+            }
+            stage.start(stage.quietDiscovery(), hosts.toArray(new String[0]));
+            Peer.Line client = stage.client();
+            for (int i = 0; i < 400; i++) {
+                client.write(Stage.read("key" + i, "id" + i));
+                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+                assertThat(client.read()).isEqualTo("hi");
+            }
+            assertThat(caches.stream().filter(c -> !c.lines.isEmpty()).count()).isGreaterThan(128 / 3);
+            Stage.await(() -> caches.stream().mapToLong(Peer::open).sum() <= 128 / 3);
+        }
+    }
+}
