--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -29,11 +29,10 @@
     private static final int SHUN_CONNECTS = 10;
     /**
      * Connections that break in a row, with no answer between, until a server counts as out of reach. Guards
-     * against breaks that come from the way or from kept connections closed at the other end, and not from the
-     * server: on days on which each server loses one attempt in ten, shunning it each time leaves none in reach,
-     * moves all keys and floods the origin. Should also guard against front ends that are cut off one by one,
-     * and against tables of connections that overflow now and then. Harm: of a server that is really gone this
-     * many requests see a refused connection, not one, before they go to its runner-up.
+     * against breaks that come from the way or from kept connections closed at the other end: on days on
+     * which each server loses one attempt in ten, shunning it each time leaves none in reach, moves all keys
+     * and floods the origin. Should also guard against tables of connections that overflow at times. Harm:
+     * of a server that is gone this many requests see a refused connection, not one, before the runner-up.
      */
     private static final int BREAKS = 3;
 
