--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -401,6 +401,11 @@
         if (f.done || f.streaming || worthless) {
             return;
         }
+        // Before a server is chosen: a choice may be a suspect's one trial, which must then be sent.
+        if (f.attempts == 0 && f.safe && !f.toOrigin && ranked.length > 0 && refused(f, crowd.excess(now))) {
+            giveUp(f, out);
+            return;
+        }
         Server s = null;
         if (f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
             s = f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
@@ -413,10 +418,6 @@
             giveUp(f, out);
             return;
         }
-        if (s != origin && f.attempts == 0 && f.safe && refused(f, crowd.excess(now))) {
-            giveUp(f, out);
-            return;
-        }
         if (s == origin && !f.request.write() && f.request.key() != 0) {
             Flight leader = fetches.get(f.request.key());
             if (leader != null) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -531,6 +531,38 @@
         assertThat(rig.last().server()).isEqualTo(2);
     }
 
+    /** A suspect's trial was marked and its request then refused for crowding: none was ever sent again. */
+    @Test
+    void crowdingDoesNotUseUpTrials() {
+        Rig rig = Rig.unprobed(false).fleet(12);
+        long key = 1;
+        while (topRank(key, 12) != 2) {
+            key++;
+        }
+        for (int id = 101; id <= 103; id++) {
+            rig.read(id, key);
+            rig.end(rig.last(), Outcome.CONNECT_FAILED);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        for (int id = 1001; id <= 1400; id++) { // all answers come late, and more and more is refused
+            rig.now += 10;
+            int sent = rig.placed.size();
+            rig.read(id, id);
+            if (rig.placed.size() > sent) {
+                rig.endAfter(rig.last(), Outcome.OK, 350);
+            }
+        }
+        assertThat(rig.denied).hasSizeGreaterThan(100);
+        rig.now += 60000;
+        rig.placed.clear();
+        for (int id = 2001; id <= 2300; id++) {
+            rig.now += 10;
+            rig.read(id, id);
+            rig.endAfter(rig.last(), Outcome.OK, 20);
+        }
+        assertThat(rig.placed).anyMatch(p -> p.server() == 2);
+    }
+
     // ---- bad input
 
     @Test
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -47,21 +47,27 @@
     }
 
     static Settings settings(boolean aside, boolean ask, boolean copies, Group group) {
-        return settings(aside, ask, copies, group, List.of(new Tenant("a", 1, 100)));
+        return settings(aside, ask, copies, group, true, List.of(new Tenant("a", 1, 100)));
+    }
+
+    /** As {@link #aside()}, with second copies or without, where servers may not be probed. */
+    static Rig unprobed(boolean copies) {
+        return new Rig(settings(true, false, copies, Group.ALL, false, List.of(new Tenant("a", 1, 100))));
     }
 
     /** Two tenants with these quotas; what they send over them is worth a tenth. */
     static Settings tenants(double first, double second) {
-        return settings(true, false, false, Group.ALL,
+        return settings(true, false, false, Group.ALL, true,
                 List.of(new Tenant("a", 0.5, first), new Tenant("b", 0.5, second)));
     }
 
-    private static Settings settings(boolean aside, boolean ask, boolean copies, Group group, List<Tenant> tenants) {
+    private static Settings settings(boolean aside, boolean ask, boolean copies, Group group, boolean probes,
+            List<Tenant> tenants) {
         List<ServiceClass> classes = List.of(
                 new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false),
                 new ServiceClass("save", Effect.KEYED, group, 400, 300, 1000, 1, 0.2, false),
                 new ServiceClass("pay", Effect.UNSAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false));
-        return new Settings(0, 4, 0, 2, 2, ask, aside, aside ? 1 : -1, Reports.NONE, List.of(), false, 0.1, true, true,
+        return new Settings(0, 4, 0, 2, 2, ask, aside, aside ? 1 : -1, Reports.NONE, List.of(), false, 0.1, true, probes,
                 false, copies, true, 3, 500, 100, 500, 20, 0.3, 8000, 3, 2000, ask ? 10000 : 0, 0, 0, classes,
                 tenants);
     }
