--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -466,8 +466,11 @@
 
     /**
      * The server is overdue: runner-up if the budget allows; guards against silent and hung servers. Where
-     * the attempt stays out, its answer clears the server; where it must be called off, one slow answer is no
-     * evidence, two in a row are: shunning sound servers moves their keys to the origin.
+     * the attempt stays out, its answer clears the server, or that of the next trial after an aim: an attempt
+     * that its second copy has beaten is called off and can clear nobody, and most such servers only stood
+     * still for a moment or had a queue. Harm: a hung one is tried that much sooner, a request each time.
+     * Where the attempt must be called off, one slow answer is no evidence, two in a row are: shunning sound
+     * servers moves their keys to the origin.
      */
     private void overdue(double now, Flight f, Actions out) {
         int a = f.attempts - 1;
@@ -476,7 +479,7 @@
             return;
         }
         if (cfg.secondCopies() || ++s.doubts > 1) {
-            suspect(now, s);
+            suspect(now, s, cfg.secondCopies() ? f.kind.aimMs() : shunMs());
         }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
             return;
@@ -490,10 +493,14 @@
         }
     }
 
-    private void suspect(double now, Server s) {
+    private double shunMs() {
+        return SHUN_CONNECTS * cfg.connectTimeoutMs();
+    }
+
+    private void suspect(double now, Server s, double forMs) {
         s.trial = false;
         s.probed = false;
-        s.shunnedUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.min(s.failures, 3));
+        s.shunnedUntil = now + forMs * (1 << Math.min(s.failures, 3));
         s.failures++;
     }
 
@@ -787,7 +794,7 @@
                     boolean silent = end.outcome() == Outcome.TIMEOUT
                             || end.outcome() != Outcome.RESET && end.elapsedMs() >= cfg.connectTimeoutMs();
                     if (++s.breaks >= BREAKS || silent || s.failures > 0) {
-                        suspect(now, s);
+                        suspect(now, s, shunMs());
                     }
                 }
             }
@@ -873,7 +880,7 @@
             s.trial = false;
             s.probed = true;
         } else {
-            suspect(now, s);
+            suspect(now, s, shunMs());
         }
     }
 
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -563,6 +563,24 @@
         assertThat(rig.placed).anyMatch(p -> p.server() == 2);
     }
 
+    /** Its second copy was answered first, so the slow attempt was called off and could never clear its server. */
+    @Test
+    void anOverdueServerIsTriedAgainAfterOneAim() {
+        Rig rig = Rig.unprobed(true).fleet(12);
+        rig.read(1, 77);
+        int top = rig.last().server();
+        rig.pass(200);
+        assertThat(rig.last().server()).as("the second copy's").isNotEqualTo(top);
+        rig.end(rig.last(), Outcome.OK);
+        rig.end(rig.placed.get(0), Outcome.CANCELLED, true, 0);
+        rig.read(2, 77);
+        assertThat(rig.last().server()).isNotEqualTo(top);
+        rig.end(rig.last(), Outcome.OK);
+        rig.pass(310);
+        rig.read(3, 77);
+        assertThat(rig.last().server()).isEqualTo(top);
+    }
+
     // ---- bad input
 
     @Test
