Take answers of up to 1 MiB: long values are no longer taken for spoilt

Now an answer's bound is what a cache node stores at most, within a byte budget of a sixteenth of the memory limit for all that are being read; a long value is read straight into the buffer that goes to the client. Direct memory follows memory_mb. The test fails without the change.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -5,7 +5,7 @@
 mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$BALANCER_CONFIG" 2>/dev/null | head -n 1)
 case "$mb" in '' | *[!0-9]* | ????*) mb=128 ;; esac
 if [ "$mb" -ge 96 ]; then
-    heap=32 direct=20 meta=32 code=16
+    heap=32 direct=$((mb / 4)) meta=32 code=16
 elif [ "$mb" -ge 64 ]; then
     heap=20 direct=10 meta=24 code=12
 else
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -22,8 +22,8 @@
 
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
-    /** The length of the value that is to come; negative: none, a line is next. */
-    private int length = -1;
+    /** The client's answer as far as its value has come; null: a line is next. */
+    private ByteBuf answer;
     private int note;
     private float[] report;
     /** The figures of a probe's answer so far. */
@@ -65,7 +65,7 @@
 
     @Override
     public boolean within() {
-        return length >= 0 || actualReadableBytes() > 0 || !stats.isEmpty();
+        return answer != null || actualReadableBytes() > 0 || !stats.isEmpty();
     }
 
     @Override
@@ -75,7 +75,7 @@
             return;
         }
         try {
-            if (length >= 0) {
+            if (answer != null) {
                 value(in);
             } else {
                 String line = MetaCodec.line(in);
@@ -85,7 +85,7 @@
             }
         } catch (MetaCodec.SyntaxException e) {
             in.skipBytes(in.readableBytes());
-            length = -1;
+            drop();
             connection.garbage(e.getMessage());
         }
     }
@@ -103,9 +103,9 @@
             ended(in, Outcome.ERROR, 0, report(line, FAILED.length()), null);
         } else if (line.startsWith("VA ") && !attempt.exchange.command.write) {
             String word = MetaCodec.wordAt(line, 3);
-            int n = MetaCodec.length(word);
+            int n = MetaCodec.length(word, MetaCodec.MAX_ANSWER);
             flags(attempt, line, 4 + word.length());
-            length = n;
+            begin(in, n, attempt.exchange.command.id);
         } else if (line.startsWith("HD ") && attempt.exchange.command.write) {
             flags(attempt, line, 3);
             String receipt = MetaCodec.flag(line, 3, 'c');
@@ -146,21 +146,37 @@
         report = dispatcher.report(MetaCodec.flag(line, from, 'L'));
     }
 
+    /** Room for the whole answer at once: a long value comes in many parts. */
+    private void begin(ByteBuf in, int length, String id) throws MetaCodec.SyntaxException {
+        String head = MetaCodec.valueHead(length, id);
+        int whole = head.length() + length + 2;
+        if (!dispatcher.reserveReading(whole)) {
+            throw new MetaCodec.SyntaxException("no room for a value of " + length);
+        }
+        answer = in.alloc().buffer(whole, whole);
+        answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+    }
+
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
-        int whole = length + 2;
-        if (in.readableBytes() < whole) {
+        answer.writeBytes(in, Math.min(in.readableBytes(), answer.writableBytes()));
+        if (answer.isWritable()) {
             return;
         }
-        int end = in.readerIndex() + length;
-        if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
+        int end = answer.writerIndex() - 2;
+        if (answer.getByte(end) != '\r' || answer.getByte(end + 1) != '\n') {
             throw new MetaCodec.SyntaxException("value without end");
         }
-        String head = MetaCodec.valueHead(length, connection.head().exchange.command.id);
-        ByteBuf answer = in.alloc().buffer(head.length() + whole);
-        answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-        answer.writeBytes(in, whole);
-        length = -1;
-        ended(in, Outcome.OK, note, report, answer);
+        ByteBuf whole = answer.retain();
+        drop();
+        ended(in, Outcome.OK, note, report, whole);
+    }
+
+    private void drop() {
+        if (answer != null) {
+            dispatcher.giveBackReading(answer.capacity());
+            answer.release();
+            answer = null;
+        }
     }
 
     private void probed(ByteBuf in, String line) throws MetaCodec.SyntaxException {
@@ -187,6 +203,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         super.channelInactive(ctx);
+        drop();
         connection.closed();
     }
 
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -145,7 +145,8 @@
             return;
         }
         // The length comes first: with it the value of a command that is no good can be read past.
-        int length = write ? MetaCodec.length(MetaCodec.wordAt(line, 4 + MetaCodec.wordAt(line, 3).length())) : 0;
+        int length = write ? MetaCodec.length(MetaCodec.wordAt(line, 4 + MetaCodec.wordAt(line, 3).length()),
+                MetaCodec.MAX_VALUE) : 0;
         Command command = MetaCodec.command(line, write);
         String bad = command == null ? "bad command line format" : dispatcher.unusable(command);
         if (write) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -50,7 +50,10 @@
     private static final double ANSWER_AHEAD_MS = 20;
     private static final int MAX_LOG_LINES_A_MINUTE = 40;
     private static final String ID_IN_USE = "the id is another open request's";
-    /** The byte budget's part of the memory limit: values of clients, and as much again of answers not taken. */
+    /**
+     * The byte budget's part of the memory limit: values of clients, as much again of answers not all read yet,
+     * and as much of answers not taken.
+     */
     private static final int BUDGET_PART = 16;
 
     private final EventLoop loop;
@@ -84,6 +87,7 @@
     private int upstreamCount;
     private long valueBytes;
     private long heldBytes;
+    private long readingBytes;
 
     /** What wants to know of clients that have left. */
     interface ClientListener {
@@ -161,6 +165,19 @@
         valueBytes -= bytes;
     }
 
+    /** Room for this much more of answers that are not all read yet; given back once they are. */
+    boolean reserveReading(int bytes) {
+        if (readingBytes + bytes > maxValueBytes) {
+            return false;
+        }
+        readingBytes += bytes;
+        return true;
+    }
+
+    void giveBackReading(int bytes) {
+        readingBytes -= bytes;
+    }
+
     /** Counts answers that wait for their clients' connections to take them. */
     void holding(int bytes) {
         heldBytes += bytes;
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -11,8 +11,14 @@
 
 /** The grammar of the meta text protocol, shared by the sides of clients and of cache nodes. */
 final class MetaCodec {
-    /** The longest value the protocol has. */
+    /** The longest value that a client may send. */
     static final int MAX_VALUE = 64 << 10;
+    /**
+     * The longest value of an answer: what a cache node stores at most by its own default. Nodes and origin hold
+     * values that are longer than clients may write; taking those for spoilt costs all that waits on their
+     * connection, again with each try. What is longer is no value but a broken length.
+     */
+    static final int MAX_ANSWER = 1 << 20;
     /** Lines hold a key (250 bytes at most) and short lists; one that is longer has lost its framing. */
     static final int MAX_LINE = 4096;
     /** A key's greatest length in this protocol; ids and receipts are shorter. */
@@ -50,17 +56,17 @@
         return line;
     }
 
-    /** A decimal length between 0 and the longest value. */
-    static int length(String word) throws SyntaxException {
+    /** A decimal length between 0 and this one. */
+    static int length(String word, int longest) throws SyntaxException {
         int n = 0;
         for (int i = 0; i < word.length(); i++) {
             int digit = word.charAt(i) - '0';
-            if (digit < 0 || digit > 9 || n > MAX_VALUE) {
+            if (digit < 0 || digit > 9 || n > longest) {
                 throw new SyntaxException("bad data length");
             }
             n = 10 * n + digit;
         }
-        if (word.isEmpty() || n > MAX_VALUE) {
+        if (word.isEmpty() || n > longest) {
             throw new SyntaxException("bad data length");
         }
         return n;
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -37,8 +37,10 @@
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
     private HttpResponse response;
-    /** The body so far; null before its first part. */
+    /** The body so far; null while there is no response. */
     private ByteBuf body;
+    /** What is reserved of the byte budget for the body. */
+    private int reserved;
     private boolean broken;
 
     private OriginCodec(UpstreamConnection connection) {
@@ -118,7 +120,7 @@
             begin(ctx, r);
         }
         if (response != null && message instanceof HttpContent content) {
-            content(ctx, content.content());
+            content(content.content());
             if (!broken && content instanceof LastHttpContent) {
                 end(ctx);
             }
@@ -141,30 +143,37 @@
             fail("no header");
         } else if (id != null && attempt.exchange != null && !id.equals(attempt.exchange.command.id)) {
             fail("answer to another request");
-        } else if (length < 0 && !HttpUtil.isTransferEncodingChunked(r) || length > MetaCodec.MAX_VALUE) {
+        } else if (length < 0 && !HttpUtil.isTransferEncodingChunked(r) || length > MetaCodec.MAX_ANSWER) {
             // Where only the connection's end ends the body, none can tell whether it is whole.
             fail("no length or too long");
         } else {
+            reserved = (int) Math.max(0, length);
+            if (!dispatcher.reserveReading(reserved)) {
+                reserved = 0;
+                fail("no room");
+                return;
+            }
             response = r;
+            body = ctx.alloc().buffer(reserved);
         }
     }
 
-    private void content(ChannelHandlerContext ctx, ByteBuf part) {
-        if (body == null) {
-            body = ctx.alloc().buffer(part.readableBytes());
-        }
-        if (body.readableBytes() + part.readableBytes() > MetaCodec.MAX_VALUE) {
+    private void content(ByteBuf part) {
+        int more = body.readableBytes() + part.readableBytes() - reserved;
+        if (reserved + more > MetaCodec.MAX_ANSWER) {
             fail("too long");
+        } else if (more > 0 && !dispatcher.reserveReading(more)) {
+            fail("no room");
         } else {
+            reserved += Math.max(0, more);
             body.writeBytes(part);
         }
     }
 
     private void end(ChannelHandlerContext ctx) {
         HttpResponse r = response;
-        ByteBuf whole = body;
-        response = null;
-        body = null;
+        ByteBuf whole = body.retain();
+        drop();
         boolean last = !HttpUtil.isKeepAlive(r);
         Attempt attempt = connection.head();
         float[] report = dispatcher.report(r.headers().get("Srv-Load"));
@@ -210,6 +219,8 @@
 
     private void drop() {
         response = null;
+        dispatcher.giveBackReading(reserved);
+        reserved = 0;
         if (body != null) {
             body.release();
             body = null;
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -186,6 +186,36 @@
         }
     }
 
+    /** Nodes hold values that are longer than clients may write; they were taken for spoilt. */
+    @ParameterizedTest
+    @ValueSource(ints = {65_537, 370_000, 1 << 20})
+    void longValuesAreServedWhole(int length) throws Exception {
+        try (Stage stage = new Stage()) {
+            String value = "0123456789abcdef".repeat(length / 16 + 1).substring(0, length);
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    line.write(text.startsWith("mg far") ? "EN O" + Stage.id(text) + "\r\n"
+                            : "VA " + length + " O" + Stage.id(text) + " h1\r\n" + value + "\r\n");
+                }
+            });
+            Peer origin = stage.peer(line -> {
+                while (line.head() != null) {
+                    line.http("200 OK", "", value);
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            for (String key : List.of("near", "far", "near", "far")) {
+                String id = key + cache.heard.size();
+                client.write(Stage.read(key, id));
+                assertThat(client.read()).isEqualTo("VA " + length + " O" + id);
+                assertThat(client.read()).isEqualTo(value);
+            }
+            assertThat(cache.open()).as("no connection was given up").isEqualTo(cache.lines.size());
+            assertThat(origin.open()).isEqualTo(origin.lines.size());
+        }
+    }
+
     @Test
     void interimAnswersAreSkipped() throws Exception {
         try (Stage stage = new Stage()) {
