--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -57,6 +57,7 @@
     private static final int BUDGET_PART = 16;
 
     private final EventLoop loop;
+    private final Timers timers;
     private final Config config;
     private final Settings settings;
     private final Map<String, Integer> classes = new HashMap<>();
@@ -107,6 +108,7 @@
 
     Dispatcher(EventLoop loop, Config config, Upstream.Dialer dialer) {
         this.loop = loop;
+        timers = new Timers(loop);
         this.config = config;
         settings = config.settings();
         for (ServiceClass c : settings.classes()) {
@@ -130,7 +132,7 @@
     /** Nothing more is done for anyone; for one that was only a rehearsal. */
     void stop() {
         stopped = true;
-        stop(sweeping);
+        sweeping.cancel(false);
     }
 
     /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
@@ -619,13 +621,20 @@
 
     // ---- timers
 
-    Future<?> after(double ms, Runnable task) {
-        return loop.schedule(task, (long) (Math.max(0, ms) * 1e6), TimeUnit.NANOSECONDS);
+    /** A timer's task that fails must not keep the others of its tick from running. */
+    Timers.Timer after(double ms, Runnable task) {
+        return timers.after(ms, () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                fault(e);
+            }
+        });
     }
 
-    private static void stop(Future<?> timer) {
+    private static void stop(Timers.Timer timer) {
         if (timer != null) {
-            timer.cancel(false);
+            timer.stop();
         }
     }
 }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Future;
 
 /**
  * One command of a client with the place of its answer in the connection's order. A request that the module
@@ -24,7 +23,7 @@
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
     int out;
-    Future<?> timer;
+    Timers.Timer timer;
     final List<Attempt> attempts = new ArrayList<>(3);
 
     Exchange(ClientConnection client, Command command) {
@@ -77,7 +76,7 @@
         boolean ended;
         /** Its answer is not waited for any more, but still to be read. */
         boolean abandoned;
-        Future<?> timer;
+        Timers.Timer timer;
 
         Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
             this.exchange = exchange;
