Hold the bound on clients' descriptors within a batch; no Error ends the event loop

Cause: a connection shown out to make room stayed in the table until its channel became inactive, which is after the batch being accepted, so each further one of the batch picked it again and nothing was closed for it. At 381 of 384 descriptors accepting failed, Netty's JDK logger could not open the time-zone file and threw an Error, the event loop's thread ended on it and the program with exit code 0, with requests in hand.

Change: a Door owns the clients' places; the listener asks it before each accept, a descriptor counts until the selector has let go of it, and who is shown out leaves the table at once. Netty logs by plain lines that open no file and throw nothing; Errors are caught in the I/O round, in timers and in calls of the module; a loop that ends all the same ends the program with 1. A connection with answers not yet taken no longer counts as idle, as closing it would have cut them off.

Tests: bursts at the bound in process and as a process of 256 descriptors kept by the system, a process that has none left, Errors in a round and in a timer, the exit code.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -50,6 +50,8 @@
     private boolean penalised;
     private int errors;
     private long answered;
+    /** Of answers that the connection has not taken yet: closing it would cut them off. */
+    private int owedBytes;
     private double bornMs;
     private double activeMs;
     /** Since when part of a command has waited for the rest; NaN: none does. */
@@ -67,12 +69,12 @@
 
     /** Between requests: nothing owed and nothing begun. */
     boolean idle() {
-        return exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        return exchanges.isEmpty() && incoming == null && owedBytes == 0 && actualReadableBytes() == 0;
     }
 
     /** Nothing that it asked was ever answered, and nothing that it asked is open: the first to make room. */
     boolean useless() {
-        return penalised || finished || answered == 0 && exchanges.isEmpty();
+        return penalised || finished || answered == 0 && exchanges.isEmpty() && owedBytes == 0;
     }
 
     double activeMs() {
@@ -250,8 +252,8 @@
         Exchange head;
         while (!finished && (head = exchanges.peek()) != null && head.answer != null) {
             int bytes = head.answer.readableBytes();
-            dispatcher.holding(bytes);
-            ctx.write(head.answer).addListener(f -> dispatcher.holding(-bytes));
+            owed(bytes);
+            ctx.write(head.answer).addListener(f -> owed(-bytes));
             head.answer = null;
             wrote = true;
             exchanges.poll();
@@ -270,6 +272,11 @@
         }
     }
 
+    private void owed(int bytes) {
+        owedBytes += bytes;
+        dispatcher.holding(bytes);
+    }
+
     /** Reads on once there is room for what may come of it. */
     private void regulate() {
         if (readPaused && !penalised && exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -229,11 +229,11 @@
         listener.left(client);
     }
 
-    /** A timer that repeats ends for good with the first exception, so none gets out of this one. */
+    /** A timer that repeats ends for good with the first throw, so none gets out of this one. */
     private void sweep() {
         try {
             sweep(now());
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             fault(e);
         }
     }
@@ -260,7 +260,7 @@
             for (Runnable r = call; r != null; r = waiting.poll()) {
                 try {
                     r.run();
-                } catch (RuntimeException e) {
+                } catch (Throwable e) {
                     fault(e);
                 }
             }
@@ -269,7 +269,7 @@
         }
     }
 
-    private void fault(RuntimeException e) {
+    void fault(Throwable e) {
         StackTraceElement[] trace = e.getStackTrace();
         log("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
     }
@@ -278,7 +278,7 @@
     private void guard(Exchange x, Runnable call) {
         try {
             call.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             fault(e);
             finish(x, MetaCodec.FAILED);
         }
@@ -626,7 +626,7 @@
         return timers.after(ms, () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 fault(e);
             }
         });
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/GuardedIo.java
@@ -0,0 +1,81 @@
+package damsonworks.proxy;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The event loop's selecting and reading, with nothing thrown out of it. Netty hands on an {@code Error} of any
+ * handler and ends the loop's thread with it, and the program with that thread; here the round ends, is counted,
+ * and the next one begins.
+ */
+final class GuardedIo implements IoHandler {
+    /**
+     * A round that fails at once is followed by this pause. Guards the core against a failure that comes again
+     * with each round; all on the loop are late by as much.
+     */
+    private static final long PAUSE_MS = 5;
+
+    private final IoHandler io;
+    private final PlainLog log = new PlainLog(System.err);
+    private final AtomicLong failures;
+
+    GuardedIo(IoHandler io, AtomicLong failures) {
+        this.io = io;
+        this.failures = failures;
+    }
+
+    /** Guards the handlers of this factory; {@code failures} counts the rounds that were ended by a throw. */
+    static IoHandlerFactory factory(IoHandlerFactory of, AtomicLong failures) {
+        return executor -> new GuardedIo(of.newHandler(executor), failures);
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        try {
+            return io.run(context);
+        } catch (Throwable t) {
+            failures.incrementAndGet();
+            log.line("the event loop goes on after", t);
+            try {
+                Thread.sleep(PAUSE_MS);
+            } catch (InterruptedException e) {
+                // the loop is to wake, and does
+            }
+            return 0;
+        }
+    }
+
+    @Override
+    public void initialize() {
+        io.initialize();
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        io.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        io.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return io.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        io.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> type) {
+        return io.isCompatible(type);
+    }
+}
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -4,20 +4,20 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** One real proxy: its sockets, their bounds and its end. */
@@ -27,18 +27,25 @@
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
-    private static final long SWEEP_MS = 200;
     /** What is read from a client at once: at first enough to see a flood of commands as one. */
     private static final int READ_BYTES = 8 << 10;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    /** The program's exit code where its event loop has ended unplanned: nothing would serve any more. */
+    private static final int LOOP_ENDED = 1;
+
+    static {
+        PlainLog.install(); // before any class of Netty's takes a logger
+    }
+
+    private final AtomicLong loopFailures = new AtomicLong();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            GuardedIo.factory(NioIoHandler.newFactory(), loopFailures));
     private final EventLoop loop = group.next();
     private final Config config;
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     private final DiscoveryClient discovery;
-    private final Set<ClientConnection> clients = new HashSet<>();
-    private final int maxClients;
+    private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Channel server;
     private double drainEndsMs;
@@ -48,16 +55,23 @@
         this.config = config;
         dispatcher = new Dispatcher(loop, config);
         peers = new PeerSocket(loop, config, dispatcher);
-        maxClients = Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS);
+        door = new Door(loop, dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
         discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
             new WarmUp(loop, config).run();
-            dispatcher.start(discovery, peers, this::left);
+            dispatcher.start(discovery, peers, door::left);
             discovery.start();
-            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).syncUninterruptibly();
-        server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        server = new ServerBootstrap().group(group).channelFactory(() -> new Listener(door))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelReadComplete(ChannelHandlerContext ctx) {
+                        door.batchEnded();
+                        ctx.fireChannelReadComplete();
+                    }
+                })
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES, READ_BYTES, 64 << 10))
@@ -65,9 +79,14 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accepted(channel);
+                        door.enter(channel);
                     }
                 }).bind(config.listen()).sync().channel();
+        server.config().<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator().maxMessagesPerRead(Door.batch());
+        loop.submit(() -> {
+            door.open(server);
+            server.config().setAutoRead(true);
+        }).syncUninterruptibly();
     }
 
     /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
@@ -91,7 +110,8 @@
             Proxy proxy = start(config);
             running.set(proxy);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
-        } catch (Exception e) {
+            proxy.endWithLoop();
+        } catch (Throwable e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
             System.exit(1);
         }
@@ -101,6 +121,14 @@
         return new Proxy(config);
     }
 
+    /** A program whose loop has ended serves nobody: it ends too, and not as if that had been planned. */
+    void endWithLoop() {
+        group.terminationFuture().addListener(f -> {
+            System.err.println("the event loop has ended unplanned");
+            Runtime.getRuntime().halt(LOOP_ENDED);
+        });
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
     }
@@ -126,50 +154,6 @@
         }
     }
 
-    // ---- clients
-
-    /**
-     * A connection that the kernel has accepted counts as taken, so where there are too many one makes room: of
-     * those that never asked anything usable the oldest, and only then the one that has stood idle longest.
-     * Guards usual clients' connections against those who connect by hundreds and say nothing.
-     */
-    private void accepted(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher);
-        channel.pipeline().addLast(client);
-        clients.add(client);
-        if (clients.size() <= maxClients) {
-            return;
-        }
-        ClientConnection first = null;
-        for (ClientConnection c : clients) {
-            if (c != client && (c.useless() || c.idle()) && (first == null
-                    || (c.useless() == first.useless() ? c.activeMs() < first.activeMs() : c.useless()))) {
-                first = c;
-            }
-        }
-        if (first != null) {
-            first.close();
-        } else {
-            server.config().setAutoRead(false);
-        }
-    }
-
-    private void left(ClientConnection client) {
-        clients.remove(client);
-        if (clients.size() <= maxClients && !server.config().isAutoRead()) {
-            server.config().setAutoRead(true);
-        }
-    }
-
-    private void sweep() {
-        double now = dispatcher.now();
-        for (ClientConnection c : List.copyOf(clients)) {
-            if (c.stalled(now)) {
-                c.close();
-            }
-        }
-    }
-
     // ---- the end
 
     /**
@@ -199,12 +183,12 @@
         if (now >= listenEndsMs) {
             dispatcher.drain();
             server.close();
-            for (ClientConnection c : new ArrayList<>(clients)) {
+            for (ClientConnection c : new ArrayList<>(door.clients())) {
                 if (c.idle()) {
                     c.finish();
                 }
             }
-            if (clients.isEmpty() || now >= drainEndsMs) {
+            if (door.clients().isEmpty() || now >= drainEndsMs) {
                 ended.countDown();
                 return;
             }
@@ -212,6 +196,23 @@
         loop.schedule(this::drainOn, 20, TimeUnit.MILLISECONDS);
     }
 
+    /** For tests, which may not look at what the loop owns from another thread without it. */
+    Door door() {
+        return door;
+    }
+
+    long loopFailures() {
+        return loopFailures.get();
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Ends at once; for tests. */
     void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/Program.java
@@ -0,0 +1,65 @@
+package damsonworks.proxy;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Stream;
+
+/** The proxy as a process of its own, with a bound on its descriptors that the system keeps. */
+final class Program implements AutoCloseable {
+    final Process process;
+    final int port;
+    private final Path log;
+
+    /** {@code descriptors}: 0 leaves the system's own bound. */
+    Program(Path folder, String config, int descriptors, String... command) throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config.replace("127.0.0.1:0", "127.0.0.1:" + port));
+        log = folder.resolve("log");
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        String bound = descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ";
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+                bound + "exec '" + java + "' -XX:-MaxFDLimit -Xmx48m -cp '" + System.getProperty("java.class.path") + "' "
+                        + String.join(" ", command));
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    /** Descriptors that the process holds, as the system counts them. */
+    int descriptors() throws IOException {
+        try (Stream<Path> held = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return (int) held.count();
+        }
+    }
+
+    List<String> log() throws IOException {
+        return Files.readAllLines(log);
+    }
+
+    /** A connection; waits for the proxy to come up. */
+    Peer.Line connect() throws Exception {
+        long end = System.nanoTime() + Stage.PATIENCE.toNanos();
+        while (true) {
+            try {
+                return new Peer.Line(new Socket("127.0.0.1", port), new ConcurrentLinkedQueue<>());
+            } catch (IOException e) {
+                if (System.nanoTime() > end || !process.isAlive()) {
+                    throw e;
+                }
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
