--- /dev/null
+++ b/src/main/java/damsonworks/limits/DoorRules.java
@@ -0,0 +1,114 @@
+package damsonworks.limits;
+
+import java.util.Collection;
+
+/**
+ * Which connection is shown out, and when. Three parts share the places: those with a request open keep theirs;
+ * those that stand idle after a request keep what newcomers don't need; those that never asked come last.
+ *
+ * <p>How long an idle one may stay is nowhere stated, it follows (Little's law: in a steady state the number that
+ * stand idle is the rate at which connections come, times how long each stays). Newcomers that ask have a claim to
+ * the room that they take in {@link #HORIZON_MS} at the rate at which they come now, up to half of the clients'
+ * room, and the idle may fill the rest: at a high rate they stay for a fraction of a second, and where nobody
+ * comes anew, for as long as they like. Clients that find no place don't show in that rate. It still rises from a
+ * full house: what is cleared lets in more, which clears more, until all get in or half of the room is cleared.
+ */
+public final class DoorRules {
+    /**
+     * Room is kept for what comes within so long. Guards newcomers against a house that is full of connections
+     * that nobody uses; long enough for the loop to be busy elsewhere, and harmful where many clients come anew
+     * at the same time only once: idle ones are then shown out that would have been used again.
+     */
+    static final double HORIZON_MS = 1000;
+    /**
+     * One that has asked more than once has shown that it comes back: it counts as having stood idle for a part
+     * of its time only. Guards clients that keep connections against those that ask once and stay.
+     */
+    static final double RETURNING = 0.25;
+
+    /** A connection as these rules see it. */
+    public interface Guest {
+        /** It has a request open, or answers that it has not taken. */
+        boolean busy();
+
+        /** It never asked anything usable, is being turned away, or is on its way out. */
+        boolean useless();
+
+        /** Since when it has done nothing, in milliseconds. */
+        double sinceMs();
+
+        /** How many of its requests have been answered. */
+        long answered();
+    }
+
+    private final int places;
+    private final int clientsRoom;
+    private final int spare;
+    private final Rate newcomers = new Rate(HORIZON_MS);
+
+    /**
+     * @param places connections that there is room for
+     * @param clientsRoom how many of them are held by clients that ask (DAYS: a third of the descriptors)
+     * @param spare places that are kept free for the next ones while anybody can be shown out
+     */
+    public DoorRules(int places, int clientsRoom, int spare) {
+        if (places < 1 || spare < 0 || spare >= places) {
+            throw new IllegalArgumentException(places + " places, " + spare + " of them spare");
+        }
+        this.places = places;
+        this.clientsRoom = Math.max(1, Math.min(clientsRoom, places - spare));
+        this.spare = spare;
+    }
+
+    public int places() {
+        return places;
+    }
+
+    /** A connection has asked for the first time. */
+    public void newcomer(double nowMs) {
+        newcomers.add(nowMs, 1);
+    }
+
+    /** Places of the clients' room that newcomers have a claim to. */
+    public int claimed(double nowMs) {
+        return (int) Math.min(clientsRoom / 2, Math.ceil(newcomers.perSecond(nowMs) * HORIZON_MS / 1000));
+    }
+
+    /** How many may stand idle while so many others have a request open. */
+    public int idleAllowed(double nowMs, int busy) {
+        return Math.max(0, clientsRoom - busy - claimed(nowMs));
+    }
+
+    /**
+     * The next to be shown out; null: nobody has to go, or nobody may.
+     *
+     * @param taken connections that are on their way in and not among the guests yet
+     */
+    public <G extends Guest> G next(double nowMs, Collection<G> guests, int taken) {
+        int busy = 0;
+        int idle = 0;
+        G oldest = null;
+        G longest = null;
+        double longestMs = -1;
+        for (G g : guests) {
+            if (g.useless()) {
+                if (oldest == null || g.sinceMs() < oldest.sinceMs()) {
+                    oldest = g;
+                }
+            } else if (g.busy()) {
+                busy++;
+            } else {
+                idle++;
+                double ms = (nowMs - g.sinceMs()) * (g.answered() > 1 ? RETURNING : 1);
+                if (ms > longestMs) {
+                    longestMs = ms;
+                    longest = g;
+                }
+            }
+        }
+        if (places - guests.size() - taken < spare) {
+            return oldest != null ? oldest : longest;
+        }
+        return idle > idleAllowed(nowMs, busy) ? longest : null;
+    }
+}
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.limits.DoorRules;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -14,7 +15,7 @@
  * One client's connection: reads commands, hands requests to the dispatcher and writes the answers in the
  * commands' order, each once. Closes only between requests.
  */
-final class ClientConnection extends ByteToMessageDecoder {
+final class ClientConnection extends ByteToMessageDecoder implements DoorRules.Guest {
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 16;
     /** So many whole commands in one read are a flood: none of them is taken. */
@@ -36,6 +37,7 @@
     private static final int MAX_ERRORS = 3;
 
     private final Dispatcher dispatcher;
+    private final Runnable asking;
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come. */
@@ -49,6 +51,7 @@
     private boolean readPaused;
     private boolean penalised;
     private int errors;
+    private boolean asked;
     private long answered;
     /** Of answers that the connection has not taken yet: closing it would cut them off. */
     private int owedBytes;
@@ -57,8 +60,10 @@
     /** Since when part of a command has waited for the rest; NaN: none does. */
     private double partSinceMs = Double.NaN;
 
-    ClientConnection(Dispatcher dispatcher) {
+    /** @param asking told when it asks for the first time */
+    ClientConnection(Dispatcher dispatcher, Runnable asking) {
         this.dispatcher = dispatcher;
+        this.asking = asking;
     }
 
     @Override
@@ -72,12 +77,24 @@
         return exchanges.isEmpty() && incoming == null && owedBytes == 0 && actualReadableBytes() == 0;
     }
 
+    @Override
+    public boolean busy() {
+        return !idle();
+    }
+
+    @Override
+    public long answered() {
+        return answered;
+    }
+
     /** Nothing that it asked was ever answered, and nothing that it asked is open: the first to make room. */
-    boolean useless() {
+    @Override
+    public boolean useless() {
         return penalised || finished || answered == 0 && exchanges.isEmpty() && owedBytes == 0;
     }
 
-    double activeMs() {
+    @Override
+    public double sinceMs() {
         return activeMs;
     }
 
@@ -200,6 +217,10 @@
         Exchange exchange = new Exchange(this, command);
         exchanges.add(exchange);
         activeMs = dispatcher.now();
+        if (!asked) {
+            asked = true;
+            asking.run();
+        }
         dispatcher.take(exchange);
     }
 
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.limits.DoorRules;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
@@ -25,8 +26,7 @@
 
     private final EventLoop loop;
     private final Dispatcher dispatcher;
-    private final int places;
-    private final int spare;
+    private final DoorRules rules;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private Channel listener;
     /** Taken from the kernel in this batch and not yet among the clients. */
@@ -37,11 +37,11 @@
     private long failures;
     private boolean resting;
 
-    Door(EventLoop loop, Dispatcher dispatcher, int places) {
+    /** @param clientsRoom how many of the places are for clients that ask */
+    Door(EventLoop loop, Dispatcher dispatcher, int places, int clientsRoom) {
         this.loop = loop;
         this.dispatcher = dispatcher;
-        this.places = places;
-        spare = Math.min(BATCH, places / 8);
+        rules = new DoorRules(places, clientsRoom, Math.min(BATCH, places / 8));
     }
 
     static int batch() {
@@ -68,7 +68,7 @@
     }
 
     int places() {
-        return places;
+        return rules.places();
     }
 
     /** Connections that could not be taken. */
@@ -80,7 +80,7 @@
 
     /** Whether one more connection may be taken now; if not, none is taken until there is room. */
     boolean hasRoom() {
-        if (!resting && inUse() < places) {
+        if (!resting && inUse() < rules.places()) {
             return true;
         }
         if (!resting) {
@@ -105,7 +105,7 @@
     void cannotTake(Throwable cause) {
         failures++;
         dispatcher.log("a connection could not be taken: " + cause);
-        ClientConnection first = first();
+        ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
         if (first != null) {
             show(first);
         }
@@ -120,13 +120,18 @@
     // ---- coming and going
 
     void enter(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher);
+        ClientConnection client = new ClientConnection(dispatcher, this::asked);
         channel.pipeline().addLast(client);
         expected = Math.max(0, expected - 1);
         clients.add(client);
         makeRoom();
     }
 
+    /** It has asked for the first time. */
+    void asked() {
+        rules.newcomer(dispatcher.now());
+    }
+
     /** The connection has ended, whoever ended it. */
     void left(ClientConnection client) {
         if (clients.remove(client)) {
@@ -146,19 +151,16 @@
     }
 
     private void resume() {
-        if (!resting && listener != null && !listener.config().isAutoRead() && inUse() < places) {
+        if (!resting && listener != null && !listener.config().isAutoRead() && inUse() < rules.places()) {
             listener.config().setAutoRead(true);
         }
     }
 
-    /** Shows out until there are places for a batch, or nobody is left who may be. */
+    /** Shows out until the rules are content, or nobody is left who may be. */
     private void makeRoom() {
-        while (places - clients.size() - expected < spare) {
-            ClientConnection first = first();
-            if (first == null) {
-                return;
-            }
-            show(first);
+        double now = dispatcher.now();
+        for (ClientConnection c; (c = rules.next(now, clients, expected)) != null;) {
+            show(c);
         }
     }
 
@@ -170,21 +172,6 @@
         client.close();
     }
 
-    /**
-     * Who goes first: of those that never asked anything usable the oldest, and only then the one that has stood
-     * idle longest. Guards usual clients' connections against those who connect by hundreds and say nothing.
-     */
-    private ClientConnection first() {
-        ClientConnection first = null;
-        for (ClientConnection c : clients) {
-            if ((c.useless() || c.idle()) && (first == null
-                    || (c.useless() == first.useless() ? c.activeMs() < first.activeMs() : c.useless()))) {
-                first = c;
-            }
-        }
-        return first;
-    }
-
     private void sweep() {
         try {
             double now = dispatcher.now();
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -55,7 +55,8 @@
         this.config = config;
         dispatcher = new Dispatcher(loop, config);
         peers = new PeerSocket(loop, config, dispatcher);
-        door = new Door(loop, dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        door = new Door(loop, dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS),
+                config.sockets() / 3);
         discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
             new WarmUp(loop, config).run();
--- a/src/test/java/damsonworks/proxy/DoorTest.java
+++ b/src/test/java/damsonworks/proxy/DoorTest.java
@@ -70,6 +70,40 @@
         }
     }
 
+    /**
+     * The incident's clients over sockets: each asks once and keeps its connection, and together they hold a third
+     * of the descriptors at most. The idle make way while they come, so that all get in; without that the third
+     * would be full of connections that nobody uses after the first 42.
+     */
+    @Test
+    void clientsThatAskOnceAndStayMakeWayForThoseThatCome() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.sockets = 128;
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache(stage)));
+            List<Peer.Line> held = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                Stage.await(() -> {
+                    held.removeIf(DoorTest::ended);
+                    return held.size() < 20; // of 22 places
+                });
+                Peer.Line client = stage.client();
+                serves(client, "c" + i);
+                held.add(client);
+            }
+        }
+    }
+
+    private static boolean ended(Peer.Line line) {
+        try {
+            line.socket.setSoTimeout(1);
+            return line.socket.getInputStream().read() < 0;
+        } catch (java.net.SocketTimeoutException e) {
+            return false;
+        } catch (java.io.IOException e) {
+            return true;
+        }
+    }
+
     /** As the platform bounds it: 256 descriptors, kept by the system, with a burst of connections on top. */
     @Test
     void aBurstLeavesTheProcessWithinItsDescriptorsAndServing() throws Exception {
