--- /dev/null
+++ b/src/main/java/damsonworks/limits/Accounts.java
@@ -0,0 +1,86 @@
+package damsonworks.limits;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** All accounts with the sums of what they hold and the bounds on these sums. */
+public final class Accounts {
+    private final long[] bounds = new long[Holding.values().length];
+    private final long[] sums = new long[bounds.length];
+    private final long[] most = new long[bounds.length];
+    private final Set<Account> open = new LinkedHashSet<>();
+
+    /** @param bounds the most that all together may hold, in bytes; a kind that is not named has no bound */
+    public Accounts(Map<Holding, Long> bounds) {
+        for (Holding h : Holding.values()) {
+            long bound = bounds.getOrDefault(h, Long.MAX_VALUE);
+            if (bound <= 0) {
+                throw new IllegalArgumentException(h + ": a bound of " + bound + " bytes");
+            }
+            this.bounds[h.ordinal()] = bound;
+        }
+    }
+
+    public Account open(Account.Peer peer) {
+        Account account = new Account(this, peer);
+        open.add(account);
+        return account;
+    }
+
+    /** Whether so much more may be held. */
+    public boolean room(Holding kind, long bytes) {
+        return sums[kind.ordinal()] + bytes <= bounds[kind.ordinal()];
+    }
+
+    void add(Holding kind, long bytes) {
+        int i = kind.ordinal();
+        sums[i] += bytes;
+        most[i] = Math.max(most[i], sums[i]);
+    }
+
+    void settle(Account account) {
+        open.remove(account);
+    }
+
+    /** The accounts of peers that are there. */
+    public Collection<Account> open() {
+        return Collections.unmodifiableSet(open);
+    }
+
+    public long held(Holding kind) {
+        return sums[kind.ordinal()];
+    }
+
+    /** The most that was held at one time, in bytes. */
+    public long most(Holding kind) {
+        return most[kind.ordinal()];
+    }
+
+    public long bound(Holding kind) {
+        return bounds[kind.ordinal()];
+    }
+
+    /** The fullest kind's part of its bound, from 0; over 1 where what had come already was charged. */
+    public double share() {
+        double share = 0;
+        for (int i = 0; i < sums.length; i++) {
+            if (bounds[i] != Long.MAX_VALUE) {
+                share = Math.max(share, (double) sums[i] / bounds[i]);
+            }
+        }
+        return share;
+    }
+
+    /** What is held, by kind, for the log. */
+    public Map<Holding, Long> sums() {
+        Map<Holding, Long> all = new EnumMap<>(Holding.class);
+        for (Holding h : Holding.values()) {
+            all.put(h, sums[h.ordinal()]);
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/limits/Cut.java
@@ -0,0 +1,21 @@
+package damsonworks.limits;
+
+/** Why a peer was cut off or made to wait. */
+public enum Cut {
+    /** It stood idle, and newcomers need the room. */
+    IDLE,
+    /** It never asked anything usable, and places were short. */
+    USELESS,
+    /** It connected and said nothing for too long. */
+    SILENT,
+    /** Its command came in below the least rate. */
+    SLOW_WRITER,
+    /** It took its answers below the least rate. */
+    SLOW_READER,
+    /** It held the most for the least served when memory was short. */
+    HOARDER,
+    /** A server's answer came below the least rate. */
+    SLOW_NODE,
+    /** Its address was turned away again and again: it is read later. */
+    HELD_OFF
+}
--- /dev/null
+++ b/src/main/java/damsonworks/limits/LeastRate.java
@@ -0,0 +1,20 @@
+package damsonworks.limits;
+
+/**
+ * The slowest that a peer may be while it owes bytes or is owed some.
+ *
+ * @param bytesPerS bytes a second, more than 0
+ * @param graceMs how far behind that rate it may fall, in milliseconds, 0 or more
+ */
+public record LeastRate(double bytesPerS, double graceMs) {
+    public LeastRate {
+        if (!(bytesPerS > 0) || !(graceMs >= 0)) {
+            throw new IllegalArgumentException(bytesPerS + " bytes a second after " + graceMs + " ms");
+        }
+    }
+
+    /** The time that a peer which is just not too slow may take for so many bytes, in milliseconds. */
+    public double longestMs(long bytes) {
+        return graceMs + bytes * 1000 / bytesPerS;
+    }
+}
