--- a/src/main/java/damsonworks/limits/Cut.java
+++ b/src/main/java/damsonworks/limits/Cut.java
@@ -14,6 +14,8 @@
     SLOW_READER,
     /** It held the most for the least served when memory was short. */
     HOARDER,
+    /** Its answer was refused, as memory had no room for it and all others kept up. */
+    NO_ROOM,
     /** A server's answer came below the least rate. */
     SLOW_NODE,
     /** Its address was turned away again and again: it is read later. */
--- /dev/null
+++ b/src/main/java/damsonworks/limits/Cuts.java
@@ -0,0 +1,40 @@
+package damsonworks.limits;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Who was cut off and why, counted since the start; {@link #news} says what has come since it was last asked. */
+public final class Cuts {
+    private final long[] counts = new long[Cut.values().length];
+    private final long[] told = new long[counts.length];
+
+    public void count(Cut why) {
+        counts[why.ordinal()]++;
+    }
+
+    public long of(Cut why) {
+        return counts[why.ordinal()];
+    }
+
+    public Map<Cut, Long> all() {
+        Map<Cut, Long> all = new EnumMap<>(Cut.class);
+        for (Cut c : Cut.values()) {
+            all.put(c, counts[c.ordinal()]);
+        }
+        return all;
+    }
+
+    /** What was counted since the last call, as {@code idle 3, silent 12}; empty: nothing. */
+    public String news() {
+        StringBuilder text = new StringBuilder();
+        for (Cut c : Cut.values()) {
+            long more = counts[c.ordinal()] - told[c.ordinal()];
+            told[c.ordinal()] = counts[c.ordinal()];
+            if (more > 0) {
+                text.append(text.length() == 0 ? "" : ", ").append(c.name().toLowerCase(java.util.Locale.ROOT)
+                        .replace('_', ' ')).append(' ').append(more);
+            }
+        }
+        return text.toString();
+    }
+}
--- a/src/main/java/damsonworks/limits/DoorRules.java
+++ b/src/main/java/damsonworks/limits/DoorRules.java
@@ -44,20 +44,23 @@
     private final int places;
     private final int clientsRoom;
     private final int spare;
+    private final boolean showOutIdle;
     private final Rate newcomers = new Rate(HORIZON_MS);
 
     /**
      * @param places connections that there is room for
      * @param clientsRoom how many of them are held by clients that ask (DAYS: a third of the descriptors)
      * @param spare places that are kept free for the next ones while anybody can be shown out
+     * @param showOutIdle whether idle ones make way for newcomers before places are short
      */
-    public DoorRules(int places, int clientsRoom, int spare) {
+    public DoorRules(int places, int clientsRoom, int spare, boolean showOutIdle) {
         if (places < 1 || spare < 0 || spare >= places) {
             throw new IllegalArgumentException(places + " places, " + spare + " of them spare");
         }
         this.places = places;
         this.clientsRoom = Math.max(1, Math.min(clientsRoom, places - spare));
         this.spare = spare;
+        this.showOutIdle = showOutIdle;
     }
 
     public int places() {
@@ -109,6 +112,6 @@
         if (places - guests.size() - taken < spare) {
             return oldest != null ? oldest : longest;
         }
-        return idle > idleAllowed(nowMs, busy) ? longest : null;
+        return showOutIdle && idle > idleAllowed(nowMs, busy) ? longest : null;
     }
 }
--- /dev/null
+++ b/src/main/java/damsonworks/limits/Limits.java
@@ -0,0 +1,67 @@
+package damsonworks.limits;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * All named bounds in one place. {@link #of} gives those that follow from the memory and the descriptors that the
+ * platform allows; an operator may set any of them.
+ *
+ * @param places clients' connections at one time
+ * @param clientsRoom how many of them are meant for clients that ask
+ * @param valueBytes clients' values until their requests are over
+ * @param readingBytes answers of servers that are not whole yet
+ * @param answerBytes answers that clients have not taken yet
+ * @param clientAnswerBytes the same of one client, from which on nothing more is read from it
+ * @param clientWrite the least rate of a client that is within a command
+ * @param clientRead the least rate of a client that is owed answers
+ * @param nodeAnswer the least rate of a server within an answer
+ * @param silentMs how long a client may be connected and say nothing, in milliseconds
+ * @param sendBufferBytes what the system may hold of one client's answers; 0: as it likes
+ * @param showOutIdle whether idle connections make way for newcomers before places are short
+ * @param holdOff whether addresses that come again at once after being turned away have to wait
+ */
+public record Limits(int places, int clientsRoom, long valueBytes, long readingBytes, long answerBytes,
+        long clientAnswerBytes, LeastRate clientWrite, LeastRate clientRead, LeastRate nodeAnswer, double silentMs,
+        int sendBufferBytes, boolean showOutIdle, boolean holdOff) {
+
+    /** Descriptors that the JVM, the listening socket, discovery and peers need. */
+    private static final int OWN_DESCRIPTORS = 64;
+    /** Each kind of bytes that clients and servers make us hold has this part of the memory. */
+    private static final int BUDGET_PART = 16;
+    private static final int LEAST_PLACES = 16;
+
+    /**
+     * A command is written within 2 s by any client of the platform, a value of 64 KiB within 6 s more at this
+     * rate. Guards places against those who write a byte at a time; harms a client on a line slower than that.
+     */
+    private static final LeastRate CLIENT_WRITE = new LeastRate(16 << 10, 2200);
+    /** Requests are given up after a second or so: who has not taken an answer by then has no use for it. */
+    private static final LeastRate CLIENT_READ = new LeastRate(16 << 10, 3000);
+    /**
+     * An answer is written in one go, so one that stops for this long within is spoilt: a length that does not
+     * fit, a line without end, a trickle. A node that pauses for longer within an answer loses it, and the request
+     * one of its attempts.
+     */
+    private static final LeastRate NODE_ANSWER = new LeastRate(512 << 10, 150);
+    private static final double SILENT_MS = 2200;
+    private static final long CLIENT_ANSWER_BYTES = 256 << 10;
+
+    /** What follows from the platform's limits, in megabytes and descriptors. */
+    public static Limits of(int memoryMb, int sockets) {
+        long part = Math.max(64 << 10, ((long) memoryMb << 20) / BUDGET_PART);
+        int third = sockets / 3;
+        return new Limits(Math.max(LEAST_PLACES, sockets - third - OWN_DESCRIPTORS), third, part, part, part,
+                Math.min(CLIENT_ANSWER_BYTES, part), CLIENT_WRITE, CLIENT_READ, NODE_ANSWER, SILENT_MS, 0, true, true);
+    }
+
+    /** The bounds on what all peers together may hold. What has come already is charged and not refused. */
+    public Map<Holding, Long> bounds() {
+        Map<Holding, Long> bounds = new EnumMap<>(Holding.class);
+        bounds.put(Holding.VALUE, valueBytes);
+        bounds.put(Holding.READING, readingBytes);
+        bounds.put(Holding.ANSWER, answerBytes);
+        bounds.put(Holding.INPUT, 2 * valueBytes);
+        return bounds;
+    }
+}
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -2,6 +2,7 @@
 
 import damsonworks.RoutingApi;
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.limits.Holding;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
@@ -150,7 +151,7 @@
     private void begin(ByteBuf in, int length, String id) throws MetaCodec.SyntaxException {
         String head = MetaCodec.valueHead(length, id);
         int whole = head.length() + length + 2;
-        if (!dispatcher.reserveReading(whole)) {
+        if (!connection.account().charge(Holding.READING, whole)) {
             throw new MetaCodec.SyntaxException("no room for a value of " + length);
         }
         answer = in.alloc().buffer(whole, whole);
@@ -173,7 +174,7 @@
 
     private void drop() {
         if (answer != null) {
-            dispatcher.giveBackReading(answer.capacity());
+            connection.account().release(Holding.READING, answer.capacity());
             answer.release();
             answer = null;
         }
@@ -194,9 +195,16 @@
         }
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        connection.read(((ByteBuf) message).readableBytes());
+        super.channelRead(ctx, message);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         super.channelReadComplete(ctx);
+        connection.account().set(Holding.INPUT, internalBuffer().capacity());
         connection.readSome();
     }
 
@@ -204,6 +212,7 @@
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         super.channelInactive(ctx);
         drop();
+        connection.account().set(Holding.INPUT, 0);
         connection.closed();
     }
 
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,12 +1,19 @@
 package damsonworks.proxy;
 
+import damsonworks.limits.Account;
+import damsonworks.limits.Cut;
 import damsonworks.limits.DoorRules;
+import damsonworks.limits.FairShare;
+import damsonworks.limits.Holding;
+import damsonworks.limits.Pace;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -15,17 +22,46 @@
  * One client's connection: reads commands, hands requests to the dispatcher and writes the answers in the
  * commands' order, each once. Closes only between requests.
  */
-final class ClientConnection extends ByteToMessageDecoder implements DoorRules.Guest {
+final class ClientConnection extends ByteToMessageDecoder implements DoorRules.Guest, FairShare.Holder {
+    /** Where the connection has its place; told what it does there. */
+    interface House {
+        /** It has asked for the first time. */
+        void asked(ClientConnection client);
+
+        /** A request of its has been answered. */
+        void served(ClientConnection client);
+
+        /** It was turned away with an error. */
+        void turnedAway(ClientConnection client);
+
+        /** There is no room for one more answer: takes some from those that keep theirs from being worked off. */
+        void full();
+    }
+
+    /** A house without bounds, for the rehearsal. */
+    static final House OPEN_HOUSE = new House() {
+        @Override
+        public void asked(ClientConnection client) { }
+
+        @Override
+        public void served(ClientConnection client) { }
+
+        @Override
+        public void turnedAway(ClientConnection client) { }
+
+        @Override
+        public void full() { }
+    };
+
+
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 16;
     /** So many whole commands in one read are a flood: none of them is taken. */
     private static final int FLOOD = 2 * MAX_PIPELINED;
+    /** An answer of so many bytes at most is held also where memory is short: receipts and refusals are shorter. */
+    private static final int SHORT_ANSWER = 1024;
     /** A connection that is to close waits so long for the client's end, so that no answer is cut by a reset. */
     private static final long LINGER_MS = 300;
-    /** A client takes 2 s at most to write a command, and has no use for a connection that it says nothing on. */
-    private static final double SILENT_MS = 2200;
-    /** A client that takes none of its answers for so long gets no more. */
-    private static final double UNREAD_MS = 5000;
     /**
      * An error is told after this time, but within {@link #ERROR_BY_MS} of the connection's start. Guards usual
      * clients against those who send at full speed and come again as soon as they are turned away: these now
@@ -37,13 +73,16 @@
     private static final int MAX_ERRORS = 3;
 
     private final Dispatcher dispatcher;
-    private final Runnable asking;
+    private final House house;
+    private final Account account;
+    /** Of a command that has begun, and of answers that the client is to take. */
+    private final Pace writing;
+    private final Pace taking;
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come. */
     private Command incoming;
     private int missing;
-    private int reserved;
     /** What the incoming write will be answered at once, as its value is not kept; null: it is. */
     private String refusal;
     private boolean closing;
@@ -57,19 +96,52 @@
     private int owedBytes;
     private double bornMs;
     private double activeMs;
-    /** Since when part of a command has waited for the rest; NaN: none does. */
-    private double partSinceMs = Double.NaN;
+    /** Bytes of answers that the connection has taken, by whole answers, and as they stood when last looked at. */
+    private long takenWhole;
+    private long takenSeen;
+    private Object address = "";
 
-    /** @param asking told when it asks for the first time */
-    ClientConnection(Dispatcher dispatcher, Runnable asking) {
+    ClientConnection(Dispatcher dispatcher, House house) {
         this.dispatcher = dispatcher;
-        this.asking = asking;
+        this.house = house;
+        account = dispatcher.accounts().open(Account.Peer.CLIENT);
+        writing = new Pace(dispatcher.limits().clientWrite());
+        taking = new Pace(dispatcher.limits().clientRead());
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
         bornMs = activeMs = dispatcher.now();
+        if (ctx.channel().remoteAddress() instanceof InetSocketAddress remote) {
+            address = remote.getAddress();
+        }
+    }
+
+    /** The machine that it comes from. */
+    Object address() {
+        return address;
+    }
+
+    @Override
+    public Account account() {
+        return account;
+    }
+
+    @Override
+    public double behindMs(double now) {
+        seeTaken(now);
+        return Math.max(writing.behindMs(now), taking.behindMs(now));
+    }
+
+    /** Nothing is read from it for this time. */
+    void holdOff(double ms) {
+        penalised = true;
+        pauseReading();
+        ctx.executor().schedule(() -> {
+            penalised = false;
+            regulate();
+        }, (long) ms, TimeUnit.MILLISECONDS);
     }
 
     /** Between requests: nothing owed and nothing begun. */
@@ -98,11 +170,33 @@
         return activeMs;
     }
 
-    /** Whether it says nothing, goes not on with what it has begun, or does not take what it asked for. */
-    boolean stalled(double now) {
-        return !penalised && (now - partSinceMs > SILENT_MS
-                || answered == 0 && exchanges.isEmpty() && now - bornMs > SILENT_MS
-                || !ctx.channel().isWritable() && now - activeMs > UNREAD_MS);
+    /**
+     * Why it is to be cut off: it says nothing, or is too slow with what it has begun or is to take. Null: it is
+     * not. {@code patience}: the part of its time that it is given.
+     */
+    Cut stalled(double now, double patience) {
+        seeTaken(now);
+        if (taking.tooSlow(now, patience)) {
+            return Cut.SLOW_READER;
+        }
+        if (penalised) {
+            return null; // it is we who do not read
+        }
+        if (writing.tooSlow(now, patience)) {
+            return Cut.SLOW_WRITER;
+        }
+        boolean silent = answered == 0 && exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        return silent && !finished && now - bornMs > dispatcher.limits().silentMs() * patience ? Cut.SILENT : null;
+    }
+
+    /** Makes up for what the connection has taken since it was last looked at, part of an answer too. */
+    private void seeTaken(double now) {
+        ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
+        long taken = takenWhole + (buffer == null ? 0 : buffer.currentProgress());
+        if (taken > takenSeen) {
+            taking.moved(now, taken - takenSeen);
+            takenSeen = taken;
+        }
     }
 
     void close() {
@@ -117,7 +211,7 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (penalised || exchanges.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
+        if (penalised || !hasHand()) {
             pauseReading();
             return;
         }
@@ -130,6 +224,7 @@
                 }
                 String line = MetaCodec.line(in);
                 if (line != null) {
+                    writing.end(); // the next one has its own time
                     command(line);
                 }
             }
@@ -140,6 +235,12 @@
         }
     }
 
+    /** Whether one more command may be taken in hand. */
+    private boolean hasHand() {
+        return exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()
+                && account.held(Holding.ANSWER) < dispatcher.limits().clientAnswerBytes();
+    }
+
     /** Counts lines only up to a value, which may hold anything. */
     private static void checkFlood(ByteBuf in) throws MetaCodec.SyntaxException {
         int lines = 0;
@@ -171,9 +272,9 @@
         if (write) {
             incoming = command;
             missing = length + 2;
-            refusal = bad != null ? bad : dispatcher.reserve(missing) ? null : MetaCodec.BUSY;
+            refusal = bad != null ? bad : account.charge(Holding.VALUE, missing) ? null
+                    : MetaCodec.BUSY;
             if (refusal == null) {
-                reserved = missing;
                 incoming.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
             } else {
                 incoming = new Command("", "", true, "", "", "");
@@ -198,13 +299,13 @@
         }
         Command command = incoming;
         incoming = null;
+        writing.end();
         if (refusal == null) {
             int end = command.value.writerIndex();
             if (command.value.getByte(end - 2) != '\r' || command.value.getByte(end - 1) != '\n') {
-                dropValue(command);
+                giveBackValue(command);
                 throw new MetaCodec.SyntaxException("bad data chunk");
             }
-            reserved = 0; // given back when the request is over
             take(command);
         } else if (refusal.equals(MetaCodec.BUSY)) {
             say(MetaCodec.BUSY); // no room for the value; nothing was sent on
@@ -219,15 +320,16 @@
         activeMs = dispatcher.now();
         if (!asked) {
             asked = true;
-            asking.run();
+            house.asked(this);
         }
+        account.took();
         dispatcher.take(exchange);
     }
 
-    private void dropValue(Command command) {
+    /** The value that its request does not need any more. */
+    void giveBackValue(Command command) {
+        account.release(Holding.VALUE, command.value.maxCapacity());
         command.release();
-        dispatcher.giveBack(reserved);
-        reserved = 0;
     }
 
     // ---- answers
@@ -241,6 +343,7 @@
 
     /** Turns a command down, in its turn and not at once; until then nothing more is read. */
     private void error(String line) {
+        house.turnedAway(this);
         closing |= ++errors > MAX_ERRORS || dispatcher.now() - bornMs > ERROR_BY_MS;
         penalised = true;
         pauseReading();
@@ -261,52 +364,98 @@
             answer.release();
             return;
         }
-        exchange.answer = answer;
+        exchange.answer = charged(exchange, answer);
+        if (finished) {
+            exchange.answer.release(); // it was this client that had to make room
+            account.release(Holding.ANSWER, exchange.held);
+            exchange.answer = null;
+            return;
+        }
         if (exchange.command != null) {
             answered++;
+            account.answered();
+            house.served(this);
         }
         flushAnswers();
     }
 
+    /**
+     * The answer, or a refusal in its place where memory has no room for it and nobody can be made to give some:
+     * only values of reads are that long, and reading again is harmless. Short answers are always taken.
+     */
+    private ByteBuf charged(Exchange exchange, ByteBuf answer) {
+        exchange.held = answer.capacity();
+        if (account.charge(Holding.ANSWER, exchange.held)) {
+            return answer;
+        }
+        house.full();
+        if (account.charge(Holding.ANSWER, exchange.held)) {
+            return answer;
+        }
+        ByteBuf taken = answer;
+        if (exchange.held > SHORT_ANSWER) {
+            answer.release();
+            taken = MetaCodec.text(ctx.alloc(), MetaCodec.BUSY + "\r\n");
+            exchange.held = taken.capacity();
+            dispatcher.cuts().count(Cut.NO_ROOM);
+        }
+        account.force(Holding.ANSWER, exchange.held);
+        return taken;
+    }
+
     private void flushAnswers() {
         boolean wrote = false;
         Exchange head;
         while (!finished && (head = exchanges.peek()) != null && head.answer != null) {
             int bytes = head.answer.readableBytes();
-            owed(bytes);
-            ctx.write(head.answer).addListener(f -> owed(-bytes));
+            int held = head.held;
+            owedBytes += bytes;
+            ctx.write(head.answer).addListener(f -> taken(bytes, held));
             head.answer = null;
             wrote = true;
             exchanges.poll();
         }
         if (wrote) {
             activeMs = dispatcher.now();
+            taking.begin(activeMs);
             ctx.flush();
-            if (!ctx.channel().isWritable() && dispatcher.holdsTooMuch()) {
-                ctx.close(); // of those who don't take their answers, the first to ask for one more
-                return;
-            }
         }
         regulate();
-        if (exchanges.isEmpty() && (closing || dispatcher.draining() && idle())) {
-            finish();
+        endIfDone();
+    }
+
+    /** A whole answer has gone to the network, or with its connection. */
+    private void taken(int bytes, int held) {
+        account.release(Holding.ANSWER, held);
+        owedBytes -= bytes;
+        takenWhole += bytes;
+        if (owedBytes == 0) {
+            taking.end();
+            if (closing || dispatcher.draining()) {
+                ctx.executor().execute(this::endIfDone); // not from within the flush that has just written it
+            }
+        }
+        if (readPaused) {
+            regulate();
         }
     }
 
-    private void owed(int bytes) {
-        owedBytes += bytes;
-        dispatcher.holding(bytes);
+    /** Ends the connection where that waited only for its last answer to be taken. */
+    private void endIfDone() {
+        if (exchanges.isEmpty() && owedBytes == 0 && (closing || dispatcher.draining() && idle())) {
+            finish();
+        }
     }
 
     /** Reads on once there is room for what may come of it. */
     private void regulate() {
-        if (readPaused && !penalised && exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
+        if (readPaused && !penalised && hasHand() && ctx.channel().isActive()) {
             readPaused = false;
             ctx.channel().config().setAutoRead(true);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
             ctx.executor().execute(() -> {
                 ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
-                partBegun();
+                settle();
             });
         }
     }
@@ -334,16 +483,26 @@
         }, LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Notes whether the client is in the middle of a command; the time while we don't read is not its own. */
-    private void partBegun() {
-        boolean part = !readPaused && (incoming != null || actualReadableBytes() > 0);
-        partSinceMs = !part ? Double.NaN : Double.isNaN(partSinceMs) ? dispatcher.now() : partSinceMs;
+    /** Notes what is left of what was read; the time while we don't read is not the client's own. */
+    private void settle() {
+        account.set(Holding.INPUT, internalBuffer().capacity());
+        if (!readPaused && (incoming != null || actualReadableBytes() > 0)) {
+            writing.begin(dispatcher.now());
+        } else {
+            writing.end();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        writing.moved(dispatcher.now(), ((ByteBuf) message).readableBytes());
+        super.channelRead(context, message);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
         super.channelReadComplete(context);
-        partBegun();
+        settle();
     }
 
     @Override
@@ -358,11 +517,14 @@
         finished = true;
         super.channelInactive(context);
         if (incoming != null) {
-            dropValue(incoming);
+            if (incoming.value != null) {
+                giveBackValue(incoming);
+            }
             incoming = null;
         }
         for (Exchange e; (e = exchanges.poll()) != null;) {
             if (e.answer != null) {
+                account.release(Holding.ANSWER, e.held);
                 e.answer.release();
                 e.answer = null;
             }
@@ -370,6 +532,10 @@
                 dispatcher.gone(e);
             }
         }
+        account.set(Holding.INPUT, 0);
+        account.close();
+        writing.end();
+        taking.end();
         dispatcher.left(this);
     }
 
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -6,6 +6,7 @@
 import com.google.gson.JsonPrimitive;
 import damsonworks.Policy;
 import damsonworks.RoutingApi.Settings;
+import damsonworks.limits.Limits;
 import damsonworks.wire.SettingsParser;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
@@ -25,7 +26,7 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
-        double idleCloseMs, int streamsPerConnection) {
+        double idleCloseMs, int streamsPerConnection, Limits limits) {
 
     /** With less the proxy has no room for what it must hold; a limit that small is a slip. */
     private static final int MIN_MEMORY_MB = 16;
@@ -52,6 +53,8 @@
         Settings settings = parser.settings();
         new Policy(settings, 0); // refuses settings that it can't decide by
         JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
+        int memoryMb = (int) limit(limits, "memory_mb", 192, MIN_MEMORY_MB);
+        int sockets = (int) limit(limits, "sockets", 1024, MIN_SOCKETS);
         List<InetSocketAddress> peers = new ArrayList<>();
         if (json.has("peers")) {
             json.getAsJsonArray("peers").forEach(p -> peers.add(address(p.getAsString())));
@@ -59,12 +62,17 @@
         return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
                 address(need(json, "listen").getAsString()), address(need(json, "discovery").getAsString()),
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), limit(limits, "cores", 1, 0.01),
-                (int) limit(limits, "memory_mb", 192, MIN_MEMORY_MB),
-                (int) limit(limits, "sockets", 1024, MIN_SOCKETS),
+                memoryMb, sockets,
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
                 json.has("known") ? json.getAsJsonObject("known") : null, settings, parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
-                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
+                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), Limits.of(memoryMb, sockets));
+    }
+
+    /** The same with other bounds. */
+    Config with(Limits other) {
+        return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, other);
     }
 
     private static JsonElement need(JsonObject json, String key) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -11,10 +11,14 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.limits.Accounts;
+import damsonworks.limits.Cuts;
+import damsonworks.limits.Limits;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -49,13 +53,12 @@
      */
     private static final double ANSWER_AHEAD_MS = 20;
     private static final int MAX_LOG_LINES_A_MINUTE = 40;
-    private static final String ID_IN_USE = "the id is another open request's";
     /**
-     * The byte budget's part of the memory limit: values of clients, as much again of answers not all read yet,
-     * and as much of answers not taken.
+     * So many descriptors above the bound may be held by connections that were closed in this round of the loop.
+     * Guards against a round in which each attempt has an idle connection closed and opens one of its own.
      */
-    private static final int BUDGET_PART = 16;
-
+    private static final int RELEASING = 16;
+    private static final String ID_IN_USE = "the id is another open request's";
     private final EventLoop loop;
     private final Timers timers;
     private final Config config;
@@ -72,7 +75,9 @@
     private final Upstream.Dialer dialer;
     private final double epochMs = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
-    private final long maxValueBytes;
+    private final Limits limits;
+    private final Accounts accounts;
+    private final Cuts cuts = new Cuts();
     private final int maxUpstream;
     private Policy module;
     private DiscoveryClient discovery;
@@ -86,18 +91,16 @@
     private int logLines;
     private double logMinuteMs;
     private int upstreamCount;
-    private long valueBytes;
-    private long heldBytes;
-    private long readingBytes;
+    private int upstreamReleasing;
 
     /** What wants to know of clients that have left. */
     interface ClientListener {
         void left(ClientConnection client);
     }
 
-    Dispatcher(EventLoop loop, Config config) {
+    Dispatcher(EventLoop loop, Config config, ByteBufAllocator allocator) {
         this(loop, config, new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, allocator).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.settings().connectTimeoutMs()));
     }
 
@@ -115,7 +118,8 @@
             classes.put(c.name(), classes.size());
         }
         settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
-        maxValueBytes = ((long) config.memoryMb() << 20) / BUDGET_PART;
+        limits = config.limits();
+        accounts = new Accounts(limits.bounds());
         maxUpstream = config.sockets() / 3;
         this.dialer = dialer;
     }
@@ -154,39 +158,16 @@
 
     // ---- bounds
 
-    /** Room for a client's value of this size; given back when its request is over. */
-    boolean reserve(int bytes) {
-        if (valueBytes + bytes > maxValueBytes) {
-            return false;
-        }
-        valueBytes += bytes;
-        return true;
+    Limits limits() {
+        return limits;
     }
 
-    void giveBack(int bytes) {
-        valueBytes -= bytes;
-    }
-
-    /** Room for this much more of answers that are not all read yet; given back once they are. */
-    boolean reserveReading(int bytes) {
-        if (readingBytes + bytes > maxValueBytes) {
-            return false;
-        }
-        readingBytes += bytes;
-        return true;
+    Accounts accounts() {
+        return accounts;
     }
 
-    void giveBackReading(int bytes) {
-        readingBytes -= bytes;
-    }
-
-    /** Counts answers that wait for their clients' connections to take them. */
-    void holding(int bytes) {
-        heldBytes += bytes;
-    }
-
-    boolean holdsTooMuch() {
-        return heldBytes > maxValueBytes;
+    Cuts cuts() {
+        return cuts;
     }
 
     /**
@@ -194,7 +175,7 @@
      * makes room, or a server that is new would never get one.
      */
     boolean roomUpstream() {
-        if (upstreamCount >= maxUpstream) {
+        if (upstreamInUse() >= maxUpstream) {
             UpstreamConnection longest = null;
             for (Upstream u : upstreams.values()) {
                 UpstreamConnection c = u.longestIdle();
@@ -206,7 +187,12 @@
                 longest.close();
             }
         }
-        return upstreamCount < maxUpstream;
+        return upstreamInUse() < maxUpstream + RELEASING;
+    }
+
+    /** Descriptors of upstream connections: one counts until the selector has let go of it, in its next round. */
+    int upstreamInUse() {
+        return upstreamCount + upstreamReleasing;
     }
 
     void openedUpstream() {
@@ -215,6 +201,8 @@
 
     void closedUpstream() {
         upstreamCount--;
+        upstreamReleasing++;
+        loop.execute(() -> upstreamReleasing--);
     }
 
     boolean draining() {
@@ -500,8 +488,7 @@
 
     private void giveBackValue(Exchange x) {
         if (x.command.value != null) {
-            giveBack(x.command.value.maxCapacity());
-            x.command.release();
+            x.client.giveBackValue(x.command);
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -1,6 +1,14 @@
 package damsonworks.proxy;
 
+import damsonworks.limits.Accounts;
+import damsonworks.limits.Cut;
+import damsonworks.limits.Cuts;
 import damsonworks.limits.DoorRules;
+import damsonworks.limits.FairShare;
+import damsonworks.limits.HoldOff;
+import damsonworks.limits.Limits;
+import damsonworks.limits.LoopLag;
+import damsonworks.limits.Pressure;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
@@ -13,7 +21,7 @@
  * descriptors: one counts from when the kernel is asked for it until the selector has let go of it, so that
  * {@link #inUse()} passes the bound on no path.
  */
-final class Door {
+final class Door implements ClientConnection.House {
     /**
      * So many connections are taken in one round of the loop at most, and so many places are kept free where
      * somebody can be shown out: a closed connection's descriptor is free only with the next round. Guards
@@ -23,10 +31,23 @@
     /** No more is taken for so long after a failure to take one; what comes waits in the kernel's backlog. */
     private static final long FAILED_PAUSE_MS = 10;
     private static final long SWEEP_MS = 50;
+    /** What was cut off is told in the log once in so long at most. */
+    private static final double TELL_MS = 10_000;
+    /**
+     * Full places count as this much of the room: those that say nothing get half of their time then. More would
+     * be hard on slow clients for a shortage that the door deals with by itself.
+     */
+    private static final double PLACES_SHARE = 0.8;
 
     private final EventLoop loop;
     private final Dispatcher dispatcher;
+    private final Limits limits;
     private final DoorRules rules;
+    private final HoldOff holdOff = new HoldOff();
+    private final LoopLag lag = new LoopLag();
+    private final Pressure pressure = new Pressure();
+    private final Accounts accounts;
+    private final Cuts cuts;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private Channel listener;
     /** Taken from the kernel in this batch and not yet among the clients. */
@@ -36,12 +57,17 @@
     private int most;
     private long failures;
     private boolean resting;
+    private double sweepDueMs;
+    private double toldMs;
 
-    /** @param clientsRoom how many of the places are for clients that ask */
-    Door(EventLoop loop, Dispatcher dispatcher, int places, int clientsRoom) {
+    Door(EventLoop loop, Dispatcher dispatcher) {
         this.loop = loop;
         this.dispatcher = dispatcher;
-        rules = new DoorRules(places, clientsRoom, Math.min(BATCH, places / 8));
+        limits = dispatcher.limits();
+        accounts = dispatcher.accounts();
+        cuts = dispatcher.cuts();
+        int places = limits.places();
+        rules = new DoorRules(places, limits.clientsRoom(), Math.min(BATCH, places / 8), limits.showOutIdle());
     }
 
     static int batch() {
@@ -50,7 +76,11 @@
 
     void open(Channel by) {
         listener = by;
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweepAgain();
+    }
+
+    Pressure pressure() {
+        return pressure;
     }
 
     Set<ClientConnection> clients() {
@@ -107,7 +137,7 @@
         dispatcher.log("a connection could not be taken: " + cause);
         ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
         if (first != null) {
-            show(first);
+            show(first, first.useless() ? Cut.USELESS : Cut.IDLE);
         }
         resting = true;
         listener.config().setAutoRead(false);
@@ -120,18 +150,46 @@
     // ---- coming and going
 
     void enter(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher, this::asked);
+        ClientConnection client = new ClientConnection(dispatcher, this);
         channel.pipeline().addLast(client);
         expected = Math.max(0, expected - 1);
         clients.add(client);
+        double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
+        if (wait > 0) {
+            cuts.count(Cut.HELD_OFF);
+            client.holdOff(wait);
+        }
         makeRoom();
     }
 
-    /** It has asked for the first time. */
-    void asked() {
+    @Override
+    public void asked(ClientConnection client) {
         rules.newcomer(dispatcher.now());
     }
 
+    @Override
+    public void served(ClientConnection client) {
+        if (limits.holdOff()) {
+            holdOff.served(dispatcher.now(), client.address());
+        }
+    }
+
+    @Override
+    public void turnedAway(ClientConnection client) {
+        if (limits.holdOff()) {
+            holdOff.turnedAway(dispatcher.now(), client.address());
+        }
+    }
+
+    /** One at a time, as what it held comes back by and by. */
+    @Override
+    public void full() {
+        ClientConnection next = FairShare.next(dispatcher.now(), clients);
+        if (next != null) {
+            show(next, Cut.HOARDER);
+        }
+    }
+
     /** The connection has ended, whoever ended it. */
     void left(ClientConnection client) {
         if (clients.remove(client)) {
@@ -160,30 +218,58 @@
     private void makeRoom() {
         double now = dispatcher.now();
         for (ClientConnection c; (c = rules.next(now, clients, expected)) != null;) {
-            show(c);
+            show(c, c.useless() ? Cut.USELESS : Cut.IDLE);
         }
     }
 
     /** Out of the set at once: the next choice must not fall on it again. */
-    private void show(ClientConnection client) {
+    private void show(ClientConnection client, Cut why) {
+        cuts.count(why);
         if (clients.remove(client)) {
             released(1);
         }
         client.close();
     }
 
+    /** Not at a fixed distance by the executor's clock, which would make up for a late sweep by several at once. */
+    private void sweepAgain() {
+        sweepDueMs = dispatcher.now() + SWEEP_MS;
+        loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void sweep() {
         try {
             double now = dispatcher.now();
+            lag.ticked(sweepDueMs, now);
+            Pressure.Level level = pressure.at(Math.max(accounts.share(),
+                    Math.max(lag.share(now), (double) inUse() / rules.places() * PLACES_SHARE)));
             for (ClientConnection c : List.copyOf(clients)) {
-                if (c.stalled(now)) {
-                    show(c);
+                Cut why = c.stalled(now, level.patience());
+                if (why != null) {
+                    show(c, why);
+                    if (why == Cut.SILENT) {
+                        turnedAway(c);
+                    }
                 }
             }
             makeRoom();
             resume();
+            tell(now);
         } catch (Throwable t) {
             dispatcher.fault(t);
+        } finally {
+            sweepAgain();
+        }
+    }
+
+    private void tell(double now) {
+        if (now - toldMs >= TELL_MS) {
+            toldMs = now;
+            String news = cuts.news();
+            if (!news.isEmpty()) {
+                dispatcher.log("cut off: " + news + "; " + pressure.level() + ", " + inUse() + " of " + rules.places()
+                        + " places, loop late by " + Math.round(lag.lateMs(now)) + " ms, held " + accounts.sums());
+            }
         }
     }
 }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -15,6 +15,8 @@
 
     /** The answer, until it is its turn to go to the client. */
     ByteBuf answer;
+    /** What the answer holds of memory, in bytes. */
+    int held;
 
     int id;
     double dueMs;
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/OperatorLimits.java
@@ -0,0 +1,49 @@
+package damsonworks.proxy;
+
+import damsonworks.limits.LeastRate;
+import damsonworks.limits.Limits;
+import damsonworks.settings.LimitsTable;
+import damsonworks.settings.OperatorFile;
+import damsonworks.settings.SettingsException;
+import java.nio.file.Path;
+
+/** The operator's limits over those that follow from the platform's. */
+final class OperatorLimits {
+    private OperatorLimits() { }
+
+    /** An IllegalArgumentException says in one line what is wrong. */
+    static Limits read(String file, Config config) {
+        try {
+            return over(config.limits(), OperatorFile.read(Path.of(file)).limits());
+        } catch (SettingsException e) {
+            throw new IllegalArgumentException(e.getMessage());
+        }
+    }
+
+    private static Limits over(Limits l, LimitsTable t) throws SettingsException {
+        long places = t.number("places", l.places());
+        if (places > l.places()) {
+            throw t.bad("places", "at most " + l.places() + ", which is what the platform's descriptors leave");
+        }
+        long room = t.number("clients_room", Math.min(l.clientsRoom(), places));
+        if (room > places) {
+            throw t.bad("clients_room", "at most the " + places + " places there are");
+        }
+        long answers = t.number("client_answers_bytes", l.answerBytes());
+        long one = t.number("one_client_answers_bytes", Math.min(l.clientAnswerBytes(), answers));
+        if (one > answers) {
+            throw t.bad("one_client_answers_bytes", "at most client_answers_bytes, " + answers);
+        }
+        return new Limits((int) places, (int) room, t.number("client_values_bytes", l.valueBytes()),
+                t.number("node_reading_bytes", l.readingBytes()), answers, one,
+                rate(t, "client_write", l.clientWrite()), rate(t, "client_read", l.clientRead()),
+                rate(t, "node_answer", l.nodeAnswer()), t.number("silent_ms", (long) l.silentMs()),
+                (int) t.number("send_buffer_bytes", l.sendBufferBytes()), t.flag("show_out_idle", l.showOutIdle()),
+                t.flag("hold_off", l.holdOff()));
+    }
+
+    private static LeastRate rate(LimitsTable t, String key, LeastRate l) {
+        return new LeastRate(t.number(key + "_bytes_per_s", (long) l.bytesPerS()),
+                t.number(key + "_grace_ms", (long) l.graceMs()));
+    }
+}
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.limits.Holding;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
@@ -9,6 +10,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -50,8 +52,25 @@
     }
 
     static ChannelHandler[] handlers(UpstreamConnection connection) {
-        return new ChannelHandler[] {new HttpClientCodec(MetaCodec.MAX_LINE, 8192, MetaCodec.MAX_VALUE),
-            new OriginCodec(connection)};
+        return new ChannelHandler[] {new Arrivals(connection),
+            new HttpClientCodec(MetaCodec.MAX_LINE, 8192, MetaCodec.MAX_VALUE), new OriginCodec(connection)};
+    }
+
+    /** Tells of bytes before the grammar of HTTP makes messages of them. */
+    private static final class Arrivals extends ChannelInboundHandlerAdapter {
+        private final UpstreamConnection connection;
+
+        private Arrivals(UpstreamConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            connection.read(((ByteBuf) message).readableBytes());
+            // Part of a head waits in the grammar's own buffer, which can't be looked into: the part read counts.
+            connection.account().set(Holding.INPUT, ((ByteBuf) message).capacity());
+            ctx.fireChannelRead(message);
+        }
     }
 
     @Override
@@ -148,7 +167,7 @@
             fail("no length or too long");
         } else {
             reserved = (int) Math.max(0, length);
-            if (!dispatcher.reserveReading(reserved)) {
+            if (!connection.account().charge(Holding.READING, reserved)) {
                 reserved = 0;
                 fail("no room");
                 return;
@@ -162,7 +181,7 @@
         int more = body.readableBytes() + part.readableBytes() - reserved;
         if (reserved + more > MetaCodec.MAX_ANSWER) {
             fail("too long");
-        } else if (more > 0 && !dispatcher.reserveReading(more)) {
+        } else if (more > 0 && !connection.account().charge(Holding.READING, more)) {
             fail("no room");
         } else {
             reserved += Math.max(0, more);
@@ -219,7 +238,7 @@
 
     private void drop() {
         response = null;
-        dispatcher.giveBackReading(reserved);
+        connection.account().release(Holding.READING, reserved);
         reserved = 0;
         if (body != null) {
             body.release();
@@ -230,6 +249,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         super.channelReadComplete(ctx);
+        if (connection.head() == null) {
+            connection.account().set(Holding.INPUT, 0);
+        }
         connection.readSome();
     }
 
@@ -237,6 +259,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
         drop();
+        connection.account().set(Holding.INPUT, 0);
         connection.closed();
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,11 +25,11 @@
 public final class Proxy {
     /** Connections still come so long after SIGTERM, with some room for a slow machine. */
     private static final double LISTEN_ON_MS = 500;
-    /** Descriptors that the JVM, the listening socket, discovery and peers need. */
-    private static final int OWN_DESCRIPTORS = 64;
     private static final int BACKLOG = 512;
     /** What is read from a client at once: at first enough to see a flood of commands as one. */
     private static final int READ_BYTES = 8 << 10;
+    /** What is read at once from a client that sends a lot: with all places taken, twice this each must fit. */
+    private static final int MOST_READ_BYTES = 16 << 10;
 
     /** The program's exit code where its event loop has ended unplanned: nothing would serve any more. */
     private static final int LOOP_ENDED = 1;
@@ -37,6 +38,12 @@
         PlainLog.install(); // before any class of Netty's takes a logger
     }
 
+    /**
+     * So often a client is read before others have their turn. Guards the loop against those who send at full
+     * speed, who could otherwise hold it for a megabyte each; a long value takes some turns more.
+     */
+    private static final int READS_A_TURN = 2;
+
     private final AtomicLong loopFailures = new AtomicLong();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             GuardedIo.factory(NioIoHandler.newFactory(), loopFailures));
@@ -51,19 +58,18 @@
     private double drainEndsMs;
     private double listenEndsMs;
 
-    private Proxy(Config config) throws InterruptedException {
+    private Proxy(Config config, ByteBufAllocator allocator) throws InterruptedException {
         this.config = config;
-        dispatcher = new Dispatcher(loop, config);
+        dispatcher = new Dispatcher(loop, config, allocator);
         peers = new PeerSocket(loop, config, dispatcher);
-        door = new Door(loop, dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS),
-                config.sockets() / 3);
+        door = new Door(loop, dispatcher);
         discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
             new WarmUp(loop, config).run();
             dispatcher.start(discovery, peers, door::left);
             discovery.start();
         }).syncUninterruptibly();
-        server = new ServerBootstrap().group(group).channelFactory(() -> new Listener(door))
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group).channelFactory(() -> new Listener(door))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInboundHandlerAdapter() {
@@ -73,16 +79,21 @@
                         ctx.fireChannelReadComplete();
                     }
                 })
-                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, allocator).childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(READ_BYTES, READ_BYTES, 64 << 10))
+                        new AdaptiveRecvByteBufAllocator(READ_BYTES, READ_BYTES, MOST_READ_BYTES)
+                                .maxMessagesPerRead(READS_A_TURN))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         door.enter(channel);
                     }
-                }).bind(config.listen()).sync().channel();
+                });
+        if (config.limits().sendBufferBytes() > 0) {
+            bootstrap.childOption(ChannelOption.SO_SNDBUF, config.limits().sendBufferBytes());
+        }
+        server = bootstrap.bind(config.listen()).sync().channel();
         server.config().<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator().maxMessagesPerRead(Door.batch());
         loop.submit(() -> {
             door.open(server);
@@ -90,12 +101,19 @@
         }).syncUninterruptibly();
     }
 
-    /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
-    public static void main() {
+    /**
+     * Runs a proxy by the configuration that the environment names, until SIGTERM.
+     *
+     * @param settings the operator's file; null: none, and nothing that reads one is loaded
+     */
+    public static void main(String settings) {
         String path = System.getenv("BALANCER_CONFIG");
         Config config;
         try {
             config = Config.read(path);
+            if (settings != null) {
+                config = config.with(OperatorLimits.read(settings, config));
+            }
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
             System.exit(2);
@@ -119,7 +137,12 @@
     }
 
     static Proxy start(Config config) throws InterruptedException {
-        return new Proxy(config);
+        return start(config, ByteBufAllocator.DEFAULT);
+    }
+
+    /** With clients' and servers' buffers from this allocator. */
+    static Proxy start(Config config, ByteBufAllocator allocator) throws InterruptedException {
+        return new Proxy(config, allocator);
     }
 
     /** A program whose loop has ended serves nobody: it ends too, and not as if that had been planned. */
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -1,10 +1,15 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.limits.Account;
+import damsonworks.limits.Cut;
+import damsonworks.limits.Holding;
+import damsonworks.limits.Pace;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 
@@ -27,12 +32,6 @@
         boolean within();
     }
 
-    /**
-     * An answer is written in one go, so one that takes this long from its first byte to its last is spoilt: a
-     * length that does not fit, a line without end, a trickle. A node that pauses for longer within an answer
-     * loses it, and the request one of its attempts.
-     */
-    private static final double ANSWER_MS = 150;
     /**
      * A connection rests this long after its last answer. Guards against a second answer or noise right behind
      * a good one, which would be read as the answer to whatever is sent next; over HTTP, where answers carry no
@@ -50,6 +49,9 @@
     private static final double HOLD_MAX_MS = 10;
 
     private final Upstream upstream;
+    private final Account account;
+    /** Of an answer that has begun. */
+    private final Pace pace;
     private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
     private Codec codec;
     private Channel channel;
@@ -64,12 +66,13 @@
     private double openedMs;
     private double holdMs;
     private double idleSinceMs;
+    private double readMs;
     private double answeredMs = Double.NEGATIVE_INFINITY;
-    /** Since when part of an answer waits for the rest; NaN: none does. */
-    private double withinSinceMs = Double.NaN;
 
     UpstreamConnection(Upstream upstream) {
         this.upstream = upstream;
+        account = upstream.dispatcher().accounts().open(Account.Peer.NODE);
+        pace = new Pace(upstream.dispatcher().limits().nodeAnswer());
         idleSinceMs = upstream.dispatcher().now();
     }
 
@@ -77,6 +80,10 @@
         return upstream.dispatcher();
     }
 
+    Account account() {
+        return account;
+    }
+
     void use(Codec by) {
         codec = by;
     }
@@ -142,6 +149,17 @@
     }
 
     private void write(Attempt attempt) {
+        writeNow(attempt);
+        chargeOutput();
+    }
+
+    /** What the network has not taken yet, by Netty's own measure. */
+    private void chargeOutput() {
+        ChannelOutboundBuffer out = closed || channel == null ? null : channel.unsafe().outboundBuffer();
+        account.set(Holding.OUTPUT, out == null ? 0 : out.totalPendingWriteBytes());
+    }
+
+    private void writeNow(Attempt attempt) {
         if (attempt == held) {
             codec.write(channel, attempt, dial, true);
             upstream.dispatcher().after(holdMs, () -> writeLast(attempt));
@@ -159,6 +177,7 @@
             }
             held = null;
             codec.writeLast(channel, attempt).addListener(f -> attempt.written |= f.isSuccess());
+            chargeOutput();
         }
     }
 
@@ -201,11 +220,24 @@
         }
     }
 
-    /** An answer that has begun and does not end is spoilt. */
+    /**
+     * An answer that comes below the least rate is not waited for. One that has stopped is spoilt, by a length that
+     * does not fit, a line without end. One that still comes, a few bytes at a time, shows a server that is slow:
+     * the connection is reset from here, and reads go to the runner-up. All on it may have run.
+     */
     void sweep(double now) {
-        if (now - withinSinceMs > ANSWER_MS) {
-            garbage("an answer that does not end");
+        if (pace.tooSlow(now, 1)) {
+            upstream.dispatcher().cuts().count(Cut.SLOW_NODE);
+            if (now - readMs >= upstream.dispatcher().limits().nodeAnswer().graceMs()) {
+                garbage("an answer that does not end");
+            } else {
+                upstream.dispatcher().log("slow answer of " + dial);
+                close();
+                closed();
+            }
+            return;
         }
+        chargeOutput();
     }
 
     void close() {
@@ -225,19 +257,25 @@
         return attempts.peek();
     }
 
-    /** Some bytes have been read and used as far as they go. */
+    /** So many bytes have come. */
+    void read(int bytes) {
+        readMs = upstream.dispatcher().now();
+        pace.moved(readMs, bytes);
+    }
+
+    /** What has come has been used as far as it goes. */
     void readSome() {
-        if (!codec.within()) {
-            withinSinceMs = Double.NaN;
-        } else if (Double.isNaN(withinSinceMs)) {
-            withinSinceMs = upstream.dispatcher().now();
+        if (codec.within()) {
+            pace.begin(upstream.dispatcher().now());
+        } else {
+            pace.end();
         }
     }
 
     /** An answer has come whole. {@code surplus}: more has come behind it. */
     void ended(Outcome outcome, int note, float[] report, ByteBuf answer, boolean surplus) {
         Attempt attempt = attempts.poll();
-        withinSinceMs = Double.NaN;
+        pace.end();
         if (attempt == held) { // answered before it was whole: its rest is not sent
             held = null;
             retired = true;
@@ -279,6 +317,9 @@
             return;
         }
         closed = true;
+        pace.end();
+        account.set(Holding.OUTPUT, 0);
+        account.close();
         upstream.closed(this);
         for (Attempt a; (a = attempts.poll()) != null;) {
             Outcome outcome = !a.written ? Outcome.CONNECT_FAILED : spoilt ? Outcome.ERROR : Outcome.RESET;
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -53,7 +53,7 @@
         for (int i = 0; i < ROUNDS && dispatcher.now() < end; i++) {
             if (client == null || i % 8 == 0) {
                 close(client);
-                client = new EmbeddedChannel(new ClientConnection(dispatcher, () -> { }));
+                client = new EmbeddedChannel(new ClientConnection(dispatcher, ClientConnection.OPEN_HOUSE));
             }
             request(client, i);
         }
--- a/src/test/java/damsonworks/limits/DoorRulesTest.java
+++ b/src/test/java/damsonworks/limits/DoorRulesTest.java
@@ -41,7 +41,7 @@
         }
     }
 
-    private final DoorRules rules = new DoorRules(PLACES, ROOM, SPARE);
+    private final DoorRules rules = new DoorRules(PLACES, ROOM, SPARE, true);
     private final List<Client> in = new ArrayList<>();
 
     private Client idle(double since, long answered) {
@@ -82,7 +82,7 @@
 
     private double share(int perSecond, boolean ruled) {
         in.clear();
-        DoorRules door = new DoorRules(PLACES, ROOM, SPARE);
+        DoorRules door = new DoorRules(PLACES, ROOM, SPARE, true);
         Random random = new Random(274);
         int wanted = 0;
         int entered = 0;
@@ -124,7 +124,7 @@
     void theStayOfTheIdleIsRoomOverRate() {
         for (int perSecond : new int[] {70, 100, 200, 400}) {
             in.clear();
-            DoorRules door = new DoorRules(PLACES, ROOM, SPARE);
+            DoorRules door = new DoorRules(PLACES, ROOM, SPARE, true);
             double stays = 0;
             int shown = 0;
             for (double now = 0; now < 20_000; now += 1000.0 / perSecond) {
@@ -188,7 +188,7 @@
             in.clear();
             int places = 2 + random.nextInt(300);
             int spare = random.nextInt(Math.min(17, places));
-            DoorRules door = new DoorRules(places, 1 + random.nextInt(places), spare);
+            DoorRules door = new DoorRules(places, 1 + random.nextInt(places), spare, true);
             int n = random.nextInt(places + 1);
             for (int i = 0; i < n; i++) {
                 Client c = idle(random.nextInt(5000), random.nextInt(3));
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -1,12 +1,18 @@
 package damsonworks.proxy;
 
 import com.google.gson.JsonParser;
+import damsonworks.limits.Cut;
+import damsonworks.limits.Holding;
+import damsonworks.limits.LeastRate;
+import damsonworks.limits.Limits;
+import io.netty.buffer.ByteBufAllocator;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** A real proxy between scripted peers. Everything waits for conditions, for {@link #PATIENCE} at most. */
 final class Stage implements AutoCloseable {
@@ -15,6 +21,9 @@
     final List<AutoCloseable> open = new ArrayList<>();
     int sockets = 256;
     int memoryMb = 64;
+    /** Makes the proxy's bounds of those that follow from memory and sockets. */
+    UnaryOperator<Limits> limits = l -> l;
+    ByteBufAllocator allocator = ByteBufAllocator.DEFAULT;
     Proxy proxy;
 
     <T extends AutoCloseable> T keep(T thing) {
@@ -28,7 +37,8 @@
 
     /** Starts the proxy on this list of hosts, which it knows from its configuration. */
     Stage start(Peer discovery, String... hosts) throws Exception {
-        proxy = Proxy.start(Config.parse(JsonParser.parseString(config(discovery.address(), hosts)).getAsJsonObject()));
+        Config config = Config.parse(JsonParser.parseString(config(discovery.address(), hosts)).getAsJsonObject());
+        proxy = Proxy.start(config.with(limits.apply(config.limits())), allocator);
         keep(proxy::close);
         return this;
     }
@@ -108,6 +118,35 @@
         return keep(new Peer.Line(new Socket("127.0.0.1", proxy.address().getPort()), new ConcurrentLinkedQueue<>()));
     }
 
+    /** A client whose system holds little for it, so that what it does not take stays with the proxy. */
+    Peer.Line narrowClient() throws Exception {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4 << 10);
+        socket.connect(new java.net.InetSocketAddress("127.0.0.1", proxy.address().getPort()));
+        return keep(new Peer.Line(socket, new ConcurrentLinkedQueue<>()));
+    }
+
+    /** Least rates with these graces, and little that the system holds of answers. */
+    static Limits narrow(Limits l, double writeGraceMs, double readGraceMs) {
+        return new Limits(l.places(), l.clientsRoom(), l.valueBytes(), l.readingBytes(), l.answerBytes(),
+                l.clientAnswerBytes(), new LeastRate(l.clientWrite().bytesPerS(), writeGraceMs),
+                new LeastRate(l.clientRead().bytesPerS(), readGraceMs), l.nodeAnswer(), l.silentMs(), 8 << 10,
+                l.showOutIdle(), l.holdOff());
+    }
+
+    /** How often the proxy has cut somebody off for this. */
+    long cuts(Cut why) {
+        return proxy.loop().submit(() -> proxy.dispatcher().cuts().of(why)).syncUninterruptibly().getNow();
+    }
+
+    long held(Holding kind) {
+        return proxy.loop().submit(() -> proxy.dispatcher().accounts().held(kind)).syncUninterruptibly().getNow();
+    }
+
+    long mostHeld(Holding kind) {
+        return proxy.loop().submit(() -> proxy.dispatcher().accounts().most(kind)).syncUninterruptibly().getNow();
+    }
+
     static String read(String key, String id) {
         return "mg " + key + " v O" + id + " Pc=read,t=a,d=8000\r\n";
     }
