--- a/src/main/java/damsonworks/limits/Pressure.java
+++ b/src/main/java/damsonworks/limits/Pressure.java
@@ -7,12 +7,22 @@
 public final class Pressure {
     /** What is held back from slow peers at each level. */
     public enum Level {
-        CALM(1), TIGHT(0.5), SHORT(0.25);
+        CALM(1, 16), TIGHT(0.5, 4), SHORT(0.25, 2);
 
         private final double patience;
+        private final int unproven;
 
-        Level(double patience) {
+        Level(double patience, int unproven) {
             this.patience = patience;
+            this.unproven = unproven;
+        }
+
+        /**
+         * Commands in hand of a client that has taken no answer yet: what is fetched for one that takes none holds
+         * memory until it is cut off, and load for which nobody has any use.
+         */
+        public int unproven() {
+            return unproven;
         }
 
         /** The part of its grace that a slow peer is given. */
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -36,6 +36,9 @@
 
         /** There is no room for one more answer: takes some from those that keep theirs from being worked off. */
         void full();
+
+        /** How many commands a client may have in hand that has taken no answer yet. */
+        int unproven();
     }
 
     /** A house without bounds, for the rehearsal. */
@@ -51,6 +54,11 @@
 
         @Override
         public void full() { }
+
+        @Override
+        public int unproven() {
+            return MAX_PIPELINED;
+        }
     };
 
 
@@ -246,7 +254,8 @@
 
     /** Whether one more command may be taken in hand. */
     private boolean hasHand() {
-        return exchanges.size() < MAX_PIPELINED && ctx.channel().isWritable()
+        int most = takenWhole > 0 ? MAX_PIPELINED : Math.min(MAX_PIPELINED, house.unproven());
+        return exchanges.size() < most && ctx.channel().isWritable()
                 && account.held(Holding.ANSWER) < dispatcher.limits().clientAnswerBytes();
     }
 
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -181,6 +181,11 @@
         }
     }
 
+    @Override
+    public int unproven() {
+        return pressure.level().unproven();
+    }
+
     /** One at a time, as what it held comes back by and by. */
     @Override
     public void full() {
--- a/src/test/java/damsonworks/proxy/SlowPeersBench.java
+++ b/src/test/java/damsonworks/proxy/SlowPeersBench.java
@@ -98,6 +98,7 @@
             going.set(false);
             double[] sorted = latencies.stream().mapToDouble(d -> d).sorted().toArray();
             double[] cuts = cutAfter.stream().mapToDouble(d -> d).sorted().toArray();
+            program.log().stream().filter(l -> l.startsWith("cut off")).reduce((a, b) -> b).ifPresent(System.out::println);
             System.out.printf("slow %4d (%d in)  run %d  answered %d  failed %d  healthy cut %d  p50 %.2f ms  p99 %.2f ms"
                     + "  most %.1f ms  own lag at most %.2f ms  slow cut after p50 %.2f s  p99 %.2f s (%d)"
                     + "  held at most %d KB  descriptors %d  memory %d MB%n",
