Review: the rates bite by default, a refusal never hides a run, the door spares who is in use

Found by reading the whole change again: - By default the system took 4 MiB for a client that reads nothing, so the least rate said nothing of it; only tests and measurements that set the buffer showed it at work. It is 128 KiB now, which leaves some 380 KiB with the system. - An answer without room was replaced by a refusal also where a read's class may not be repeated; that had run, so it fails now. - With all places taken the door ended a client between two requests before a slow one with a request open. Who is half a second behind goes first. - A short answer of the origin found no room where one of a node did: short charges always fit, in Account itself in place of three times beside it. - State kept twice or read by nobody is gone: commands in hand and served beside the connection's own, kinds of peers, counters. One bounded log in place of two. - serve.sh passes its arguments on, so that an operator's file can be used with it.

Tests: the default, bursts before each check, refusal or failure, hands under pressure, hold-off by address, answers owed at SIGTERM.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Starts the proxy with a JVM cut to the memory limit that its configuration names (DEPLOY: as low as 32 MB).
+# Starts the proxy, with the arguments of serve, in a JVM cut to the memory limit that its configuration names
+# (DEPLOY: as low as 32 MB).
 # Heap, direct memory, metaspace and code are all given a bound. The heap is taken whole at the start: what is
 # there from the first second does not grow, and the limit is met on the first day or not at all.
 mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$BALANCER_CONFIG" 2>/dev/null | head -n 1)
@@ -19,4 +20,4 @@
     -Xlog:cds+dynamic=off -Xms${heap}m -Xmx${heap}m -Xmn$((heap / 3))m -XX:+AlwaysPreTouch \
     -XX:MaxDirectMemorySize=${direct}m -XX:MaxMetaspaceSize=${meta}m -XX:ReservedCodeCacheSize=${code}m -Xss512k \
     -XX:-UsePerfData -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
-    -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 -jar target/damsonworks.jar serve
+    -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 -jar target/damsonworks.jar serve "$@"
--- a/src/main/java/damsonworks/limits/Account.java
+++ b/src/main/java/damsonworks/limits/Account.java
@@ -1,55 +1,36 @@
 package damsonworks.limits;
 
-/**
- * What one peer holds: bytes by what they are held for, commands in hand, and since when anything of it has
- * waited. Opened and closed by {@link Accounts}, which keeps the sums.
- */
+/** What one peer holds: bytes by what they are held for, and how often it was served. Opened by {@link Accounts}. */
 public final class Account {
+    /**
+     * So many bytes at most always have room. Guards receipts, refusals and short values, which cost next to
+     * nothing, against a shortage that long values have made. All clients' hands full of these pass the bounds by
+     * 16 KiB for each connection.
+     */
+    public static final int SHORT_BYTES = 1024;
     private static final Holding[] KINDS = Holding.values();
 
-    /** What kind of peer it is. */
-    public enum Peer {
-        /** A client's connection. */
-        CLIENT,
-        /** A connection to a cache node or the origin. */
-        NODE,
-        /** A connection to discovery. */
-        DISCOVERY
-    }
-
     private final Accounts all;
-    private final Peer peer;
     private final long[] held = new long[KINDS.length];
-    private int inHand;
     private long served;
     private boolean closed;
 
-    Account(Accounts all, Peer peer) {
+    Account(Accounts all) {
         this.all = all;
-        this.peer = peer;
-    }
-
-    public Peer peer() {
-        return peer;
     }
 
     /**
-     * Charges these bytes, or nothing: false if they would pass the bound on what all may hold of this kind. An
-     * account that is closed takes nothing.
+     * Charges these bytes, or nothing: false if they are more than {@link #SHORT_BYTES} and would pass the bound on
+     * what all may hold of this kind. An account that is closed takes nothing.
      */
     public boolean charge(Holding kind, int bytes) {
-        if (closed || !all.room(kind, bytes)) {
+        if (closed || bytes > SHORT_BYTES && !all.room(kind, bytes)) {
             return false;
         }
         add(kind, bytes);
         return true;
     }
 
-    /** Charges what has come already and is there whether or not there is room for it. */
-    public void force(Holding kind, long bytes) {
-        add(kind, bytes);
-    }
-
     /** Gives back; IllegalStateException if more than is held, which would be somebody else's. */
     public void release(Holding kind, long bytes) {
         if (bytes > held[kind.ordinal()]) {
@@ -58,7 +39,7 @@
         add(kind, -bytes);
     }
 
-    /** Makes what is held of this kind this much, whatever it was. */
+    /** Makes what is held of this kind this much: of what has come already, whether or not there is room for it. */
     public void set(Holding kind, long bytes) {
         add(kind, bytes - held[kind.ordinal()]);
     }
@@ -81,32 +62,18 @@
         return sum;
     }
 
-    /** Commands taken and not answered. */
-    public int inHand() {
-        return inHand;
-    }
-
-    public void took() {
-        inHand++;
-    }
-
+    /** One more of the peer's requests has been answered. */
     public void answered() {
-        inHand--;
         served++;
     }
 
-    /** Commands answered since the account was opened. */
+    /** Requests answered since the account was opened. */
     public long served() {
         return served;
     }
 
-    public boolean isClosed() {
-        return closed;
-    }
-
-    /** The peer has gone. What is still held stays charged until it is given back, then the account is forgotten. */
+    /** The peer has gone: nothing more is charged, and what is still held stays until it is given back. */
     public void close() {
         closed = true;
-        all.settle(this);
     }
 }
--- a/src/main/java/damsonworks/limits/Accounts.java
+++ b/src/main/java/damsonworks/limits/Accounts.java
@@ -1,18 +1,13 @@
 package damsonworks.limits;
 
-import java.util.Collection;
-import java.util.Collections;
 import java.util.EnumMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** All accounts with the sums of what they hold and the bounds on these sums. */
 public final class Accounts {
     private final long[] bounds = new long[Holding.values().length];
     private final long[] sums = new long[bounds.length];
     private final long[] most = new long[bounds.length];
-    private final Set<Account> open = new LinkedHashSet<>();
 
     /** @param bounds the most that all together may hold, in bytes; a kind that is not named has no bound */
     public Accounts(Map<Holding, Long> bounds) {
@@ -25,10 +20,9 @@
         }
     }
 
-    public Account open(Account.Peer peer) {
-        Account account = new Account(this, peer);
-        open.add(account);
-        return account;
+    /** An account for a peer that has come. */
+    public Account open() {
+        return new Account(this);
     }
 
     /** Whether so much more may be held. */
@@ -42,15 +36,6 @@
         most[i] = Math.max(most[i], sums[i]);
     }
 
-    void settle(Account account) {
-        open.remove(account);
-    }
-
-    /** The accounts of peers that are there. */
-    public Collection<Account> open() {
-        return Collections.unmodifiableSet(open);
-    }
-
     public long held(Holding kind) {
         return sums[kind.ordinal()];
     }
--- a/src/main/java/damsonworks/limits/Cut.java
+++ b/src/main/java/damsonworks/limits/Cut.java
@@ -12,7 +12,7 @@
     SLOW_WRITER,
     /** It took its answers below the least rate. */
     SLOW_READER,
-    /** It held the most for the least served when memory was short. */
+    /** It was behind, and held the most for the least served when memory was short, or a place when none was free. */
     HOARDER,
     /** Its answer was refused, as memory had no room for it and all others kept up. */
     NO_ROOM,
--- a/src/main/java/damsonworks/limits/Cuts.java
+++ b/src/main/java/damsonworks/limits/Cuts.java
@@ -1,8 +1,5 @@
 package damsonworks.limits;
 
-import java.util.EnumMap;
-import java.util.Map;
-
 /** Who was cut off and why, counted since the start; {@link #news} says what has come since it was last asked. */
 public final class Cuts {
     private final long[] counts = new long[Cut.values().length];
@@ -16,14 +13,6 @@
         return counts[why.ordinal()];
     }
 
-    public Map<Cut, Long> all() {
-        Map<Cut, Long> all = new EnumMap<>(Cut.class);
-        for (Cut c : Cut.values()) {
-            all.put(c, counts[c.ordinal()]);
-        }
-        return all;
-    }
-
     /** What was counted since the last call, as {@code idle 3, silent 12}; empty: nothing. */
     public String news() {
         StringBuilder text = new StringBuilder();
--- a/src/main/java/damsonworks/limits/DoorRules.java
+++ b/src/main/java/damsonworks/limits/DoorRules.java
@@ -33,6 +33,13 @@
      */
     static final double RHYTHM = 4;
 
+    /**
+     * Where places are short, one that is this far behind its least rate goes before one that is between two
+     * requests. Guards those that use their places against those that hold them; long enough for a fair line that
+     * sends in bursts, which is up to a tenth of a second behind before each.
+     */
+    static final double BEHIND_MS = 500;
+
     /** A connection as these rules see it. */
     public interface Guest {
         /** It has a request open, or answers that it has not taken. */
@@ -49,6 +56,9 @@
 
         /** The longest time that lately lay between two of its requests, in milliseconds; 0: it has asked once. */
         double gapMs();
+
+        /** How far it is behind in giving or taking what is owed, in milliseconds; 0: it keeps up. */
+        double behindMs(double nowMs);
     }
 
     private final int places;
@@ -96,7 +106,8 @@
     }
 
     /**
-     * The next to be shown out; null: nobody has to go, or nobody may.
+     * The next to be shown out; null: nobody has to go, or nobody may. Where places are short: who never asked, then
+     * who stands idle, then who is behind with a request open, and who is between two requests last.
      *
      * @param taken connections that are on their way in and not among the guests yet
      */
@@ -105,7 +116,10 @@
         int idle = 0;
         G oldest = null;
         G longest = null;
-        double longestMs = -1;
+        double longestMs = 0;
+        G between = null;
+        G behind = null;
+        double behindMs = BEHIND_MS;
         for (G g : guests) {
             if (g.useless()) {
                 if (oldest == null || g.sinceMs() < oldest.sinceMs()) {
@@ -113,19 +127,23 @@
                 }
             } else if (g.busy()) {
                 busy++;
+                if (g.behindMs(nowMs) > behindMs) {
+                    behindMs = g.behindMs(nowMs);
+                    behind = g;
+                }
+            } else if (nowMs - g.sinceMs() < Math.min(HORIZON_MS, RHYTHM * g.gapMs())) {
+                between = between == null || g.sinceMs() < between.sinceMs() ? g : between;
             } else {
-                double since = nowMs - g.sinceMs();
-                boolean between = since < Math.min(HORIZON_MS, RHYTHM * g.gapMs());
-                idle += between ? 0 : 1;
-                double ms = between ? 0 : since * (g.answered() > 1 ? RETURNING : 1);
-                if (ms > longestMs) {
+                idle++;
+                double ms = (nowMs - g.sinceMs()) * (g.answered() > 1 ? RETURNING : 1);
+                if (longest == null || ms > longestMs) {
                     longestMs = ms;
                     longest = g;
                 }
             }
         }
         if (places - guests.size() - taken < spare) {
-            return oldest != null ? oldest : longest;
+            return oldest != null ? oldest : longest != null ? longest : behind != null ? behind : between;
         }
         return showOutIdle && idle > idleAllowed(nowMs, busy) ? longest : null;
     }
--- a/src/main/java/damsonworks/limits/LeastRate.java
+++ b/src/main/java/damsonworks/limits/LeastRate.java
@@ -12,9 +12,4 @@
             throw new IllegalArgumentException(bytesPerS + " bytes a second after " + graceMs + " ms");
         }
     }
-
-    /** The time that a peer which is just not too slow may take for so many bytes, in milliseconds. */
-    public double longestMs(long bytes) {
-        return graceMs + bytes * 1000 / bytesPerS;
-    }
 }
--- a/src/main/java/damsonworks/limits/Limits.java
+++ b/src/main/java/damsonworks/limits/Limits.java
@@ -17,7 +17,7 @@
  * @param clientRead the least rate of a client that is owed answers
  * @param nodeAnswer the least rate of a server within an answer
  * @param silentMs how long a client may be connected and say nothing, in milliseconds
- * @param sendBufferBytes what the system may hold of one client's answers; 0: as it likes
+ * @param sendBufferBytes the system's buffer for one client's answers, of which it may hold some three times as much
  * @param showOutIdle whether idle connections make way for newcomers before places are short
  * @param holdOff whether addresses that come again at once after being turned away have to wait
  */
@@ -56,13 +56,20 @@
     private static final LeastRate NODE_ANSWER = new LeastRate(512 << 10, 150);
     private static final double SILENT_MS = 2200;
     private static final long CLIENT_ANSWER_BYTES = 256 << 10;
+    /**
+     * Left to itself, the system takes up to 4 MiB for a client that reads nothing: its rate would say nothing, and
+     * memory that nobody here counts would be held for each. With this it takes some 380 KiB. Harm: an answer that
+     * is longer takes more rounds of the loop.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
 
     /** What follows from the platform's limits, in megabytes and descriptors. */
     public static Limits of(int memoryMb, int sockets) {
         long part = part(memoryMb);
         int third = sockets / 3;
         return new Limits(Math.max(LEAST_PLACES, sockets - third - OWN_DESCRIPTORS), third, part, part, part,
-                Math.min(CLIENT_ANSWER_BYTES, part), CLIENT_WRITE, CLIENT_READ, NODE_ANSWER, SILENT_MS, 0, true, true);
+                Math.min(CLIENT_ANSWER_BYTES, part), CLIENT_WRITE, CLIENT_READ, NODE_ANSWER, SILENT_MS,
+                SEND_BUFFER_BYTES, true, true);
     }
 
     /** The bounds on what all peers together may hold. What has come already is charged and not refused. */
--- a/src/main/java/damsonworks/limits/LoopLag.java
+++ b/src/main/java/damsonworks/limits/LoopLag.java
@@ -12,7 +12,6 @@
 
     private final double[] slots = new double[SLOTS];
     private long at;
-    private double mostMs;
 
     /** A tick that was due then has run now. */
     public void ticked(double dueMs, double nowMs) {
@@ -20,7 +19,6 @@
         double late = Math.max(0, nowMs - dueMs);
         int i = (int) (at % SLOTS);
         slots[i] = Math.max(slots[i], late);
-        mostMs = Math.max(mostMs, late);
     }
 
     /** The greatest lateness within the last second, in milliseconds. */
@@ -38,11 +36,6 @@
         return lateMs(nowMs) / FULL_MS;
     }
 
-    /** The greatest lateness ever, in milliseconds. */
-    public double mostMs() {
-        return mostMs;
-    }
-
     private void move(double nowMs) {
         long slot = (long) Math.floor(nowMs / SLOT_MS);
         if (slot - at >= SLOTS) {
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -21,8 +21,6 @@
  */
 final class CacheCodec extends ByteToMessageDecoder implements UpstreamConnection.Codec {
     private static final String FAILED = "SERVER_ERROR failed";
-    /** A value of so many bytes at most is read also where memory is short. */
-    private static final int SHORT_VALUE = 1024;
 
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
@@ -159,12 +157,9 @@
         String head = MetaCodec.valueHead(length, id);
         int whole = head.length() + length + 2;
         if (!connection.account().charge(Holding.READING, whole)) {
-            if (length > SHORT_VALUE) {
-                skipping = length + 2;
-                dispatcher.cuts().count(Cut.NO_ROOM);
-                return;
-            }
-            connection.account().force(Holding.READING, whole);
+            skipping = length + 2;
+            dispatcher.cuts().count(Cut.NO_ROOM);
+            return;
         }
         answer = in.alloc().buffer(whole, whole);
         answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -61,13 +61,10 @@
         }
     };
 
-
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 16;
     /** So many whole commands in one read are a flood: none of them is taken. */
     private static final int FLOOD = 2 * MAX_PIPELINED;
-    /** An answer of so many bytes at most is held also where memory is short: receipts and refusals are shorter. */
-    private static final int SHORT_ANSWER = 1024;
     /** A connection that is to close waits so long for the client's end, so that no answer is cut by a reset. */
     private static final long LINGER_MS = 300;
     /**
@@ -103,7 +100,6 @@
     private boolean asked;
     private double askedMs;
     private double gapMs;
-    private long answered;
     /** Of answers that the connection has not taken yet: closing it would cut them off. */
     private int owedBytes;
     private double bornMs;
@@ -116,7 +112,7 @@
     ClientConnection(Dispatcher dispatcher, House house) {
         this.dispatcher = dispatcher;
         this.house = house;
-        account = dispatcher.accounts().open(Account.Peer.CLIENT);
+        account = dispatcher.accounts().open();
         writing = new Pace(dispatcher.limits().clientWrite());
         taking = new Pace(dispatcher.limits().clientRead());
     }
@@ -173,13 +169,13 @@
 
     @Override
     public long answered() {
-        return answered;
+        return account.served();
     }
 
     /** Nothing that it asked was ever answered, and nothing that it asked is open: the first to make room. */
     @Override
     public boolean useless() {
-        return penalised || finished || answered == 0 && exchanges.isEmpty() && owedBytes == 0;
+        return penalised || finished || answered() == 0 && exchanges.isEmpty() && owedBytes == 0;
     }
 
     @Override
@@ -202,7 +198,7 @@
         if (writing.tooSlow(now, patience)) {
             return Cut.SLOW_WRITER;
         }
-        boolean silent = answered == 0 && exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        boolean silent = answered() == 0 && exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
         return silent && !finished && now - bornMs > dispatcher.limits().silentMs() * patience ? Cut.SILENT : null;
     }
 
@@ -344,7 +340,6 @@
             asked = true;
             house.asked(this);
         }
-        account.took();
         dispatcher.take(exchange);
     }
 
@@ -394,7 +389,6 @@
             return;
         }
         if (exchange.command != null) {
-            answered++;
             account.answered();
             house.served(this);
         }
@@ -402,8 +396,8 @@
     }
 
     /**
-     * The answer, or a refusal in its place where memory has no room for it and nobody can be made to give some:
-     * only values of reads are that long, and reading again is harmless. Short answers are always taken.
+     * The answer, or the end of its request without one where memory has no room for it and nobody can be made to
+     * give some. It has run, so it may be refused only if trying it again is harmless; else it has failed.
      */
     private ByteBuf charged(Exchange exchange, ByteBuf answer) {
         exchange.held = answer.capacity();
@@ -414,15 +408,12 @@
         if (account.charge(Holding.ANSWER, exchange.held)) {
             return answer;
         }
-        ByteBuf taken = answer;
-        if (exchange.held > SHORT_ANSWER) {
-            answer.release();
-            taken = MetaCodec.text(ctx.alloc(), MetaCodec.BUSY + "\r\n");
-            exchange.held = taken.capacity();
-            dispatcher.cuts().count(Cut.NO_ROOM);
-        }
-        account.force(Holding.ANSWER, exchange.held);
-        return taken;
+        answer.release();
+        dispatcher.cuts().count(Cut.NO_ROOM);
+        ByteBuf end = MetaCodec.text(ctx.alloc(), exchange.safe ? MetaCodec.BUSY + "\r\n" : MetaCodec.FAILED);
+        exchange.held = end.capacity();
+        account.charge(Holding.ANSWER, exchange.held); // short
+        return end;
     }
 
     private void flushAnswers() {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -59,6 +59,9 @@
      */
     private static final int RELEASING = 16;
     private static final String ID_IN_USE = "the id is another open request's";
+
+    /** Lines on standard error; their number is bounded for each minute, so that long runs stay readable. */
+    private final PlainLog log = new PlainLog(System.err, MAX_LOG_LINES_A_MINUTE);
     private final EventLoop loop;
     private final Timers timers;
     private final Config config;
@@ -88,8 +91,6 @@
     private boolean busy;
     private boolean draining;
     private int nextId;
-    private int logLines;
-    private double logMinuteMs;
     private int upstreamCount;
     private int upstreamReleasing;
 
@@ -257,9 +258,10 @@
         }
     }
 
+    /** Throws nothing, also where there is no memory for the text: it is what stands between a throw and the loop. */
     void fault(Throwable e) {
         StackTraceElement[] trace = e.getStackTrace();
-        log("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+        log.line(trace.length > 0 ? "fault at " + trace[0] : "fault", e);
     }
 
     /** A module that fails on a request must not take others with it: this one ends as failed. */
@@ -362,7 +364,9 @@
         double wait = figure(c, "d", 0);
         wait -= Math.min(ANSWER_AHEAD_MS, wait / 10);
         x.id = nextId++;
-        x.unsafe = settings.classes().get(kind).effect() == Effect.UNSAFE;
+        Effect effect = settings.classes().get(kind).effect();
+        x.unsafe = effect == Effect.UNSAFE;
+        x.safe = effect == Effect.SAFE;
         x.dueMs = now + wait;
         exchanges.put(x.id, x);
         double hint = figure(c, "h", Double.NaN);
@@ -593,17 +597,9 @@
         discovery.fetch();
     }
 
-    /** A line on standard error; their number is bounded for each minute, so that long runs stay readable. */
     @Override
     public void log(String line) {
-        double now = now();
-        if (now - logMinuteMs >= 60_000) {
-            logMinuteMs = now;
-            logLines = 0;
-        }
-        if (++logLines <= MAX_LOG_LINES_A_MINUTE) {
-            System.err.println(line.getBytes(StandardCharsets.UTF_8).length > 500 ? line.substring(0, 500) : line);
-        }
+        log.line(line, null);
     }
 
     // ---- timers
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -55,7 +55,6 @@
     /** Closed, with a descriptor that the selector holds until its next round. */
     private int releasing;
     private int most;
-    private long failures;
     private boolean resting;
     private double sweepDueMs;
     private double toldMs;
@@ -79,10 +78,6 @@
         sweepAgain();
     }
 
-    Pressure pressure() {
-        return pressure;
-    }
-
     Set<ClientConnection> clients() {
         return clients;
     }
@@ -101,11 +96,6 @@
         return rules.places();
     }
 
-    /** Connections that could not be taken. */
-    long failures() {
-        return failures;
-    }
-
     // ---- the listener's questions
 
     /** Whether one more connection may be taken now; if not, none is taken until there is room. */
@@ -133,11 +123,10 @@
     }
 
     void cannotTake(Throwable cause) {
-        failures++;
         dispatcher.log("a connection could not be taken: " + cause);
         ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
         if (first != null) {
-            show(first, first.useless() ? Cut.USELESS : Cut.IDLE);
+            show(first, why(first));
         }
         resting = true;
         listener.config().setAutoRead(false);
@@ -223,10 +212,14 @@
     private void makeRoom() {
         double now = dispatcher.now();
         for (ClientConnection c; (c = rules.next(now, clients, expected)) != null;) {
-            show(c, c.useless() ? Cut.USELESS : Cut.IDLE);
+            show(c, why(c));
         }
     }
 
+    private static Cut why(ClientConnection c) {
+        return c.useless() ? Cut.USELESS : c.busy() ? Cut.HOARDER : Cut.IDLE;
+    }
+
     /** Out of the set at once: the next choice must not fall on it again. */
     private void show(ClientConnection client, Cut why) {
         cuts.count(why);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -22,6 +22,8 @@
     double dueMs;
     /** It must not have its effect twice, so an attempt that may have run is its last. */
     boolean unsafe;
+    /** It may be repeated at will, also when it has run. */
+    boolean safe;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
     int out;
--- a/src/main/java/damsonworks/proxy/GuardedIo.java
+++ b/src/main/java/damsonworks/proxy/GuardedIo.java
@@ -5,11 +5,10 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * The event loop's selecting and reading, with nothing thrown out of it. Netty hands on an {@code Error} of any
- * handler and ends the loop's thread with it, and the program with that thread; here the round ends, is counted,
+ * handler and ends the loop's thread with it, and the program with that thread; here the round ends, is logged,
  * and the next one begins.
  */
 final class GuardedIo implements IoHandler {
@@ -19,18 +18,18 @@
      */
     private static final long PAUSE_MS = 5;
 
+    private static final int MAX_LINES_A_MINUTE = 20;
+
+    private final PlainLog log = new PlainLog(System.err, MAX_LINES_A_MINUTE);
     private final IoHandler io;
-    private final PlainLog log = new PlainLog(System.err);
-    private final AtomicLong failures;
 
-    GuardedIo(IoHandler io, AtomicLong failures) {
+    GuardedIo(IoHandler io) {
         this.io = io;
-        this.failures = failures;
     }
 
-    /** Guards the handlers of this factory; {@code failures} counts the rounds that were ended by a throw. */
-    static IoHandlerFactory factory(IoHandlerFactory of, AtomicLong failures) {
-        return executor -> new GuardedIo(of.newHandler(executor), failures);
+    /** Guards the handlers of this factory. */
+    static IoHandlerFactory factory(IoHandlerFactory of) {
+        return executor -> new GuardedIo(of.newHandler(executor));
     }
 
     @Override
@@ -38,7 +37,6 @@
         try {
             return io.run(context);
         } catch (Throwable t) {
-            failures.incrementAndGet();
             log.line("the event loop goes on after", t);
             try {
                 Thread.sleep(PAUSE_MS);
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -34,5 +34,4 @@
     protected boolean closeOnReadError(Throwable cause) {
         return !isActive();
     }
-
 }
--- a/src/main/java/damsonworks/proxy/PlainLog.java
+++ b/src/main/java/damsonworks/proxy/PlainLog.java
@@ -7,26 +7,30 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Netty's log as plain lines on standard error. Guards the event loop against the JDK's logger, which opens files
+ * Plain lines on standard error, for this program and as Netty's log. Guards the event loop against the JDK's logger, which opens files
  * (time zones) and loads classes at its first line: with no descriptor left that throws an {@code Error} out of
  * the very handler that reports it. Nothing gets out of this one, and a flood of the same trouble is cut off.
  */
 final class PlainLog extends InternalLoggerFactory {
+    /** Of Netty's own. */
     private static final int MAX_LINES_A_MINUTE = 20;
-    private static final int MAX_LINE = 400;
+    private static final int MAX_LINE = 500;
     private static final long MINUTE_NANOS = 60_000_000_000L;
 
     private final PrintStream out;
+    private final int perMinute;
     private final AtomicInteger lines = new AtomicInteger();
     private volatile long minute = System.nanoTime();
 
-    PlainLog(PrintStream out) {
+    /** @param perMinute lines a minute at most; the rest is dropped */
+    PlainLog(PrintStream out, int perMinute) {
         this.out = out;
+        this.perMinute = perMinute;
     }
 
     /** Makes this Netty's logger; what Netty has logged by before keeps its own. */
     static void install() {
-        InternalLoggerFactory.setDefaultFactory(new PlainLog(System.err));
+        InternalLoggerFactory.setDefaultFactory(new PlainLog(System.err, MAX_LINES_A_MINUTE));
     }
 
     @Override
@@ -42,7 +46,7 @@
                 minute = now;
                 lines.set(0);
             }
-            if (lines.incrementAndGet() > MAX_LINES_A_MINUTE) {
+            if (lines.incrementAndGet() > perMinute) {
                 return;
             }
             String whole = cause == null ? text : text + ": " + cause;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -2,8 +2,8 @@
 
 import damsonworks.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -18,7 +18,6 @@
 import java.util.ArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** One real proxy: its sockets, their bounds and its end. */
@@ -44,9 +43,8 @@
      */
     private static final int READS_A_TURN = 2;
 
-    private final AtomicLong loopFailures = new AtomicLong();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            GuardedIo.factory(NioIoHandler.newFactory(), loopFailures));
+            GuardedIo.factory(NioIoHandler.newFactory()));
     private final EventLoop loop = group.next();
     private final Config config;
     private final Dispatcher dispatcher;
@@ -90,9 +88,7 @@
                         door.enter(channel);
                     }
                 });
-        if (config.limits().sendBufferBytes() > 0) {
-            bootstrap.childOption(ChannelOption.SO_SNDBUF, config.limits().sendBufferBytes());
-        }
+        bootstrap.childOption(ChannelOption.SO_SNDBUF, config.limits().sendBufferBytes());
         server = bootstrap.bind(config.listen()).sync().channel();
         server.config().<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator().maxMessagesPerRead(Door.batch());
         loop.submit(() -> {
@@ -131,7 +127,7 @@
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
             proxy.endWithLoop();
         } catch (Throwable e) {
-            System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
+            System.err.println("can't listen on " + config.listen() + ": " + e);
             System.exit(1);
         }
     }
@@ -225,10 +221,6 @@
         return door;
     }
 
-    long loopFailures() {
-        return loopFailures.get();
-    }
-
     Dispatcher dispatcher() {
         return dispatcher;
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -71,7 +71,7 @@
 
     UpstreamConnection(Upstream upstream) {
         this.upstream = upstream;
-        account = upstream.dispatcher().accounts().open(Account.Peer.NODE);
+        account = upstream.dispatcher().accounts().open();
         pace = new Pace(upstream.dispatcher().limits().nodeAnswer());
         idleSinceMs = upstream.dispatcher().now();
     }
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -1,5 +1,7 @@
 package damsonworks.proxy;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import com.google.gson.JsonParser;
 import damsonworks.limits.Cut;
 import damsonworks.limits.Holding;
@@ -16,6 +18,7 @@
 
 /** A real proxy between scripted peers. Everything waits for conditions, for {@link #PATIENCE} at most. */
 final class Stage implements AutoCloseable {
+    static final String LONG = "v".repeat(64 << 10);
     static final Duration PATIENCE = Duration.ofSeconds(20);
 
     final List<AutoCloseable> open = new ArrayList<>();
@@ -98,6 +101,27 @@
         });
     }
 
+    /** A cache node whose value for a key that begins with {@code long} has 64 KiB, else two bytes. */
+    Peer fullCache() {
+        return peer(line -> {
+            for (String text; (text = line.read()) != null;) {
+                answer(line, text);
+            }
+        });
+    }
+
+    static void answer(Peer.Line line, String command) throws java.io.IOException {
+        String value = command.startsWith("mg long") ? LONG : "hi";
+        line.write("VA " + value.length() + " O" + id(command) + "\r\n" + value + "\r\n");
+    }
+
+    /** The client is served a short value that {@link #fullCache} holds. */
+    static void serves(Peer.Line client, String id) throws Exception {
+        client.write(read("a", id));
+        assertThat(client.read()).isEqualTo("VA 2 O" + id);
+        assertThat(client.read()).isEqualTo("hi");
+    }
+
     /** A cache node that has nothing. */
     Peer emptyCache() {
         return peer(line -> {
@@ -118,6 +142,14 @@
         return keep(new Peer.Line(new Socket("127.0.0.1", proxy.address().getPort()), new ConcurrentLinkedQueue<>()));
     }
 
+    /** A client at this loopback address. */
+    Peer.Line clientFrom(String address) throws Exception {
+        Socket socket = new Socket();
+        socket.bind(new java.net.InetSocketAddress(address, 0));
+        socket.connect(new java.net.InetSocketAddress("127.0.0.1", proxy.address().getPort()));
+        return keep(new Peer.Line(socket, new ConcurrentLinkedQueue<>()));
+    }
+
     /** A client whose system holds little for it, so that what it does not take stays with the proxy. */
     Peer.Line narrowClient() throws Exception {
         Socket socket = new Socket();
@@ -126,6 +158,12 @@
         return keep(new Peer.Line(socket, new ConcurrentLinkedQueue<>()));
     }
 
+    /** Room for so much of answers that clients have not taken. */
+    static Limits answers(Limits l, long bytes) {
+        return new Limits(l.places(), l.clientsRoom(), l.valueBytes(), l.readingBytes(), bytes, bytes, l.clientWrite(),
+                l.clientRead(), l.nodeAnswer(), l.silentMs(), l.sendBufferBytes(), l.showOutIdle(), l.holdOff());
+    }
+
     /** Least rates with these graces, and little that the system holds of answers. */
     static Limits narrow(Limits l, double writeGraceMs, double readGraceMs) {
         return new Limits(l.places(), l.clientsRoom(), l.valueBytes(), l.readingBytes(), l.answerBytes(),
