--- a/src/test/java/damsonworks/proxy/CrowdTest.java
+++ b/src/test/java/damsonworks/proxy/CrowdTest.java
@@ -64,6 +64,7 @@
             Peer.Line usual = stage.keep(program.connect());
             Stage.serves(usual, "u");
             int most = 0;
+            List<Double> waits = new ArrayList<>();
             for (int i = 0; i < 3000; i++) {
                 switch (i % 3) {
                     case 0 -> connect(stage, program.port, "");
@@ -71,11 +72,15 @@
                     default -> connect(stage, program.port, "nonsense\r\n").close();
                 }
                 if (i % 100 == 99) {
+                    long asked = System.nanoTime();
                     Stage.serves(stage.keep(program.connect()), "new" + i);
+                    waits.add((System.nanoTime() - asked) / 1e6);
                     most = Math.max(most, program.descriptors());
                 }
             }
             Stage.serves(stage.keep(program.connect()), "last");
+            // Half a second is far more than room takes to be made, and far less than silent ones are waited for.
+            assertThat(waits.stream().sorted().toList().get(waits.size() / 2)).isLessThan(500);
             assertThat(most).isLessThan(256);
             assertThat(program.log()).noneMatch(l -> l.contains("fault") || l.contains("could not be taken"));
         }
--- a/src/test/java/damsonworks/proxy/DoorTest.java
+++ b/src/test/java/damsonworks/proxy/DoorTest.java
@@ -17,9 +17,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The bound on clients' descriptors, and what the loop survives. */
+@Timeout(60)
 class DoorTest {
     @TempDir
     Path folder;
--- a/src/test/java/damsonworks/proxy/ReloadTest.java
+++ b/src/test/java/damsonworks/proxy/ReloadTest.java
@@ -29,6 +29,14 @@
         }
     }
 
+    /** What README has a newcomer start. */
+    @Test
+    void theExampleConfigurationCanBeUsed() {
+        Config config = Config.read("docs/example-config.json");
+        assertThat(config.limits().places()).isEqualTo(192);
+        assertThat(config.settings().classes()).hasSize(2);
+    }
+
     /** The inherited program ended on SIGHUP, with everything it held. */
     @Test
     void sighupMovesDiscoveryAndLosesNoRequest() throws Exception {
--- a/src/test/java/damsonworks/proxy/SlowPeersTest.java
+++ b/src/test/java/damsonworks/proxy/SlowPeersTest.java
@@ -182,11 +182,51 @@
             }
             Stage.serves(stage.client(), "usual");
             assertThat(stage.cuts(Cut.HELD_OFF)).isZero();
+            long asked = System.nanoTime();
             Stage.serves(stage.clientFrom("127.0.0.77"), "again"); // late, and served all the same
+            assertThat(System.nanoTime() - asked).isGreaterThan(150_000_000L); // of 200 ms after six times
             assertThat(stage.cuts(Cut.HELD_OFF)).isEqualTo(1);
         }
     }
 
+    /** Where answers have no room for one more, the client that takes none gives way, and not who asks next. */
+    @Test
+    void whoHoldsTheMostAndTakesNothingGivesWayToWhoAsksNext() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.limits = l -> Stage.answers(Stage.narrow(l, 2200, 60_000), 140_000);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+            Peer.Line hoards = stage.narrowClient();
+            hoards.write(Stage.read("long1", "l1") + Stage.read("long2", "l2"));
+            Stage.await(() -> stage.held(Holding.ANSWER) > 120_000);
+            Stage.await(() -> stage.proxy.loop().submit(() -> stage.proxy.door().clients().stream()
+                    .anyMatch(c -> c.behindMs(stage.proxy.dispatcher().now()) > 200)).syncUninterruptibly().getNow());
+            Peer.Line asks = stage.client();
+            asks.write(Stage.read("long3", "l3"));
+            assertThat(asks.read()).isEqualTo("VA 65536 Ol3");
+            assertThat(asks.bytes(65_538)).hasSize(65_538);
+            assertThat(stage.cuts(Cut.HOARDER)).isEqualTo(1);
+            assertThat(rest(hoards)).isLessThan(2L * Stage.LONG.length());
+            allIsGivenBack(stage);
+        }
+    }
+
+    /** A node's value without room costs that value and not the connection, with what waits on it. */
+    @Test
+    void aValueWithoutRoomIsReadPastAndItsConnectionKept() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.limits = l -> Stage.reading(l, 40_000); // less than one long value
+            Peer cache = stage.fullCache();
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+            Peer.Line client = stage.client();
+            client.write(Stage.read("long", "1"));
+            assertThat(client.read()).startsWith("SERVER_ERROR");
+            Stage.serves(client, "2");
+            assertThat(stage.cuts(Cut.NO_ROOM)).isPositive();
+            assertThat(cache.lines).noneMatch(l -> l.ended);
+            allIsGivenBack(stage);
+        }
+    }
+
     /** What has run may be refused only where trying it again is harmless; else it has failed. */
     @Test
     void anAnswerWithoutRoomIsARefusalForAReadAndAFailureForWhatMayNotBeRepeated() throws Exception {
@@ -432,6 +472,12 @@
             });
             stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()), Stage.cache("s-2", slowly),
                     Stage.origin(origin));
+            List<Peer.Line> halves = new ArrayList<>();
+            for (int i = 0; i < 20; i++) { // lines without an end stay in the decoders' buffers
+                halves.add(stage.client());
+                halves.get(i).write("mg " + "k".repeat(3000));
+            }
+            Stage.await(() -> stage.held(Holding.INPUT) >= 20 * 3000);
             List<CompletableFuture<Void>> clients = new ArrayList<>();
             for (int c = 0; c < 8; c++) {
                 int seed = c;
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -158,6 +158,13 @@
         return keep(new Peer.Line(socket, new ConcurrentLinkedQueue<>()));
     }
 
+    /** Room for so much of answers that are not whole yet. */
+    static Limits reading(Limits l, long bytes) {
+        return new Limits(l.places(), l.clientsRoom(), l.valueBytes(), bytes, l.answerBytes(), l.clientAnswerBytes(),
+                l.clientWrite(), l.clientRead(), l.nodeAnswer(), l.silentMs(), l.sendBufferBytes(), l.showOutIdle(),
+                l.holdOff());
+    }
+
     /** Room for so much of answers that clients have not taken. */
     static Limits answers(Limits l, long bytes) {
         return new Limits(l.places(), l.clientsRoom(), l.valueBytes(), l.readingBytes(), bytes, bytes, l.clientWrite(),
