--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -19,5 +19,5 @@
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ActiveProcessorCount=1 -Xshare:auto "$archive" -Xlog:cds=off \
     -Xlog:cds+dynamic=off -Xms${heap}m -Xmx${heap}m -Xmn$((heap / 3))m -XX:+AlwaysPreTouch \
     -XX:MaxDirectMemorySize=${direct}m -XX:MaxMetaspaceSize=${meta}m -XX:ReservedCodeCacheSize=${code}m -Xss512k \
-    -XX:-UsePerfData -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
+    -XX:-UsePerfData -Dio.netty.jfr.enabled=false -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
     -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 -jar target/damsonworks.jar serve "$@"
