Warm-up over real sockets until a request's cost has settled, short where others serve

The rehearsal ran on embedded channels for 0.7 s, so that selecting, reading, writing, connecting, closing, the door and HTTP were cold at the first client: 1,282 methods were compiled in the five seconds after the start.

- Mirror: a TCP socket connected to its own address, which reads what it writes.
The proxy's own handlers are behind it, so the rehearsal makes the real system calls and nothing listens.
- WarmUp: clients that come, ask and leave, some with a request open; hits, misses, origin, writes, refusals, failures, broken connections, through a door of its own.
- limits/Settling (rules): warm when the cheapest part of a batch gains less than a tenth twice in a row; a processor's own pauses lie in some parts and not in all.
- How long it may take: 0.9 s where another of the tier says that it serves (two bytes by datagram, asked three times), as that one carries this one's clients meanwhile; 4 s where nobody serves; 1.8 s where there is nobody to ask.
- serve.sh: compiled after 100 calls in place of 200, little inlined, no search for a selector.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -16,8 +16,13 @@
 if [ -n "$REHEARSAL" ]; then
     archive="-XX:ArchiveClassesAtExit=$REHEARSAL"
 fi
-exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ActiveProcessorCount=1 -Xshare:auto "$archive" -Xlog:cds=off \
-    -Xlog:cds+dynamic=off -Xms${heap}m -Xmx${heap}m -Xmn$((heap / 3))m -XX:+AlwaysPreTouch \
-    -XX:MaxDirectMemorySize=${direct}m -XX:MaxMetaspaceSize=${meta}m -XX:ReservedCodeCacheSize=${code}m -Xss512k \
-    -XX:-UsePerfData -Dio.netty.jfr.enabled=false -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
-    -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 -jar target/damsonworks.jar serve "$@"
+# A start is what decides the first seconds on part of a core: methods are compiled after a hundred calls, with little
+# inlined, so that a request soon costs what it will; neither JFR nor a search for a selector is loaded.
+exec java -XX:+UseSerialGC -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1 -XX:Tier3InvocationThreshold=100 \
+    -XX:Tier3MinInvocationThreshold=50 -XX:Tier3CompileThreshold=500 -XX:C1MaxInlineLevel=3 -XX:C1MaxInlineSize=20 \
+    -Xshare:auto "$archive" -Xlog:cds=off -Xlog:cds+dynamic=off -Xms${heap}m -Xmx${heap}m -Xmn$((heap / 3))m \
+    -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=${direct}m -XX:MaxMetaspaceSize=${meta}m \
+    -XX:ReservedCodeCacheSize=${code}m -Xss512k -XX:-UsePerfData -Dio.netty.jfr.enabled=false \
+    -Djava.nio.channels.spi.SelectorProvider=sun.nio.ch.EPollSelectorProvider -Dio.netty.allocator.type=pooled \
+    -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 \
+    -jar target/damsonworks.jar serve "$@"
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -41,26 +41,6 @@
         int unproven();
     }
 
-    /** A house without bounds, for the rehearsal. */
-    static final House OPEN_HOUSE = new House() {
-        @Override
-        public void asked(ClientConnection client) { }
-
-        @Override
-        public void served(ClientConnection client) { }
-
-        @Override
-        public void turnedAway(ClientConnection client) { }
-
-        @Override
-        public void full() { }
-
-        @Override
-        public int unproven() {
-            return MAX_PIPELINED;
-        }
-    };
-
     /** Commands in hand on one connection; guards memory against a client that only writes. */
     private static final int MAX_PIPELINED = 16;
     /** So many whole commands in one read are a flood: none of them is taken. */
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -56,6 +56,7 @@
     private int releasing;
     private int most;
     private boolean resting;
+    private boolean closed;
     private double sweepDueMs;
     private double toldMs;
 
@@ -78,6 +79,11 @@
         sweepAgain();
     }
 
+    /** Looks after nobody any more; for one that was only a rehearsal. */
+    void close() {
+        closed = true;
+    }
+
     Set<ClientConnection> clients() {
         return clients;
     }
@@ -234,6 +240,9 @@
 
     /** Not at a fixed distance by the executor's clock, which would make up for a late sweep by several at once. */
     private void sweepAgain() {
+        if (closed) {
+            return;
+        }
         sweepDueMs = dispatcher.now() + SWEEP_MS;
         loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/damsonworks/proxy/Initializer.java
+++ b/src/main/java/damsonworks/proxy/Initializer.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 
 /** Puts the handlers of one new connection in place. */
-final class Initializer extends ChannelInitializer<Channel> {
+class Initializer extends ChannelInitializer<Channel> {
     private final ChannelHandler[] handlers;
 
     Initializer(ChannelHandler... handlers) {
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -10,14 +10,23 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 
-/** Messages between the proxies of a tier: datagrams that come late or not at all. */
+/**
+ * Messages between the proxies of a tier: datagrams that come late or not at all. Those that begin with
+ * {@link #OWN} are the sockets' own and never reach the module: a proxy that starts asks who serves already.
+ */
 final class PeerSocket {
     private static final int MAX_MESSAGE = 256;
+    private static final byte OWN = (byte) 0xC1;
+    private static final byte[] WHO_SERVES = {OWN, '?'};
+    private static final byte[] I_SERVE = {OWN, '!'};
 
     private final Config config;
     private final Dispatcher dispatcher;
     private Channel channel;
+    private boolean serving;
+    private Runnable whenOneServes = () -> { };
 
     PeerSocket(EventLoop loop, Config config, Dispatcher dispatcher) {
         this.config = config;
@@ -33,6 +42,27 @@
         return channel == null ? null : (InetSocketAddress) channel.localAddress();
     }
 
+    /** Whether there is anybody to ask. */
+    boolean hasPeers() {
+        return channel != null && config.peers().size() > 1;
+    }
+
+    /** Asks the others of the tier whether they serve; each that does has this run. On the event loop. */
+    void whoServes(Runnable whenOneDoes) {
+        whenOneServes = whenOneDoes;
+        for (int peer = 0; peer < config.peers().size(); peer++) {
+            if (peer != config.settings().me()) {
+                send(peer, WHO_SERVES);
+            }
+        }
+    }
+
+    /** From now on this one serves, and says so. On the event loop. */
+    void serving() {
+        serving = true;
+        whenOneServes = () -> { };
+    }
+
     /** Sends to the proxy of this number, or to all of the tier if it is negative. */
     void send(int peer, byte[] message) {
         InetSocketAddress to = peer < 0 ? config.peersAll()
@@ -49,8 +79,17 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             int peer = config.peers().indexOf(packet.sender());
-            if (peer >= 0 && packet.content().readableBytes() <= MAX_MESSAGE) {
-                dispatcher.heard(peer, ByteBufUtil.getBytes(packet.content()));
+            int bytes = packet.content().readableBytes();
+            if (peer < 0 || bytes > MAX_MESSAGE) {
+                return;
+            }
+            byte[] message = ByteBufUtil.getBytes(packet.content());
+            if (bytes == 0 || message[0] != OWN) {
+                dispatcher.heard(peer, message);
+            } else if (Arrays.equals(message, I_SERVE)) {
+                whenOneServes.run();
+            } else if (Arrays.equals(message, WHO_SERVES) && serving) {
+                send(peer, I_SERVE);
             }
         }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -62,8 +62,10 @@
         peers = new PeerSocket(loop, config, dispatcher);
         door = new Door(loop, dispatcher);
         discovery = new DiscoveryClient(loop, config, dispatcher);
+        WarmUp warmUp = new WarmUp(loop, config, allocator, peers);
+        loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
+        dispatcher.log(warmUp.toString());
         loop.submit(() -> {
-            new WarmUp(loop, config).run();
             dispatcher.start(discovery, peers, door::left);
             discovery.start();
         }).syncUninterruptibly();
@@ -93,6 +95,7 @@
         server.config().<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator().maxMessagesPerRead(Door.batch());
         loop.submit(() -> {
             door.open(server);
+            peers.serving();
             server.config().setAutoRead(true);
         }).syncUninterruptibly();
     }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -5,63 +5,126 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import damsonworks.limits.Settling;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
-import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Takes some requests through the proxy's own code, without a socket, before there are clients. Guards the first
- * seconds after a start: on part of a core a JVM that still interprets can't keep up with the usual load, and
- * what it is late with comes again. It delays a start by {@link #SPAN_MS} at most, which is time in which a
- * restarted proxy serves nobody.
+ * Takes requests through the proxy's own code and its own sockets, before there are clients, until a request has
+ * become as cheap as it will ({@link Settling}). Guards the first seconds after a start: on part of a core a JVM that
+ * still interprets can't keep up with the usual load, what it is late with is asked again, and that feeds on itself.
+ * Hits, misses, the origin, writes, refusals, failures, connections that break and clients that leave come in turn,
+ * as each takes code of its own. How long that may take hangs on who is kept waiting: where others of the tier serve,
+ * they carry this one's clients as well until it is back, so it takes the first part of the gain and goes; where
+ * nobody serves, as when all start together, a start that is not warm is the greater harm.
  */
 final class WarmUp {
-    private static final double SPAN_MS = 700;
-    private static final int ROUNDS = 1500;
+    /**
+     * The longest that a start is delayed where nobody is asked or nobody answers. Guards a start on a slow machine:
+     * what is not settled by then settles while it serves. Harm: a lone proxy's clients wait for as long.
+     */
+    private static final double CAP_ALONE_MS = 1800;
+    private static final double CAP_TOGETHER_MS = 4000;
+    /** The longest where others serve. */
+    private static final double CAP_AMID_OTHERS_MS = 900;
+    /** Who serves is asked again after this, as datagrams get lost; an answer takes up to two ways of 30 ms. */
+    private static final long ASK_AGAIN_MS = 150;
+    private static final int ASKED_TIMES = 3;
+    private static final int LEAST = 600;
+    private static final int PART = 24;
+    private static final int BATCH = 4 * PART;
     private static final int CACHES = 8;
     private static final int ORIGIN = CACHES + 1;
+    /** Clients at a time: enough that one which waits for a timer does not hold the others up. */
+    private static final int CLIENTS = 4;
+    /** A client asks so often and leaves: opening and closing is code too. */
+    private static final int ASKS = 3;
     private static final String VALUE = "x".repeat(1024);
 
+    private final EventLoop loop;
     private final Config config;
+    private final ByteBufAllocator allocator;
     private final Dispatcher dispatcher;
-    private final List<EmbeddedChannel> upstream = new ArrayList<>();
+    private final Door door;
+    private final PeerSocket peers;
+    private final Settling settling = new Settling(BATCH, PART, LEAST);
+    private final List<Mirror> open = new ArrayList<>();
+    private final Promise<Void> done;
+    private double startMs;
+    private double endMs;
+    private long startNanos;
+    private long lastNanos;
+    private int asked;
 
-    WarmUp(EventLoop loop, Config config) {
+    WarmUp(EventLoop loop, Config config, ByteBufAllocator allocator, PeerSocket peers) {
+        this.peers = peers;
+        this.loop = loop;
         this.config = config;
+        this.allocator = allocator;
         dispatcher = new Dispatcher(loop, config, this::dial);
+        door = new Door(loop, dispatcher);
+        done = loop.newPromise();
     }
 
-    private ChannelFuture dial(InetSocketAddress to, ChannelHandler... handlers) {
-        EmbeddedChannel channel = new EmbeddedChannel(handlers);
-        upstream.add(channel);
-        return channel.newSucceededFuture();
+    /** On the event loop. When it is done, nothing of it is left but compiled code. */
+    Future<Void> run() {
+        dispatcher.start(null, null, door::left);
+        dispatcher.listed(ListKind.CHANGES, hosts());
+        door.open(null);
+        startMs = dispatcher.now();
+        if (peers.hasPeers()) {
+            endIn(CAP_TOGETHER_MS);
+            askWhoServes(ASKED_TIMES);
+        } else {
+            endIn(CAP_ALONE_MS);
+        }
+        startNanos = lastNanos = System.nanoTime();
+        for (int i = 0; i < CLIENTS; i++) {
+            new Client().connect();
+        }
+        return done;
     }
 
-    /** On the event loop. Nothing of it is left but compiled code. */
-    void run() {
-        dispatcher.start(null, null, client -> { });
-        dispatcher.listed(ListKind.CHANGES, hosts());
-        double end = dispatcher.now() + SPAN_MS;
-        EmbeddedChannel client = null;
-        for (int i = 0; i < ROUNDS && dispatcher.now() < end; i++) {
-            if (client == null || i % 8 == 0) {
-                close(client);
-                client = new EmbeddedChannel(new ClientConnection(dispatcher, ClientConnection.OPEN_HOUSE));
-            }
-            request(client, i);
+    private void askWhoServes(int times) {
+        if (times > 0 && !done.isDone()) {
+            peers.whoServes(() -> endIn(CAP_AMID_OTHERS_MS));
+            loop.schedule(() -> askWhoServes(times - 1), ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
-        close(client);
-        upstream.forEach(WarmUp::close);
+    }
+
+    /** Ends by then, counted from the start; what was said before counts no more if this is sooner. */
+    private void endIn(double ms) {
+        if (endMs == 0 || startMs + ms < endMs) {
+            endMs = startMs + ms;
+            loop.schedule(this::end, (long) Math.max(0, endMs - dispatcher.now()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void end() {
+        if (done.isDone()) {
+            return;
+        }
+        done.setSuccess(null);
+        door.close();
+        List.copyOf(open).forEach(Mirror::close);
         dispatcher.stop();
     }
 
+    /** What it came to, for the log. */
+    @Override
+    public String toString() {
+        return "warm-up: " + settling.served() + " requests in " + Math.round(lastNanos / 1e6 - startNanos / 1e6) + " ms, "
+                + (settling.settled() ? "settled at " + Math.round(settling.bestNanos() / 1000) + " us" : "not settled");
+    }
+
     private List<DiscoveryClient.Host> hosts() {
         Settings settings = config.settings();
         int cacheKind = settings.originKind() == 0 && settings.kinds() > 1 ? 1 : 0;
@@ -73,55 +136,134 @@
         return hosts;
     }
 
-    private void request(EmbeddedChannel client, int i) {
-        List<ServiceClass> classes = config.settings().classes();
-        boolean write = i % 16 == 15;
-        String tenant = config.settings().tenants().isEmpty() ? "t" : config.settings().tenants().get(0).name();
-        String flags = " Owarm" + i + " Pc=" + classes.get(i % classes.size()).name() + ",t=" + tenant + ",d=1000,k=1\r\n";
-        String key = Integer.toHexString(i * 7919 + 1);
-        client.writeInbound(buffer(write ? "ms " + key + " 5" + flags + "value\r\n" : "mg " + key + " v" + flags));
-        for (int round = 0; round < 3; round++) { // a cache node, the origin, and one more try
-            for (int u = 0; u < upstream.size(); u++) {
-                answer(upstream.get(u), i);
-            }
-        }
-        drop(client);
+    private Mirror mirror(Mirror.FarEnd farEnd) {
+        Mirror mirror = new Mirror(farEnd);
+        open.add(mirror);
+        return mirror;
     }
 
-    private static void answer(EmbeddedChannel channel, int i) {
-        StringBuilder asked = new StringBuilder();
-        for (ByteBuf sent; (sent = channel.readOutbound()) != null; sent.release()) {
-            asked.append(sent.toString(StandardCharsets.ISO_8859_1));
+    // ---- a client
+
+    /** Asks, and asks again when it has its answer. */
+    private final class Client implements Mirror.FarEnd {
+        private int left = ASKS;
+
+        void connect() {
+            Mirror mirror = mirror(this);
+            Mirror.open(loop, allocator, config.listen(), mirror, new Initializer() {
+                @Override
+                protected void initChannel(io.netty.channel.Channel channel) {
+                    door.enter(channel);
+                }
+            }).addListener(f -> {
+                if (done.isDone()) {
+                    mirror.close();
+                } else if (f.isSuccess()) {
+                    ask(mirror);
+                } else {
+                    end(); // no socket of this kind here: it starts cold
+                }
+            });
         }
-        if (asked.length() == 0 || !channel.isActive()) {
-            return;
+
+        private void ask(Mirror mirror) {
+            if (done.isDone()) {
+                return;
+            }
+            left--;
+            mirror.say(request(asked++));
+            if (asked % 32 == 31) { // leaves with its request open
+                leave(mirror);
+            }
         }
-        String good;
-        if (asked.indexOf("HTTP/1.1") > 0) {
-            boolean put = asked.charAt(0) == 'P';
-            good = "HTTP/1.1 200 OK\r\nContent-Length: " + (put ? "4\r\n\r\nwarm" : VALUE.length() + "\r\n\r\n" + VALUE);
-        } else {
-            String id = MetaCodec.wordAt(asked.toString(), asked.indexOf(" O") + 1);
-            good = asked.charAt(1) == 's' ? "HD " + id + " cwarm\r\n" : i % 4 == 0 ? "EN " + id + " h0\r\n"
-                    : "VA " + VALUE.length() + " " + id + " h1\r\n" + VALUE + "\r\n";
+
+        private void leave(Mirror mirror) {
+            open.remove(mirror);
+            mirror.close();
+            new Client().connect();
         }
-        channel.writeInbound(buffer(good));
+
+        @Override
+        public void said(Mirror mirror, String text) {
+            long now = System.nanoTime();
+            settling.served(now - lastNanos);
+            lastNanos = now;
+            if (settling.settled()) {
+                end();
+            } else if (left > 0) {
+                ask(mirror);
+            } else {
+                leave(mirror);
+            }
+        }
+    }
+
+    private String request(int i) {
+        List<ServiceClass> classes = config.settings().classes();
+        boolean write = i % 12 == 11;
+        String tenant = config.settings().tenants().isEmpty() ? "t" : config.settings().tenants().get(0).name();
+        String flags = " Owarm" + i + " Pc=" + classes.get(i % classes.size()).name() + ",t=" + tenant + ",d=1000,k=1\r\n";
+        String key = Integer.toHexString(i * 7919 + 1);
+        return write ? "ms " + key + " 5" + flags + "value\r\n" : "mg " + key + " v" + flags;
     }
 
-    private static ByteBuf buffer(String text) {
-        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    // ---- a server
+
+    private ChannelFuture dial(InetSocketAddress to, ChannelHandler... handlers) {
+        Mirror mirror = mirror(new Server());
+        return Mirror.open(loop, allocator, config.listen(), mirror, handlers).addListener(f -> {
+            if (done.isDone()) {
+                mirror.close(); // asked for by what was still under way at the end
+            }
+        });
     }
 
-    private static void drop(EmbeddedChannel channel) {
-        for (ByteBuf sent; (sent = channel.readOutbound()) != null;) {
-            sent.release();
+    /** A cache node or the origin, as what it is asked tells. */
+    private final class Server implements Mirror.FarEnd {
+        private final StringBuilder asked = new StringBuilder();
+        private int answers;
+
+        @Override
+        public void said(Mirror mirror, String text) {
+            asked.append(text);
+            String answer = answer();
+            if (answer != null) {
+                asked.setLength(0);
+                if (answer.isEmpty()) { // breaks
+                    open.remove(mirror);
+                    mirror.close();
+                } else {
+                    mirror.say(answer);
+                }
+            }
         }
-    }
 
-    private static void close(EmbeddedChannel channel) {
-        if (channel != null) {
-            drop(channel);
-            channel.finishAndReleaseAll();
+        /** Null: the request is not whole. */
+        private String answer() {
+            int head = asked.indexOf("\r\n");
+            if (asked.charAt(0) == 'm') {
+                boolean write = asked.charAt(1) == 's';
+                int line = asked.indexOf(" O") + 1;
+                if (head < 0 || write && asked.indexOf("\r\n", head + 2) < 0) {
+                    return null;
+                }
+                String id = MetaCodec.wordAt(asked.substring(0, head), line);
+                int i = id.hashCode() & 31;
+                answers++;
+                return answers % 16 == 15 ? "" : i == 1 ? MetaCodec.BUSY + "\r\n" : i == 2 ? MetaCodec.FAILED
+                        : write ? "HD " + id + " cwarm\r\n" : i < 8 ? "EN " + id + " h0\r\n"
+                        : "VA " + VALUE.length() + " " + id + " h1\r\n" + VALUE + "\r\n";
+            }
+            boolean put = asked.charAt(0) == 'P';
+            int end = asked.indexOf("\r\n\r\n");
+            if (end < 0 || put && asked.length() < end + 4 + 5) {
+                return null;
+            }
+            answers++;
+            return answers % 16 == 15 ? "" : answers % 16 == 7
+                    ? "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+                    : "HTTP/1.1 200 OK\r\nContent-Length: "
+                    + (put ? "4\r\n\r\nwarm" : VALUE.length() + "\r\n\r\n" + VALUE);
         }
     }
 }
