--- a/src/main/java/damsonworks/limits/DoorRules.java
+++ b/src/main/java/damsonworks/limits/DoorRules.java
@@ -105,6 +105,11 @@
         return Math.max(clientsRoom / 4, clientsRoom - busy - claimed(nowMs));
     }
 
+    /** Whether so few places are free that somebody has to go for the next ones to come. */
+    public boolean isShort(int guests, int taken) {
+        return places - guests - taken < spare;
+    }
+
     /**
      * The next to be shown out; null: nobody has to go, or nobody may. Where places are short: who never asked, then
      * who stands idle, then who is behind with a request open, and who is between two requests last.
@@ -112,6 +117,11 @@
      * @param taken connections that are on their way in and not among the guests yet
      */
     public <G extends Guest> G next(double nowMs, Collection<G> guests, int taken) {
+        boolean isShort = isShort(guests.size(), taken);
+        // Busy and idle ones together are within the room then, and so the idle within what is left of it.
+        if (!isShort && (!showOutIdle || guests.size() <= clientsRoom - claimed(nowMs))) {
+            return null;
+        }
         int busy = 0;
         int idle = 0;
         G oldest = null;
@@ -127,8 +137,9 @@
                 }
             } else if (g.busy()) {
                 busy++;
-                if (g.behindMs(nowMs) > behindMs) {
-                    behindMs = g.behindMs(nowMs);
+                double ms = isShort ? g.behindMs(nowMs) : 0;
+                if (ms > behindMs) {
+                    behindMs = ms;
                     behind = g;
                 }
             } else if (nowMs - g.sinceMs() < Math.min(HORIZON_MS, RHYTHM * g.gapMs())) {
@@ -142,7 +153,7 @@
                 }
             }
         }
-        if (places - guests.size() - taken < spare) {
+        if (isShort) {
             return oldest != null ? oldest : longest != null ? longest : behind != null ? behind : between;
         }
         return showOutIdle && idle > idleAllowed(nowMs, busy) ? longest : null;
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -154,7 +154,9 @@
             cuts.count(Cut.HELD_OFF);
             client.holdOff(wait);
         }
-        makeRoom();
+        if (rules.isShort(clients.size(), expected)) { // else the next sweep sees to it: this looks at every guest
+            makeRoom();
+        }
     }
 
     @Override
