--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -424,7 +424,7 @@
         // Before a server is chosen: a choice may be a suspect's one trial, which must then be sent.
         if (f.attempts == 0 && f.safe && !f.toOrigin && ranked.length > 0
                 && refused(now, f, crowd, crowd.excess(now))) {
-            giveUp(f, out);
+            giveUp(now, f, out);
             return;
         }
         Server s = null;
@@ -436,7 +436,7 @@
             }
         }
         if (s == null || !maySend(now, f, s)) {
-            giveUp(f, out);
+            giveUp(now, f, out);
             return;
         }
         if (s == origin && !f.request.write() && f.request.key() != 0) {
@@ -451,7 +451,7 @@
                 throttle.asked(now);
             }
             if (tooLate || refused(now, f, throttle, excess)) {
-                giveUp(f, out);
+                giveUp(now, f, out);
                 return;
             }
             fetches.put(f.request.key(), f);
@@ -544,23 +544,32 @@
         };
     }
 
-    private void giveUp(Flight f, Actions out) {
+    private void giveUp(double now, Flight f, Actions out) {
         if (f.out > 0 && f.safe) {
             return;
         }
-        answer(f, out);
+        answer(now, f, out);
         finish(f);
     }
 
     /** The final answer: a refusal only where no attempt may have run. */
-    private static void answer(Flight f, Actions out) {
+    private void answer(double now, Flight f, Actions out) {
         if (f.safe || Double.isNaN(f.maybeRanSince) && f.out == 0) {
-            out.deny(f.request.id(), 0);
+            out.deny(f.request.id(), comeBackMs(now));
         } else {
             out.fail(f.request.id());
         }
     }
 
+    /**
+     * What is refused for want of room has none a few milliseconds later. The more is asked over what is
+     * answered, the later the client is told to come back, each by chance a little different.
+     */
+    private double comeBackMs(double now) {
+        double over = Math.max(crowd.pressure(now), throttle.pressure(now)) - Throttle.HEADROOM;
+        return over <= 0 ? 0 : cfg.maxRetryAfterMs() * Math.min(1, over) * (0.5 + random.nextDouble() / 2);
+    }
+
     private void finish(Flight f) {
         f.done = true;
         if (f.out == 0) {
@@ -739,7 +748,7 @@
         }
         // A fetch that broke is asked for once more; one that was refused or too slow makes a jam.
         if (s.ofOrigin && !f.request.write() && !(broke && f.safe)) {
-            giveUp(f, out);
+            giveUp(now, f, out);
         } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
             advance(now, f, out);
         }
@@ -859,7 +868,7 @@
         switch (token & 3) {
             case DUE -> {
                 if (f != null && !f.done && !f.streaming) {
-                    answer(f, out);
+                    answer(now, f, out);
                     leave(now, f, out);
                 }
             }
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -32,6 +32,8 @@
 
     final List<Placed> placed = new ArrayList<>();
     final List<Integer> denied = new ArrayList<>();
+    /** When to come back, for each refusal in order; 0: nothing was said. */
+    final List<Double> advised = new ArrayList<>();
     final List<Integer> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
     final List<Integer> probed = new ArrayList<>();
@@ -156,6 +158,7 @@
     @Override
     public void deny(int request, double retryAfterMs) {
         denied.add(request);
+        advised.add(retryAfterMs);
         orders.add("deny " + request);
     }
 
