--- a/src/main/java/damsonworks/proxy/Mirror.java
+++ b/src/main/java/damsonworks/proxy/Mirror.java
@@ -31,7 +31,7 @@
         default void taken(Mirror mirror) { }
 
         /** The connection has ended, whoever ended it. */
-        void gone(Mirror mirror);
+        default void gone(Mirror mirror) { }
     }
 
     private record Segment(int bytes, boolean toProxy) { }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -144,6 +144,7 @@
     /** Asks, and asks again when it has its answer. One that has left, or was sent away, is followed by another. */
     private final class Client implements Mirror.FarEnd {
         private int left = ASKS;
+        private boolean connected;
         private boolean leaves;
 
         void connect() {
@@ -159,6 +160,7 @@
                 } else if (done.isDone()) {
                     mirror.close();
                 } else {
+                    connected = true;
                     ask(mirror);
                 }
             });
@@ -198,7 +200,7 @@
         @Override
         public void gone(Mirror mirror) {
             open.remove(mirror);
-            if (!done.isDone()) {
+            if (connected && !done.isDone()) {
                 new Client().connect();
             }
         }
