Operators' calls, nodes out by hand, and a new version beside the running one

Sockets in proxy: ControlFront on a thread of its own, as a call is answered in a second however late the loop is; SharedFolder in TMPDIR with a locked slot for each process. The module learns of hands by RoutingApi.onHand: such a node leaves the ranking, and counts as cold from its return until the list tells its start. SO_REUSEPORT on the clients' and peers' addresses, only where control is named.

--- a/deploy/Rehearsal.java
+++ b/deploy/Rehearsal.java
@@ -51,14 +51,12 @@
                 }
             }
         });
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
+        int control = freePort();
         Path config = Files.createTempFile("rehearsal", ".json");
         Files.writeString(config, """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"1","known":%s,
-                 "peer_listen":"127.0.0.1:0","peers":[],"limits":{"cores":1,"memory_mb":128,"sockets":256},
+                 "peer_listen":"127.0.0.1:0","peers":[],"control":"127.0.0.1:%d","limits":{"cores":1,"memory_mb":128,"sockets":256},
                  "settings":{"me":0,"balancers":1,"locality":0,"zones":["z"],"kinds":["cache","origin"],
                   "discovery":"ask","extra":{"mode":"aside","origin-kind":1},"report":{"how":"silent","names":[]},
                   "value-by":"request","caps":{"may-cancel":true,"may-probe":false,"peers":true,"second-copies":true,
@@ -67,7 +65,7 @@
                   "tip-multiple":3,"fall":1500,"ask-within":1000},
                   "classes":[{"name":"read","idempotency":"retryable","promise":250,"deadline":1000,"stream":false},
                   {"name":"save","idempotency":"fragile","promise":250,"deadline":1000,"stream":false}]}}
-                """.formatted(port, discovery, list.replace("\"seq\":2", "\"seq\":1")));
+                """.formatted(port, discovery, list.replace("\"seq\":2", "\"seq\":1"), control));
         ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh");
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("REHEARSAL", "target/damsonworks.jsa");
@@ -75,6 +73,8 @@
         try {
             for (int i = 0; i < REQUESTS; i += 10) {
                 talk(port, i);
+                call(control, i % 20 == 0 ? "GET /ops/stats" : "GET /ops/readiness", "");
+                call(control, "PUT /ops/cache-nodes/" + (i % 20 == 0 ? "down" : "up"), "s-2");
             }
         } finally {
             proxy.destroy();
@@ -84,6 +84,23 @@
         System.exit(0);
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** What an operator asks of it. */
+    private static void call(int port, String call, String body) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", port); BufferedReader in = reader(s)) {
+            s.setSoTimeout(5000);
+            write(s.getOutputStream(), call + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            while (in.readLine() != null) {
+                // to its end
+            }
+        }
+    }
+
     /** Ten commands on one connection; waits for the proxy to come up. */
     private static void talk(int port, int from) throws Exception {
         Socket socket = null;
--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -46,6 +46,8 @@
     private final Throttle throttle = new Throttle();
     private final Throttle crowd = new Throttle();
     private final Shares shares;
+    /** Taken out by hand, by id, with the time at which. */
+    private final Map<Integer, Double> byHand = new HashMap<>();
     private Server[] ranked = new Server[0];
     private Server[] top = new Server[RANKS];
     private double[] topScore = new double[RANKS];
@@ -76,6 +78,9 @@
         int doubts;
         boolean trial;
         boolean probed;
+        /** When it was last taken out by hand and when it came back; 0: never. */
+        double outMs;
+        double backMs;
         /** Of the origin's kind; the one in use is {@link Policy#origin}, others may have attempts out. */
         boolean ofOrigin;
 
@@ -348,7 +353,7 @@
         origin = null;
         List<Server> list = new ArrayList<>();
         for (Server s : servers.values()) {
-            if (s.member.state() != State.READY) {
+            if (s.member.state() != State.READY || byHand.containsKey(s.id)) {
                 continue;
             }
             if (s.ofOrigin) {
@@ -372,6 +377,39 @@
         }
     }
 
+    @Override
+    public void onHand(double now, int server, boolean out, Actions orders) {
+        Server s = servers.get(server);
+        Double since = byHand.get(server);
+        if (out && since == null) {
+            byHand.put(server, now);
+            orders.closeIdle(server);
+        } else if (!out && since != null) {
+            byHand.remove(server);
+            if (s != null) {
+                s.outMs = since;
+                s.backMs = now;
+                s.failures = s.breaks = s.doubts = 0;
+                s.shunnedUntil = 0;
+            }
+        }
+        rank();
+    }
+
+    @Override
+    public Census census(double now) {
+        int listed = 0;
+        int avoided = 0;
+        for (Server s : servers.values()) {
+            if (!s.ofOrigin) {
+                listed++;
+                boolean out = s.member.state() != State.READY || byHand.containsKey(s.id);
+                avoided += out || now < s.shunnedUntil ? 1 : 0;
+            }
+        }
+        return new Census(listed, avoided);
+    }
+
     private void askAgain(double now, Actions out) {
         watchFailures++;
         double wait = cfg.askWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
@@ -587,7 +625,8 @@
         Server stay = f.stayAt;
         f.stayAt = null;
         if (stay != null && stay.failures == 0 && servers.get(stay.id) == stay
-                && stay.member.state() == State.READY && !cold(now, stay)) {
+                && stay.member.state() == State.READY && !byHand.containsKey(stay.id)
+                && !cold(now, stay)) {
             return stay;
         }
         topRanks(f.keyHash, want);
@@ -663,7 +702,7 @@
         if (f.attempts > 0 || f.spread > 1) {
             return false;
         }
-        double age = now - s.member.bornMs();
+        double age = now - bornMs(s);
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
         boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
@@ -671,7 +710,17 @@
     }
 
     private boolean cold(double now, Server s) {
-        return s.member.bornMs() != 0 && now - s.member.bornMs() < cfg.warmUpMs();
+        double born = bornMs(s);
+        return born != 0 && now - born < cfg.warmUpMs();
+    }
+
+    /**
+     * When the server started. One that was out by hand has most likely been restarted meanwhile: until the
+     * list tells a start within that time, it counts as started when it came back.
+     */
+    private static double bornMs(Server s) {
+        double born = s.member.bornMs();
+        return born > s.outMs ? born : Math.max(born, s.backMs);
     }
 
     private void topRanks(int keyHash, int want) {
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -125,6 +125,15 @@
     /** The result of a probe. */
     void onProbed(double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out);
 
+    /** An operator takes this server out, until the call back, whatever the list says of it meanwhile. */
+    void onHand(double now, int server, boolean out, Actions orders);
+
+    /** Servers on the list, and how many of them get nothing new; the origin is not among them. */
+    record Census(int listed, int avoided) { }
+
+    /** How the servers stand. */
+    Census census(double now);
+
     /** A message of another instance. */
     void onPeer(double now, int peer, byte[] message, Actions out);
 }
--- a/src/main/java/damsonworks/limits/StartSpan.java
+++ b/src/main/java/damsonworks/limits/StartSpan.java
@@ -27,6 +27,12 @@
         asksLeft = peers ? ASKED_TIMES : 0;
     }
 
+    /** One that serves the same clients at the same addresses runs beside this one and goes only once this is ready. */
+    public void predecessor(double lastsMs) {
+        spanMs = lastsMs;
+        asksLeft = 0;
+    }
+
     /** Whether to ask now who serves; true so many times only, and not once one is known to. */
     public boolean asks() {
         return asksLeft-- > 0;
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.control.Figures;
 import damsonworks.limits.Account;
 import damsonworks.limits.Cut;
 import damsonworks.limits.DoorRules;
@@ -335,7 +336,7 @@
     private void say(String line) {
         Exchange exchange = new Exchange(this, null);
         exchanges.add(exchange);
-        answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"));
+        answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"), null);
     }
 
     /** Turns a command down, in its turn and not at once; until then nothing more is read. */
@@ -350,18 +351,23 @@
         ctx.executor().schedule(() -> {
             penalised = false;
             if (ctx.channel().isActive()) {
-                answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"));
+                answer(exchange, MetaCodec.text(ctx.alloc(), line + "\r\n"), null);
             }
         }, (long) wait, TimeUnit.MILLISECONDS);
     }
 
-    /** The whole final answer; takes the buffer over. */
-    void answer(Exchange exchange, ByteBuf answer) {
+    /** The whole final answer; takes the buffer over. {@code end}: what it is to a request; null: it answers none. */
+    void answer(Exchange exchange, ByteBuf answer, Figures.End end) {
         if (finished) {
             answer.release();
             return;
         }
         exchange.answer = charged(exchange, answer);
+        if (end != null) {
+            boolean whole = exchange.answer == answer;
+            dispatcher.figures().ended(exchange.kind, whole ? end
+                    : exchange.safe ? Figures.End.DEFERRED : Figures.End.ERRORED);
+        }
         if (finished) {
             exchange.answer.release(); // it was this client that had to make room
             account.release(Holding.ANSWER, exchange.held);
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -26,7 +26,7 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
-        double idleCloseMs, int streamsPerConnection, Limits limits) {
+        double idleCloseMs, int streamsPerConnection, Limits limits, InetSocketAddress control, Path shared) {
 
     /** With less the proxy has no room for what it must hold; a limit that small is a slip. */
     private static final int MIN_MEMORY_MB = 16;
@@ -38,7 +38,12 @@
             throw new IllegalArgumentException("BALANCER_CONFIG names no file");
         }
         try {
-            return parse(JsonParser.parseString(Files.readString(Path.of(path))).getAsJsonObject());
+            JsonObject json = JsonParser.parseString(Files.readString(Path.of(path))).getAsJsonObject();
+            if (!json.has("control") && System.getenv("BALANCER_CONTROL") != null) {
+                json.addProperty("control", System.getenv("BALANCER_CONTROL"));
+            }
+            String folder = System.getenv("TMPDIR");
+            return parse(json).sharing(folder == null || folder.isEmpty() ? null : Path.of(folder));
         } catch (Exception e) {
             String message = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new IllegalArgumentException("configuration " + path + ": "
@@ -66,13 +71,20 @@
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
                 json.has("known") ? json.getAsJsonObject("known") : null, settings, parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
-                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), Limits.of(memoryMb, sockets));
+                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), Limits.of(memoryMb, sockets),
+                optionalAddress(json, "control"), null);
     }
 
     /** The same with other bounds. */
     Config with(Limits other) {
         return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
-                settings, zones, kinds, idleCloseMs, streamsPerConnection, other);
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, other, control, shared);
+    }
+
+    /** The same with this folder, which another process of this proxy may use too; null: none. */
+    Config sharing(Path folder) {
+        return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, folder);
     }
 
     private static JsonElement need(JsonObject json, String key) {
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -68,18 +68,32 @@
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
+    /** Told each name that is listed; null: nobody wants to know. */
+    private final Names names;
     private InetSocketAddress address;
     private long version;
     private boolean watching;
     private double movedMs = Double.NEGATIVE_INFINITY;
 
-    DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher) {
+    DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher, Names names) {
         this.loop = loop;
+        this.names = names;
         this.config = config;
         this.dispatcher = dispatcher;
         address = config.discovery();
     }
 
+    /** The names on the list in the configuration, before it is used. */
+    void nameKnown() {
+        try {
+            if (config.known() != null) {
+                hosts(config.known());
+            }
+        } catch (RuntimeException e) {
+            // told at the start
+        }
+    }
+
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
     void start() {
         List<Host> known = List.of();
@@ -199,6 +213,9 @@
             if (!ids.add(h.member().id())) {
                 throw new IllegalArgumentException("a host is listed twice");
             }
+            if (names != null) {
+                names.add(e.getAsJsonObject().get("host").getAsString());
+            }
             hosts.add(h);
         }
         return hosts;
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.Policy;
+import damsonworks.RoutingApi;
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
 import damsonworks.RoutingApi.Effect;
@@ -11,6 +12,8 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.control.Figures;
+import damsonworks.control.Succession;
 import damsonworks.limits.Accounts;
 import damsonworks.limits.Cuts;
 import damsonworks.limits.Limits;
@@ -82,6 +85,8 @@
     private final Accounts accounts;
     private final Cuts cuts = new Cuts();
     private final int maxUpstream;
+    private final Figures figures;
+    private Set<String> byHand = Set.of();
     private Policy module;
     private DiscoveryClient discovery;
     private PeerSocket peers;
@@ -93,6 +98,7 @@
     private int nextId;
     private int upstreamCount;
     private int upstreamReleasing;
+    private int upstreamReserved;
 
     /** What wants to know of clients that have left. */
     interface ClientListener {
@@ -122,6 +128,7 @@
         limits = config.limits();
         accounts = new Accounts(limits.bounds());
         maxUpstream = config.sockets() / 3;
+        figures = new Figures(settings.classes().stream().map(ServiceClass::name).toList());
         this.dialer = dialer;
     }
 
@@ -131,6 +138,7 @@
         peers = socket;
         listener = clients;
         module = new Policy(settings, config.seed());
+        byHand.forEach(node -> module.onHand(now(), DiscoveryClient.id(node), true, this));
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -176,7 +184,7 @@
      * makes room, or a server that is new would never get one.
      */
     boolean roomUpstream() {
-        if (upstreamInUse() >= maxUpstream) {
+        if (upstreamInUse() >= maxUpstream()) {
             UpstreamConnection longest = null;
             for (Upstream u : upstreams.values()) {
                 UpstreamConnection c = u.longestIdle();
@@ -188,7 +196,16 @@
                 longest.close();
             }
         }
-        return upstreamInUse() < maxUpstream + RELEASING;
+        return upstreamInUse() < maxUpstream() + RELEASING;
+    }
+
+    private int maxUpstream() {
+        return maxUpstream - upstreamReserved;
+    }
+
+    /** So many of the descriptors for servers are another process's now; who has more than is left goes by and by. */
+    void reserveUpstream(Succession.Holds other) {
+        upstreamReserved = Succession.serversLeft(maxUpstream, other);
     }
 
     /** Descriptors of upstream connections: one counts until the selector has let go of it, in its next round. */
@@ -206,6 +223,38 @@
         loop.execute(() -> upstreamReleasing--);
     }
 
+    /** What has become of requests; counted here and where answers go out. */
+    Figures figures() {
+        return figures;
+    }
+
+    /** The figures for operators, as JSON. */
+    String figures(int read, int refused) {
+        RoutingApi.Census census = module == null ? new RoutingApi.Census(0, 0) : module.census(now());
+        return figures.json(openIds.size(), census.listed(), census.avoided(), read, refused);
+    }
+
+    /** From now on just these nodes are out by hand. */
+    void byHand(Set<String> out) {
+        Set<String> before = byHand;
+        byHand = Set.copyOf(out);
+        if (module == null) {
+            return; // told at the start
+        }
+        for (String node : byHand) {
+            if (!before.contains(node)) {
+                log("taken out by hand: " + node);
+                tell(() -> module.onHand(now(), DiscoveryClient.id(node), true, this));
+            }
+        }
+        for (String node : before) {
+            if (!byHand.contains(node)) {
+                log("back in use by hand: " + node);
+                tell(() -> module.onHand(now(), DiscoveryClient.id(node), false, this));
+            }
+        }
+    }
+
     boolean draining() {
         return draining;
     }
@@ -356,10 +405,11 @@
         if (!openIds.add(c.id)) { // since it was looked at, another command has brought it
             x.over = true;
             giveBackValue(x);
-            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR " + ID_IN_USE + "\r\n"));
+            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR " + ID_IN_USE + "\r\n"), null);
             return;
         }
         int kind = classes.get(MetaCodec.named(c.extras, "c"));
+        x.kind = kind;
         int tenant = tenants.isEmpty() ? 0 : tenants.get(MetaCodec.named(c.extras, "t"));
         double wait = figure(c, "d", 0);
         wait -= Math.min(ANSWER_AHEAD_MS, wait / 10);
@@ -455,7 +505,7 @@
             answer.release();
         } else if (answer != null) {
             over(x);
-            x.client.answer(x, answer);
+            x.client.answer(x, answer, Figures.End.ANSWERED);
         }
         boolean over = x.over;
         tell(() -> guard(x, () -> module.onAttemptEnd(now(), new AttemptEnd(x.id, a.index, a.server, outcome,
@@ -475,7 +525,8 @@
             return;
         }
         over(x);
-        x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text));
+        x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text),
+                text.startsWith(MetaCodec.BUSY) ? Figures.End.DEFERRED : Figures.End.ERRORED);
         free(x);
     }
 
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.control.Succession;
 import damsonworks.limits.Accounts;
 import damsonworks.limits.Cut;
 import damsonworks.limits.Cuts;
@@ -54,6 +55,8 @@
     private int expected;
     /** Closed, with a descriptor that the selector holds until its next round. */
     private int releasing;
+    /** Left to another process of this proxy, while it runs. */
+    private int reserved;
     private int most;
     private boolean resting;
     private boolean closed;
@@ -93,6 +96,14 @@
         return clients.size() + expected + releasing;
     }
 
+    /** Part of the places is another process's now, or is not any more. */
+    void reserve(int sockets, Succession.Holds other) {
+        reserved = Succession.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
+        if (listener != null) {
+            resume();
+        }
+    }
+
     /** The most that {@link #inUse()} has been. */
     int most() {
         return most;
@@ -106,7 +117,7 @@
 
     /** Whether one more connection may be taken now; if not, none is taken until there is room. */
     boolean hasRoom() {
-        if (!resting && inUse() < rules.places()) {
+        if (!resting && hasPlace()) {
             return true;
         }
         if (!resting) {
@@ -116,6 +127,10 @@
         return false;
     }
 
+    private boolean hasPlace() {
+        return inUse() + reserved < rules.places();
+    }
+
     /** The kernel has given so many connections, each of which {@link #enter} follows for, or nothing does. */
     void taking(int n) {
         expected += n;
@@ -154,7 +169,7 @@
             cuts.count(Cut.HELD_OFF);
             client.holdOff(wait);
         }
-        if (rules.isShort(clients.size(), expected)) { // else the next sweep sees to it: this looks at every guest
+        if (rules.isShort(clients.size(), expected + reserved)) { // else the next sweep sees to it: this looks at every guest
             makeRoom();
         }
     }
@@ -211,7 +226,7 @@
     }
 
     private void resume() {
-        if (!resting && listener != null && !listener.config().isAutoRead() && inUse() < rules.places()) {
+        if (!resting && listener != null && !listener.config().isAutoRead() && hasPlace()) {
             listener.config().setAutoRead(true);
         }
     }
@@ -219,7 +234,7 @@
     /** Shows out until the rules are content, or nobody is left who may be. */
     private void makeRoom() {
         double now = dispatcher.now();
-        for (ClientConnection c; (c = rules.next(now, clients, expected)) != null;) {
+        for (ClientConnection c; (c = rules.next(now, clients, expected + reserved)) != null;) {
             show(c, why(c));
         }
     }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -19,6 +19,8 @@
     int held;
 
     int id;
+    /** The number of its class. */
+    int kind;
     double dueMs;
     /** It must not have its effect twice, so an attempt that may have run is its last. */
     boolean unsafe;
@@ -75,7 +77,7 @@
         final double untilMs;
         UpstreamConnection connection;
         /** The last byte went out: from then on it may have run. */
-        boolean written;
+        private boolean written;
         /** It has had its one outcome. */
         boolean ended;
         /** Its answer is not waited for any more, but still to be read. */
@@ -89,5 +91,16 @@
             this.sentMs = sentMs;
             this.untilMs = untilMs;
         }
+
+        boolean written() {
+            return written;
+        }
+
+        /** Its last byte has been handed to the network, if it was. True if that is news. */
+        boolean wrote(boolean whole) {
+            boolean news = whole && !written;
+            written |= whole;
+            return news;
+        }
     }
 }
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -29,6 +29,19 @@
         }
     }
 
+    /**
+     * Ends it with nobody left in the kernel's backlog, who would be reset. On the event loop.
+     *
+     * @param batches so many batches are taken at most
+     */
+    void closeEmpty(int batches) {
+        for (int before = -1; batches > 0 && door.inUse() != before; batches--) {
+            before = door.inUse();
+            unsafe().read();
+        }
+        close();
+    }
+
     /** Whatever goes wrong with one connection says nothing of the next. */
     @Override
     protected boolean closeOnReadError(Throwable cause) {
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -8,8 +8,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.Arrays;
 
 /**
@@ -32,8 +34,12 @@
         this.config = config;
         this.dispatcher = dispatcher;
         if (config.settings().peers() && config.peerListen() != null) {
-            channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Receiver())
-                    .bind(config.peerListen()).channel();
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                    .handler(new Receiver());
+            if (config.control() != null) { // another process of this proxy may come to use the same address
+                bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+            }
+            channel = bootstrap.bind(config.peerListen()).channel();
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.control.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -14,17 +15,21 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.ArrayList;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
-    /** Connections still come so long after SIGTERM, with some room for a slow machine. */
-    private static final double LISTEN_ON_MS = 500;
     private static final int BACKLOG = 512;
+    private static final long SHARE_MS = 50;
     /** What is read from a client at once: at first enough to see a flood of commands as one. */
     private static final int READ_BYTES = 8 << 10;
     /** What is read at once from a client that sends a lot: with all places taken, twice this each must fit. */
@@ -52,22 +57,43 @@
     private final DiscoveryClient discovery;
     private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final Channel server;
+    private final Listener server;
+    /** Null where the platform names no address for it. */
+    private final ControlFront control;
+    private final Names names;
+    private volatile boolean ready;
+    private volatile boolean beside;
+    private volatile Succession.Holds holds = new Succession.Holds(1, 0);
+    private volatile Succession.Holds other = Succession.Holds.NOTHING;
+    private volatile int configsRead = 1;
+    private volatile int configsRefused;
     private double drainEndsMs;
     private double listenEndsMs;
+    private double idleEndsMs;
 
-    private Proxy(Config config, ByteBufAllocator allocator) throws InterruptedException {
+    private Proxy(Config config, ByteBufAllocator allocator) throws InterruptedException, IOException {
         this.config = config;
+        names = config.control() == null ? null : new Names();
         dispatcher = new Dispatcher(loop, config, allocator);
         peers = new PeerSocket(loop, config, dispatcher);
         door = new Door(loop, dispatcher);
-        discovery = new DiscoveryClient(loop, config, dispatcher);
-        WarmUp warmUp = new WarmUp(loop, config, allocator, peers);
+        discovery = new DiscoveryClient(loop, config, dispatcher, names);
+        control = config.control() == null ? null : new ControlFront(config.control(), config.shared(), new Desk());
+        if (control != null) {
+            discovery.nameKnown();
+            other = control.begunBeside();
+            beside = !other.equals(Succession.Holds.NOTHING);
+            control.follow();
+        }
+        WarmUp warmUp = new WarmUp(loop, config, allocator, peers, beside);
         loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
         dispatcher.log(warmUp.toString());
         loop.submit(() -> {
             dispatcher.start(discovery, peers, door::left);
             discovery.start();
+            if (control != null) {
+                share();
+            }
         }).syncUninterruptibly();
         ServerBootstrap bootstrap = new ServerBootstrap().group(group).channelFactory(() -> new Listener(door))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
@@ -91,13 +117,63 @@
                     }
                 });
         bootstrap.childOption(ChannelOption.SO_SNDBUF, config.limits().sendBufferBytes());
-        server = bootstrap.bind(config.listen()).sync().channel();
+        if (control != null) { // a new version of this program may be started beside it, at the same address
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        server = (Listener) bootstrap.bind(config.listen()).sync().channel();
         server.config().<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator().maxMessagesPerRead(Door.batch());
         loop.submit(() -> {
             door.open(server);
             peers.serving();
             server.config().setAutoRead(true);
         }).syncUninterruptibly();
+        ready = true;
+    }
+
+    /** What operators' calls come to. */
+    private final class Desk implements ControlFront.Desk {
+        @Override
+        public boolean ready() {
+            return ready;
+        }
+
+        @Override
+        public void stats(Consumer<String> then) {
+            loop.execute(() -> then.accept(dispatcher.figures(configsRead, configsRefused)));
+        }
+
+        @Override
+        public boolean listed(String node) {
+            return names.contains(node);
+        }
+
+        @Override
+        public void out(Set<String> nodes, Runnable then) {
+            loop.execute(() -> {
+                dispatcher.byHand(nodes);
+                then.run();
+            });
+        }
+
+        @Override
+        public Succession.Holds holds() {
+            return holds;
+        }
+
+        @Override
+        public void beside(Succession.Holds holds) {
+            beside = !holds.equals(Succession.Holds.NOTHING);
+            other = holds;
+        }
+    }
+
+    /** Tells another process of this proxy what this one holds, and makes room for what that one does. */
+    private void share() {
+        // It holds something at least: who holds nothing is not there.
+        holds = new Succession.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse());
+        dispatcher.reserveUpstream(other);
+        door.reserve(config.sockets(), other);
+        loop.schedule(this::share, SHARE_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -135,12 +211,12 @@
         }
     }
 
-    static Proxy start(Config config) throws InterruptedException {
+    static Proxy start(Config config) throws InterruptedException, IOException {
         return start(config, ByteBufAllocator.DEFAULT);
     }
 
     /** With clients' and servers' buffers from this allocator. */
-    static Proxy start(Config config, ByteBufAllocator allocator) throws InterruptedException {
+    static Proxy start(Config config, ByteBufAllocator allocator) throws InterruptedException, IOException {
         return new Proxy(config, allocator);
     }
 
@@ -153,7 +229,7 @@
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) server.localAddress();
+        return server.localAddress();
     }
 
     InetSocketAddress peerAddress() {
@@ -171,8 +247,10 @@
         try {
             Config next = Config.read(path);
             loop.execute(() -> discovery.move(next.discovery()));
+            configsRead++;
             System.err.println("configuration read again: discovery at " + next.discovery());
         } catch (IllegalArgumentException e) {
+            configsRefused++;
             System.err.println(e.getMessage() + " (going on with the old one)");
         }
     }
@@ -189,9 +267,12 @@
             longest = Math.max(longest, c.deadlineMs());
         }
         double wait = longest;
+        ready = false;
         loop.execute(() -> {
-            listenEndsMs = dispatcher.now() + LISTEN_ON_MS;
-            drainEndsMs = dispatcher.now() + LISTEN_ON_MS + wait + 150;
+            double now = dispatcher.now();
+            listenEndsMs = now + Succession.listenMs(beside);
+            idleEndsMs = now + Succession.idleMs(beside);
+            drainEndsMs = idleEndsMs + wait + 150;
             drainOn();
         });
         try {
@@ -203,9 +284,11 @@
 
     private void drainOn() {
         double now = dispatcher.now();
-        if (now >= listenEndsMs) {
+        if (now >= listenEndsMs && !dispatcher.draining()) {
             dispatcher.drain();
-            server.close();
+            server.closeEmpty(BACKLOG / Door.batch());
+        }
+        if (now >= idleEndsMs) {
             for (ClientConnection c : new ArrayList<>(door.clients())) {
                 if (c.idle()) {
                     c.finish();
@@ -232,8 +315,16 @@
         return loop;
     }
 
+    /** Null where operators can't call. */
+    ControlFront control() {
+        return control;
+    }
+
     /** Ends at once; for tests. */
-    void close() {
+    void close() throws IOException {
+        if (control != null) {
+            control.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -164,7 +164,13 @@
             codec.write(channel, attempt, dial, true);
             upstream.dispatcher().after(holdMs, () -> writeLast(attempt));
         } else {
-            codec.write(channel, attempt, dial, false).addListener(f -> attempt.written |= f.isSuccess());
+            codec.write(channel, attempt, dial, false).addListener(f -> wrote(attempt, f.isSuccess()));
+        }
+    }
+
+    private void wrote(Attempt attempt, boolean whole) {
+        if (attempt.wrote(whole) && attempt.exchange != null) {
+            upstream.dispatcher().figures().sent();
         }
     }
 
@@ -176,7 +182,7 @@
                 return;
             }
             held = null;
-            codec.writeLast(channel, attempt).addListener(f -> attempt.written |= f.isSuccess());
+            codec.writeLast(channel, attempt).addListener(f -> wrote(attempt, f.isSuccess()));
             chargeOutput();
         }
     }
@@ -322,7 +328,7 @@
         account.close();
         upstream.closed(this);
         for (Attempt a; (a = attempts.poll()) != null;) {
-            Outcome outcome = !a.written ? Outcome.CONNECT_FAILED : spoilt ? Outcome.ERROR : Outcome.RESET;
+            Outcome outcome = !a.written() ? Outcome.CONNECT_FAILED : spoilt ? Outcome.ERROR : Outcome.RESET;
             upstream.dispatcher().end(a, outcome, 0, null, null);
         }
     }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -5,6 +5,7 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.control.Succession;
 import damsonworks.limits.Settling;
 import damsonworks.limits.StartSpan;
 import io.netty.buffer.ByteBufAllocator;
@@ -50,12 +51,15 @@
     private final Settling settling = new Settling(BATCH, PART, LEAST);
     private final Set<Mirror> open = new LinkedHashSet<>();
     private final Promise<Void> done;
+    private final boolean beside;
     private StartSpan span;
     private long startNanos;
     private long lastNanos;
     private int asked;
 
-    WarmUp(EventLoop loop, Config config, ByteBufAllocator allocator, PeerSocket peers) {
+    /** @param beside whether another process of this proxy serves meanwhile */
+    WarmUp(EventLoop loop, Config config, ByteBufAllocator allocator, PeerSocket peers, boolean beside) {
+        this.beside = beside;
         this.peers = peers;
         this.loop = loop;
         this.config = config;
@@ -71,6 +75,9 @@
         dispatcher.listed(ListKind.CHANGES, hosts());
         door.open(null);
         span = new StartSpan(dispatcher.now(), peers.hasPeers());
+        if (beside) {
+            span.predecessor(Succession.WARM_MS);
+        }
         ask();
         endInTime();
         startNanos = lastNanos = System.nanoTime();
--- a/src/test/java/damsonworks/proxy/Program.java
+++ b/src/test/java/damsonworks/proxy/Program.java
@@ -18,18 +18,33 @@
 
     /** {@code descriptors}: 0 leaves the system's own bound. */
     Program(Path folder, String config, int descriptors, String... command) throws IOException {
+        this(folder, "config.json", freePort(), config, descriptors, command);
+    }
+
+    /** Beside another one, at its port. */
+    Program(Path folder, int port, String config, String... command) throws IOException {
+        this(folder, "beside.json", port, config, 0, command);
+    }
+
+    private static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
+            return free.getLocalPort();
         }
-        file = folder.resolve("config.json");
+    }
+
+    private Program(Path folder, String name, int port, String config, int descriptors, String... command)
+            throws IOException {
+        this.port = port;
+        file = folder.resolve(name);
         configure(config);
-        log = folder.resolve("log");
+        log = folder.resolve(name + ".log");
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         String bound = descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ";
         ProcessBuilder builder = new ProcessBuilder("sh", "-c",
                 bound + "exec '" + java + "' -XX:-MaxFDLimit -cp '" + System.getProperty("java.class.path") + "' "
                         + String.join(" ", command));
         builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", folder.toString());
         process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -27,6 +27,8 @@
     /** Makes the proxy's bounds of those that follow from memory and sockets. */
     UnaryOperator<Limits> limits = l -> l;
     ByteBufAllocator allocator = ByteBufAllocator.DEFAULT;
+    /** Operators may call. */
+    boolean control;
     Proxy proxy;
 
     <T extends AutoCloseable> T keep(T thing) {
@@ -40,7 +42,9 @@
 
     /** Starts the proxy on this list of hosts, which it knows from its configuration. */
     Stage start(Peer discovery, String... hosts) throws Exception {
-        Config config = Config.parse(JsonParser.parseString(config(discovery.address(), hosts)).getAsJsonObject());
+        String text = config(discovery.address(), hosts);
+        Config config = Config.parse(JsonParser.parseString(control ? text.replaceFirst("\"listen\"",
+                "\"control\":\"127.0.0.1:0\",\"listen\"") : text).getAsJsonObject());
         proxy = Proxy.start(config.with(limits.apply(config.limits())), allocator);
         keep(proxy::close);
         return this;
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/damsonworks/proxy/WarmUpTest.java
@@ -51,7 +51,7 @@
             for (String listen : new String[] {"127.0.0.1", "0.0.0.0", "198.51.100.1"}) {
                 Config config = config(stage, "\"listen\":\"127.0.0.1", "\"listen\":\"" + listen);
                 WarmUp warmUp = new WarmUp(stage.proxy.loop(), config, ByteBufAllocator.DEFAULT,
-                        new PeerSocket(stage.proxy.loop(), config, stage.proxy.dispatcher()));
+                        new PeerSocket(stage.proxy.loop(), config, stage.proxy.dispatcher()), false);
                 stage.proxy.loop().submit(warmUp::run).sync().getNow().sync();
                 assertThat(warmUp.toString()).matches(listen.startsWith("198") ? "warm-up: 0 .*, not settled"
                         : "warm-up: [1-9]\\d\\d+ .*");
