Values up to 4 MiB pass on in parts, with their servers held back by their clients

A value over 64 KiB is passed on as it comes (Passage): its last byte waits for the line's end behind it, so that a spoilt one is never whole; what can't be finished ends the client's connection. Netty's decoder read on by itself from a paused peer (35 MB in hand, memory gone): it no longer does, for clients too. A body that ends with its connection, where the origin says so, is taken. Connections on which a long value passes don't count.

Rejected: spooling to the folder (counts as memory here), whole values in memory (more at once than it holds).

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -887,8 +887,18 @@
     @Override
     public void onFirstByte(double now, int request, int attempt, int server, Actions out) {
         Flight f = flights.get(request);
-        if (f != null) {
-            f.streaming = true;
+        if (f == null || f.done) {
+            return;
+        }
+        f.streaming = true;
+        if (f.followers != null && attempt == f.fetch) {
+            // The rest comes as fast as this client takes it, and others must not wait for that.
+            fetchEnded(now, f, true, out);
+        }
+        for (int a = 0; cfg.mayCancel() && a < f.attempts && f.followers == null; a++) {
+            if (a != attempt && !f.ended[a]) {
+                out.cancel(request, a);
+            }
         }
     }
 
--- a/src/main/java/damsonworks/limits/Accounts.java
+++ b/src/main/java/damsonworks/limits/Accounts.java
@@ -49,11 +49,14 @@
         return bounds[kind.ordinal()];
     }
 
-    /** The fullest kind's part of its bound, from 0; over 1 where what had come already was charged. */
+    /**
+     * The fullest kind's part of its bound, from 0; over 1 where what had come already was charged. Without what is
+     * being passed on: that fills its room on purpose, and its servers wait for it.
+     */
     public double share() {
         double share = 0;
         for (int i = 0; i < sums.length; i++) {
-            if (bounds[i] != Long.MAX_VALUE) {
+            if (bounds[i] != Long.MAX_VALUE && i != Holding.PASSING.ordinal()) {
                 share = Math.max(share, (double) sums[i] / bounds[i]);
             }
         }
--- a/src/main/java/damsonworks/limits/Holding.java
+++ b/src/main/java/damsonworks/limits/Holding.java
@@ -10,6 +10,8 @@
     READING,
     /** Whole answers that wait for their turn or for the client to take them. */
     ANSWER,
+    /** Parts of long values on their way to clients, each with its server held back while its client is behind. */
+    PASSING,
     /** Requests on their way out to a server. */
     OUTPUT
 }
--- a/src/main/java/damsonworks/limits/Limits.java
+++ b/src/main/java/damsonworks/limits/Limits.java
@@ -30,7 +30,7 @@
     /**
      * Each kind of bytes that is bounded, values and answers being read and answers held, has a quarter of the
      * direct memory that deploy/serve.sh gives the JVM; the last quarter is for what has come in and is not worked
-     * off. More would end in an OutOfMemoryError, which cuts off whoever happens to be read next.
+     * off. Long values that are passed on share the quarter of those being read, half each. More would end in an OutOfMemoryError, which cuts off whoever happens to be read next.
      */
     private static long part(int memoryMb) {
         long bytes = (long) memoryMb << 20;
@@ -67,7 +67,7 @@
     public static Limits of(int memoryMb, int sockets) {
         long part = part(memoryMb);
         int third = sockets / 3;
-        return new Limits(Math.max(LEAST_PLACES, sockets - third - OWN_DESCRIPTORS), third, part, part, part,
+        return new Limits(Math.max(LEAST_PLACES, sockets - third - OWN_DESCRIPTORS), third, part, part / 2, part,
                 Math.min(CLIENT_ANSWER_BYTES, part), CLIENT_WRITE, CLIENT_READ, NODE_ANSWER, SILENT_MS,
                 SEND_BUFFER_BYTES, true, true);
     }
@@ -77,6 +77,7 @@
         Map<Holding, Long> bounds = new EnumMap<>(Holding.class);
         bounds.put(Holding.VALUE, valueBytes);
         bounds.put(Holding.READING, readingBytes);
+        bounds.put(Holding.PASSING, Math.max(PassWindow.LEAST_BYTES, readingBytes));
         bounds.put(Holding.ANSWER, answerBytes);
         bounds.put(Holding.INPUT, valueBytes);
         return bounds;
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -21,13 +21,19 @@
  */
 final class CacheCodec extends ByteToMessageDecoder implements UpstreamConnection.Codec {
     private static final String FAILED = "SERVER_ERROR failed";
+    /** A value's last byte with the line's end behind it. */
+    private static final int TAIL = 3;
 
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
     /** The client's answer as far as its value has come; null: a line is next. */
     private ByteBuf answer;
-    /** Bytes of a value that there was no room for, still to be read past. */
+    /** Bytes of a value that is not wanted or that there was no room for, still to be read past. */
     private int skipping;
+    private Outcome skipped;
+    /** The long value that is passed on as it comes, with the bytes still to come; null: none is. */
+    private Passage passage;
+    private int left;
     private int note;
     private float[] report;
     /** The figures of a probe's answer so far. */
@@ -69,7 +75,7 @@
 
     @Override
     public boolean within() {
-        return answer != null || skipping > 0 || actualReadableBytes() > 0 || !stats.isEmpty();
+        return answer != null || skipping > 0 || passage != null || actualReadableBytes() > 0 || !stats.isEmpty();
     }
 
     @Override
@@ -81,6 +87,8 @@
         try {
             if (answer != null) {
                 value(in);
+            } else if (passage != null) {
+                pass(in);
             } else if (skipping > 0) {
                 skip(in);
             } else {
@@ -111,7 +119,11 @@
             String word = MetaCodec.wordAt(line, 3);
             int n = MetaCodec.length(word, MetaCodec.MAX_ANSWER);
             flags(attempt, line, 4 + word.length());
-            begin(in, n, attempt.exchange.command.id);
+            if (n > MetaCodec.MAX_WHOLE) {
+                beginLong(in, n, attempt);
+            } else {
+                begin(in, n, attempt.exchange.command.id);
+            }
         } else if (line.startsWith("HD ") && attempt.exchange.command.write) {
             flags(attempt, line, 3);
             String receipt = MetaCodec.flag(line, 3, 'c');
@@ -158,6 +170,7 @@
         int whole = head.length() + length + 2;
         if (!connection.account().charge(Holding.READING, whole)) {
             skipping = length + 2;
+            skipped = Outcome.ERROR;
             dispatcher.cuts().count(Cut.NO_ROOM);
             return;
         }
@@ -165,13 +178,46 @@
         answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
     }
 
+    private void beginLong(ByteBuf in, int length, Attempt attempt) {
+        String head = MetaCodec.valueHead(length, attempt.exchange.command.id);
+        passage = connection.begin(MetaCodec.text(in.alloc(), head));
+        left = length + 2;
+        if (passage == null) {
+            skipping = left;
+            skipped = Outcome.OK;
+        }
+    }
+
+    /** All but the value's last byte goes on as it comes; that one once the line's end behind it is there. */
+    private void pass(ByteBuf in) throws MetaCodec.SyntaxException {
+        int n = Math.min(in.readableBytes(), left);
+        boolean last = n == left;
+        if (last) {
+            int end = in.readerIndex() + n - 2;
+            if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
+                throw new MetaCodec.SyntaxException("value without end");
+            }
+        } else {
+            n = Math.min(n, left - TAIL);
+        }
+        if (n <= 0) {
+            return;
+        }
+        left -= n;
+        connection.passOn(passage, in.alloc().buffer(n, n).writeBytes(in, n));
+        if (last && passage != null) { // or its client's end has ended this connection
+            passage = null;
+            ended(in, Outcome.OK, note, report, null);
+        }
+    }
+
     /** The value is lost and not the connection, with all that waits on it. */
     private void skip(ByteBuf in) {
         int n = Math.min(in.readableBytes(), skipping);
         in.skipBytes(n);
         skipping -= n;
         if (skipping == 0) {
-            ended(in, Outcome.ERROR, 0, report, null);
+            ended(in, skipped, 0, report, null);
         }
     }
 
@@ -190,6 +236,7 @@
     }
 
     private void drop() {
+        passage = null;
         if (answer != null) {
             connection.account().release(Holding.READING, answer.capacity());
             answer.release();
@@ -220,7 +267,13 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-        super.channelReadComplete(ctx);
+        if (connection.paused()) {
+            // The base class would read on by itself, as it has handed on no message.
+            discardSomeReadBytes();
+            ctx.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(ctx);
+        }
         connection.account().set(Holding.INPUT, internalBuffer().capacity());
         connection.readSome();
     }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -405,7 +405,15 @@
     private void flushAnswers() {
         boolean wrote = false;
         Exchange head;
-        while (!finished && (head = exchanges.peek()) != null && head.answer != null) {
+        while (!finished && (head = exchanges.peek()) != null && (head.answer != null || head.passage != null)) {
+            if (head.passage != null) {
+                wrote |= writeParts(head.passage);
+                if (!head.passage.done()) {
+                    break;
+                }
+                exchanges.poll();
+                continue;
+            }
             int bytes = head.answer.readableBytes();
             int held = head.held;
             owedBytes += bytes;
@@ -423,7 +431,52 @@
         endIfDone();
     }
 
-    /** A whole answer has gone to the network, or with its connection. */
+    private boolean writeParts(Passage passage) {
+        boolean wrote = false;
+        for (ByteBuf part; (part = passage.next()) != null; wrote = true) {
+            int bytes = part.readableBytes();
+            owedBytes += bytes;
+            ctx.write(part).addListener(f -> {
+                account.release(Holding.PASSING, bytes);
+                taken(bytes, 0);
+                passage.taken(bytes);
+            });
+        }
+        return wrote;
+    }
+
+    /** The next part of a long value that is passed on as the request's answer; takes it over. */
+    void part(Exchange exchange, ByteBuf part) {
+        if (finished) {
+            part.release();
+            return;
+        }
+        account.set(Holding.PASSING, account.held(Holding.PASSING) + part.readableBytes());
+        exchange.passage.add(part);
+        flushAnswers();
+        exchange.passage.regulate();
+    }
+
+    /** A long value has come to its end, or its server to one before that. */
+    void passed(Exchange exchange, boolean whole) {
+        Passage passage = exchange.passage;
+        dispatcher.figures().ended(exchange.kind, whole ? Figures.End.ANSWERED : Figures.End.ERRORED);
+        if (whole) {
+            passage.whole();
+            account.answered();
+            house.served(this);
+            flushAnswers();
+        } else if (passage.begun()) {
+            // Only the connection's end tells the client that the value is not whole.
+            ctx.close();
+        } else {
+            account.release(Holding.PASSING, passage.drop());
+            exchange.passage = null;
+            answer(exchange, MetaCodec.text(ctx.alloc(), MetaCodec.FAILED), null);
+        }
+    }
+
+    /** A whole answer, or a part of one, has gone to the network, or with its connection. */
     private void taken(int bytes, int held) {
         account.release(Holding.ANSWER, held);
         owedBytes -= bytes;
@@ -500,7 +553,13 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        super.channelReadComplete(context);
+        if (readPaused) {
+            // The base class would read on by itself, as it has handed on no message.
+            discardSomeReadBytes();
+            context.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(context);
+        }
         settle();
     }
 
@@ -522,6 +581,9 @@
             incoming = null;
         }
         for (Exchange e; (e = exchanges.poll()) != null;) {
+            if (e.passage != null) {
+                account.release(Holding.PASSING, e.passage.drop());
+            }
             if (e.answer != null) {
                 account.release(Holding.ANSWER, e.held);
                 e.answer.release();
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -333,7 +333,8 @@
             }
             if (u == null) {
                 boolean origin = settings.aside() && h.member().kind() == settings.originKind();
-                u = new Upstream(id, origin, this, dialer, origin ? originConnections() : cacheConnections(),
+                int connections = origin ? originConnections() : cacheConnections();
+                u = new Upstream(id, origin, this, dialer, connections, origin ? connections : passingConnections(),
                         origin ? 1 : config.streamsPerConnection());
                 upstreams.put(id, u);
             }
@@ -368,6 +369,10 @@
         return Math.max(1, Math.min(4, 28 / Math.max(1, settings.instances())));
     }
 
+    private int passingConnections() {
+        return Math.max(cacheConnections() + 1, Math.min(12, 40 / Math.max(1, settings.instances())));
+    }
+
     private int originConnections() {
         return Math.max(4, Math.min(48, 240 / Math.max(1, settings.instances())));
     }
@@ -448,9 +453,11 @@
 
     private void due(Exchange x) {
         for (int i = 0; i < x.attempts.size(); i++) {
-            expire(x.attempts.get(i));
+            if (x.passage == null || x.passage.attempt != x.attempts.get(i)) {
+                expire(x.attempts.get(i));
+            }
         }
-        if (x.over) {
+        if (x.over || x.passage != null) {
             return;
         }
         x.timer = after(OVERDUE_MS, () -> {
@@ -477,11 +484,36 @@
     void gone(Exchange x) {
         if (!x.over) {
             over(x);
+            if (x.passage != null) { // nobody is left who takes its rest
+                Attempt a = x.passage.attempt;
+                a.connection.giveUp(a);
+                tell(() -> end(a, Outcome.CANCELLED, 0, null, null));
+            }
             tell(() -> module.onGone(now(), x.id, this));
             free(x);
         }
     }
 
+    /**
+     * A server has begun a value that is too long to be held until it is whole: it is passed on as it comes, with
+     * this line before it. From here on it is the request's one answer, however long it takes. Null: nobody wants it.
+     */
+    Passage begin(Attempt a, UpstreamConnection from, ByteBuf head) {
+        Exchange x = a.exchange;
+        if (a.ended || x.over || x.passage != null) {
+            head.release();
+            return null;
+        }
+        x.passage = new Passage(a, from, accounts, now());
+        stop(a.timer);
+        stop(x.timer);
+        x.client.part(x, head);
+        if (!x.over) { // or its client had to go
+            tell(() -> guard(x, () -> module.onFirstByte(now(), x.id, a.index, a.server, this)));
+        }
+        return x.over ? null : x.passage;
+    }
+
     // ---- ends of attempts
 
     /** The one end of an attempt. An answer, where there is one, is the client's if none has come before. */
@@ -494,14 +526,18 @@
         }
         a.ended = true;
         stop(a.timer);
-        double elapsed = now() - a.sentMs;
         Exchange x = a.exchange;
+        boolean passed = x != null && x.passage != null && x.passage.attempt == a;
+        double elapsed = (passed ? x.passage.beganMs : now()) - a.sentMs;
         if (x == null) {
             tell(() -> module.onProbed(now(), a.server, outcome, elapsed, report, this));
             return;
         }
         x.out--;
-        if (answer != null && x.over) {
+        if (passed && !x.over) {
+            over(x);
+            x.client.passed(x, outcome == Outcome.OK);
+        } else if (answer != null && (x.over || x.passage != null)) {
             answer.release();
         } else if (answer != null) {
             over(x);
@@ -521,7 +557,7 @@
 
     /** The final answer where no server gave it. */
     private void finish(Exchange x, String text) {
-        if (x.over) {
+        if (x.over || x.passage != null) {
             return;
         }
         over(x);
@@ -552,7 +588,7 @@
     @Override
     public void place(int request, int server, double timeoutMs) {
         Exchange x = exchanges.get(request);
-        if (x == null || x.over) {
+        if (x == null || x.over || x.passage != null) {
             log("order for a request that is over");
             return;
         }
@@ -595,7 +631,7 @@
     public void cancel(int request, int attempt) {
         Exchange x = exchanges.get(request);
         Attempt a = x == null || attempt >= x.attempts.size() ? null : x.attempts.get(attempt);
-        if (a == null || a.ended) {
+        if (a == null || a.ended || x.passage != null && x.passage.attempt == a) {
             return;
         }
         if (a.connection != null) {
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -26,6 +26,8 @@
     boolean unsafe;
     /** It may be repeated at will, also when it has run. */
     boolean safe;
+    /** The long value that is on its way to the client as its one answer; null: none is. */
+    Passage passage;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
     int out;
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -14,11 +14,13 @@
     /** The longest value that a client may send. */
     static final int MAX_VALUE = 64 << 10;
     /**
-     * The longest value of an answer: what a cache node stores at most by its own default. Nodes and origin hold
-     * values that are longer than clients may write; taking those for spoilt costs all that waits on their
-     * connection, again with each try. What is longer is no value but a broken length.
+     * The longest value of an answer. Nodes and origin hold values that are longer than clients may write; taking
+     * those for spoilt costs all that waits on their connection, again with each try. What is longer is no value but
+     * a broken length.
      */
-    static final int MAX_ANSWER = 1 << 20;
+    static final int MAX_ANSWER = 4 << 20;
+    /** A longer one is passed on in parts; up to this it is handed on whole, and nothing of a spoilt one shows. */
+    static final int MAX_WHOLE = 64 << 10;
     /** Lines hold a key (250 bytes at most) and short lists; one that is longer has lost its framing. */
     static final int MAX_LINE = 4096;
     /** A key's greatest length in this protocol; ids and receipts are shorter. */
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -41,6 +41,11 @@
     private HttpResponse response;
     /** The body so far; null while there is no response. */
     private ByteBuf body;
+    /** The long value that is passed on as it comes, with the bytes still to come; null: none is. */
+    private Passage passage;
+    private long left;
+    /** The body is not wanted and is read past. */
+    private boolean skipping;
     /** What is reserved of the byte budget for the body. */
     private int reserved;
     private boolean broken;
@@ -137,7 +142,11 @@
             begin(ctx, r);
         }
         if (response != null && message instanceof HttpContent content) {
-            content(content.content());
+            if (passage != null) {
+                pass(ctx, content.content());
+            } else if (!skipping) {
+                content(content.content());
+            }
             if (!broken && content instanceof LastHttpContent) {
                 end(ctx);
             }
@@ -161,9 +170,15 @@
             fail("no header");
         } else if (id != null && attempt.exchange != null && !id.equals(attempt.exchange.command.id)) {
             fail("answer to another request");
-        } else if (length < 0 && !HttpUtil.isTransferEncodingChunked(r) || length > MetaCodec.MAX_ANSWER) {
-            // Where only the connection's end ends the body, none can tell whether it is whole.
-            fail("no length or too long");
+        } else if (length < 0 && !HttpUtil.isTransferEncodingChunked(r) && !closes(r) || length > MetaCodec.MAX_ANSWER) {
+            fail("no length or too long: " + r.status() + " " + length + " " + r.headers().entries());
+        } else if (length > MetaCodec.MAX_WHOLE && r.status().code() == 200 && attempt.exchange != null
+                && !attempt.exchange.command.write) {
+            response = r;
+            left = length;
+            passage = connection.begin(MetaCodec.text(ctx.alloc(),
+                    MetaCodec.valueHead((int) length, attempt.exchange.command.id)));
+            skipping = passage == null;
         } else {
             reserved = (int) Math.max(0, length);
             if (!connection.account().charge(Holding.READING, reserved)) {
@@ -176,6 +191,24 @@
         }
     }
 
+    /** All but the value's last byte goes on as it comes; that one with the end of the message. */
+    private void pass(ChannelHandlerContext ctx, ByteBuf part) {
+        left -= part.readableBytes();
+        if (left < 0) {
+            fail("too long");
+        } else if (part.isReadable() && left > 0) {
+            connection.passOn(passage, ctx.alloc().buffer(part.readableBytes()).writeBytes(part));
+        } else if (part.isReadable()) {
+            connection.passOn(passage, ctx.alloc().buffer(part.readableBytes() + 2).writeBytes(part).writeByte('\r')
+                    .writeByte('\n'));
+        }
+    }
+
+    /** Its end is that of the connection, and the origin says that it means it so (RFC 9112, section 6.3, case 8). */
+    private static boolean closes(HttpResponse r) {
+        return r.headers().containsValue(HttpHeaderNames.CONNECTION, "close", true);
+    }
+
     private void content(ByteBuf part) {
         int more = body.readableBytes() + part.readableBytes() - reserved;
         if (reserved + more > MetaCodec.MAX_ANSWER) {
@@ -190,11 +223,16 @@
 
     private void end(ChannelHandlerContext ctx) {
         HttpResponse r = response;
-        ByteBuf whole = body.retain();
-        drop();
         boolean last = !HttpUtil.isKeepAlive(r);
         Attempt attempt = connection.head();
         float[] report = dispatcher.report(r.headers().get("Srv-Load"));
+        if (passage != null || skipping) {
+            drop();
+            connection.ended(Outcome.OK, 0, report, null, last);
+            return;
+        }
+        ByteBuf whole = body.retain();
+        drop();
         int code = r.status().code();
         try {
             if (attempt.exchange == null) {
@@ -237,6 +275,8 @@
 
     private void drop() {
         response = null;
+        passage = null;
+        skipping = false;
         within = false;
         connection.account().release(Holding.READING, reserved);
         reserved = 0;
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -25,16 +25,19 @@
     private final Dispatcher dispatcher;
     private final Dialer dialer;
     private final int maxConnections;
+    /** With those on which a long value passes, which may take seconds and has whatever comes behind it wait. */
+    private final int mostConnections;
     private final int maxDepth;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
     Upstream(int id, boolean origin, Dispatcher dispatcher, Dialer dialer, int maxConnections,
-            int maxDepth) {
+            int mostConnections, int maxDepth) {
         this.id = id;
         this.origin = origin;
         this.dispatcher = dispatcher;
         this.dialer = dialer;
         this.maxConnections = maxConnections;
+        this.mostConnections = mostConnections;
         this.maxDepth = maxDepth;
     }
 
@@ -47,9 +50,11 @@
         UpstreamConnection best = null;
         UpstreamConnection unsettled = null;
         int open = 0;
+        int passing = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection c = connections.get(i);
-            open += c.closing() ? 0 : 1;
+            open += c.closing() || c.passing() ? 0 : 1;
+            passing += c.passing() ? 1 : 0;
             if (!c.usable(maxDepth)) {
                 continue;
             }
@@ -59,7 +64,8 @@
                 best = c;
             }
         }
-        if ((best == null || best.depth() > 0) && open < maxConnections && dispatcher.roomUpstream()) {
+        if ((best == null || best.depth() > 0) && open < maxConnections && open + passing < mostConnections
+                && dispatcher.roomUpstream()) {
             best = open();
         }
         if (best == null && !origin) {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -47,6 +47,11 @@
      */
     private static final double HOLD_MIN_MS = 2;
     private static final double HOLD_MAX_MS = 10;
+    /**
+     * A long value that is being passed on and of which nothing has come for so long is not waited for: its length
+     * does not fit, or its server has gone. Servers may be slow, and what is cut off is lost to the client.
+     */
+    private static final double PASSING_STALL_MS = 5000;
 
     private final Upstream upstream;
     private final Account account;
@@ -63,6 +68,9 @@
     private int abandoned;
     /** The attempt whose last byte is still to be written; nothing else may go out before that. */
     private Attempt held;
+    /** The long value that is being passed on; null: none is. */
+    private Passage passage;
+    private boolean paused;
     private double openedMs;
     private double holdMs;
     private double idleSinceMs;
@@ -124,7 +132,7 @@
 
     /** Not closing, and no answer that nobody waits for stands before what would be sent. */
     boolean usable(int maxDepth) {
-        return !closed && !retired && held == null && abandoned == 0 && attempts.size() < maxDepth
+        return !closed && !retired && held == null && abandoned == 0 && passage == null && attempts.size() < maxDepth
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
@@ -211,6 +219,9 @@
         }
         if (attempts.contains(attempt)) {
             attempt.abandoned = true;
+            if (passage != null && passage.attempt == attempt) {
+                reads(true);
+            }
             if (++abandoned == attempts.size()) {
                 close();
             }
@@ -232,6 +243,13 @@
      * the connection is reset from here, and reads go to the runner-up. All on it may have run.
      */
     void sweep(double now) {
+        if (passage != null) {
+            if (!paused && now - readMs > PASSING_STALL_MS) {
+                upstream.dispatcher().cuts().count(Cut.SLOW_NODE);
+                garbage("a long value that does not end");
+            }
+            return;
+        }
         if (pace.tooSlow(now, 1)) {
             upstream.dispatcher().cuts().count(Cut.SLOW_NODE);
             if (now - readMs >= upstream.dispatcher().limits().nodeAnswer().graceMs()) {
@@ -256,6 +274,48 @@
         }
     }
 
+    // ---- a long value
+
+    /** Its answer is a long value, which this line begins. Null: nobody wants it, it is to be read past. */
+    Passage begin(ByteBuf head) {
+        Passage begun = upstream.dispatcher().begin(attempts.peek(), this, head);
+        if (closed) {
+            return null;
+        }
+        passage = begun;
+        pace.end();
+        return begun;
+    }
+
+    /** The next bytes of it; takes the buffer over. */
+    void passOn(Passage to, ByteBuf part) {
+        if (to.attempt.exchange.over) {
+            part.release(); // its client has left; what is on the connection behind it still comes
+            reads(true);
+        } else {
+            to.attempt.exchange.client.part(to.attempt.exchange, part);
+        }
+    }
+
+    /** Whether a long value is on its way here. */
+    boolean passing() {
+        return passage != null;
+    }
+
+    /** Whether nothing more is to be read for now. */
+    boolean paused() {
+        return paused;
+    }
+
+    /** Whether to go on reading. */
+    void reads(boolean on) {
+        if (paused == on && channel != null) {
+            paused = !on;
+            readMs = upstream.dispatcher().now(); // what stood still is not the server's own
+            channel.config().setAutoRead(on);
+        }
+    }
+
     // ---- what the codec has read
 
     /** The attempt whose answer comes next; null if none is out, so that what comes is not the protocol's. */
@@ -271,7 +331,7 @@
 
     /** What has come has been used as far as it goes. */
     void readSome() {
-        if (codec.within()) {
+        if (codec.within() && passage == null) {
             pace.begin(upstream.dispatcher().now());
         } else {
             pace.end();
@@ -282,6 +342,10 @@
     void ended(Outcome outcome, int note, float[] report, ByteBuf answer, boolean surplus) {
         Attempt attempt = attempts.poll();
         pace.end();
+        if (passage != null) {
+            passage = null;
+            reads(true);
+        }
         if (attempt == held) { // answered before it was whole: its rest is not sent
             held = null;
             retired = true;
