Clients leave the old process over a second and it listens until the new one serves

Reproduced on two cores a lane: 230 requests ended at the door in one upgrade, the new process cold (warm-up cut at its cap, not settled) and met by all clients within some 300 ms. The old process now listens for 0.5 s more, its connections leave over 1 s by lot, and a successor that does not serve yet is waited for. What is taken late in a drain is answered before the kill. An address for calls that is taken is named.

--- a/src/main/java/damsonworks/control/Succession.java
+++ b/src/main/java/damsonworks/control/Succession.java
@@ -6,17 +6,29 @@
  */
 public final class Succession {
     /**
-     * How long a new one may warm up beside the old, in milliseconds. It has 6 s until it must be ready, and the JVM
-     * takes one or two of them; nobody is kept waiting meanwhile, as the old one serves.
+     * How long a new one may warm up beside the old, in milliseconds. It has 6 s until the old one is told to end, and
+     * the JVM takes one to three of them; nobody is kept waiting meanwhile, as the old one serves.
      */
     public static final double WARM_MS = 3200;
     /** Connections go on coming for so long after a planned end where nobody takes over, with room for a slow machine. */
     private static final double LISTEN_ON_MS = 500;
     /**
-     * With a successor, connections that stand idle are left open for so long, so that each ends behind the answer to
-     * its next request: a client whose request crosses the end of its connection has to send it again.
+     * Where another process is there and does not serve yet, the old one listens for it for so long at most: it is told
+     * to end by the clock, and is killed when its own requests must be over.
      */
+    private static final double WAIT_MS = 1200;
+    /**
+     * With a successor, connections leave over this time, each behind the answer to its next request: a client whose
+     * request crosses the end of its connection has to send it again. Guards the successor against all clients at once,
+     * when its code has served few of them yet.
+     */
+    private static final double LEAVE_MS = 1000;
+    /** After that, those that stand idle. */
     private static final double IDLE_MS = 1200;
+    /** One that is told to end is killed so long after its longest request must be over (PROTOCOL), less some room. */
+    private static final double KILLED_MS = 700 - 100;
+    /** Longer deadlines do not count for that. */
+    private static final double LONGEST_MS = 3000;
 
     /** Descriptors that both processes need for themselves: JVM, listeners, discovery, peers, operators' calls. */
     private static final int OWN = 64;
@@ -30,9 +42,9 @@
 
     private Succession() { }
 
-    /** Descriptors that a process holds. */
-    public record Holds(int clients, int servers) {
-        public static final Holds NOTHING = new Holds(0, 0);
+    /** Descriptors that a process holds, and whether it takes clients' requests. */
+    public record Holds(int clients, int servers, boolean serves) {
+        public static final Holds NOTHING = new Holds(0, 0, false);
     }
 
     /**
@@ -56,13 +68,23 @@
         return Math.min(most / 2, other.servers());
     }
 
-    /** How long one that is told to end goes on taking connections. */
-    public static double listenMs(boolean beside) {
-        return beside ? 0 : LISTEN_ON_MS;
+    /** Whether one that was told to end so long ago still takes connections. */
+    public static boolean listens(double toldMs, Holds other) {
+        return toldMs < (other.serves() || other.equals(Holds.NOTHING) ? LISTEN_ON_MS : WAIT_MS);
+    }
+
+    /** Over how long clients leave, from when the successor serves or from when it has stopped listening. */
+    public static double leaveMs(Holds other) {
+        return other.serves() ? LEAVE_MS : 0;
+    }
+
+    /** How long after it was told to end all that it has taken must be answered, where the longest deadline is this. */
+    public static double answeredMs(double deadlineMs) {
+        return Math.min(deadlineMs, LONGEST_MS) + KILLED_MS;
     }
 
-    /** After how long it ends the connections that stand idle. */
-    public static double idleMs(boolean beside) {
-        return beside ? IDLE_MS : LISTEN_ON_MS;
+    /** How long after that it ends the connections that stand idle. */
+    public static double idleMs(Holds other) {
+        return other.serves() ? IDLE_MS : 0;
     }
 }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -89,11 +89,13 @@
     private long takenWhole;
     private long takenSeen;
     private Object address = "";
+    private final double lot;
 
     ClientConnection(Dispatcher dispatcher, House house) {
         this.dispatcher = dispatcher;
         this.house = house;
         account = dispatcher.accounts().open();
+        lot = dispatcher.lot();
         writing = new Pace(dispatcher.limits().clientWrite());
         taking = new Pace(dispatcher.limits().clientRead());
     }
@@ -483,7 +485,7 @@
         takenWhole += bytes;
         if (owedBytes == 0) {
             taking.end();
-            if (closing || dispatcher.draining()) {
+            if (closing || dispatcher.leaves(lot)) {
                 ctx.executor().execute(this::endIfDone); // not from within the flush that has just written it
             }
         }
@@ -494,7 +496,7 @@
 
     /** Ends the connection where that waited only for its last answer to be taken. */
     private void endIfDone() {
-        if (exchanges.isEmpty() && owedBytes == 0 && (closing || dispatcher.draining() && idle())) {
+        if (exchanges.isEmpty() && owedBytes == 0 && (closing || dispatcher.leaves(lot) && idle())) {
             finish();
         }
     }
--- a/src/main/java/damsonworks/proxy/ControlFront.java
+++ b/src/main/java/damsonworks/proxy/ControlFront.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -87,14 +88,18 @@
         this.desk = desk;
         this.folder = new SharedFolder(folder);
         beside = this.folder.exchange(desk.holds());
-        server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         enter(channel);
                     }
-                }).bind(address).sync().channel();
+                }).bind(address).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("operators' calls at " + address + ": " + bound.cause().getMessage());
+        }
+        server = bound.channel();
     }
 
     /** What another process held when this one began. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -61,6 +61,8 @@
      * Guards against a round in which each attempt has an idle connection closed and opens one of its own.
      */
     private static final int RELEASING = 16;
+    /** The golden ratio's fraction: multiples of it lie evenly. */
+    private static final double GOLDEN = 0.6180339887498949;
     private static final String ID_IN_USE = "the id is another open request's";
 
     /** Lines on standard error; their number is bounded for each minute, so that long runs stay readable. */
@@ -95,6 +97,10 @@
     private boolean stopped;
     private boolean busy;
     private boolean draining;
+    private double leaveFromMs;
+    private double leaveOverMs;
+    private double lots;
+    private double answerByMs = Double.POSITIVE_INFINITY;
     private int nextId;
     private int upstreamCount;
     private int upstreamReleasing;
@@ -259,8 +265,27 @@
         return draining;
     }
 
-    void drain() {
+    /** Clients' connections end from now on, over this time, each behind an answer. */
+    void drain(double nowMs, double overMs) {
         draining = true;
+        leaveFromMs = nowMs;
+        leaveOverMs = overMs;
+    }
+
+    /** Whether a connection with this lot, from 0 to 1, is to end behind its answer. */
+    boolean leaves(double lot) {
+        return draining && now() >= leaveFromMs + lot * leaveOverMs;
+    }
+
+    /** A lot for a connection; one after the other they cover the range evenly. */
+    double lot() {
+        lots += GOLDEN;
+        return lots -= Math.floor(lots);
+    }
+
+    /** Whatever clients would wait, all that is taken is answered by then: this process ends. */
+    void answerBy(double ms) {
+        answerByMs = ms;
     }
 
     void left(ClientConnection client) {
@@ -418,6 +443,7 @@
         int tenant = tenants.isEmpty() ? 0 : tenants.get(MetaCodec.named(c.extras, "t"));
         double wait = figure(c, "d", 0);
         wait -= Math.min(ANSWER_AHEAD_MS, wait / 10);
+        wait = Math.max(1, Math.min(wait, answerByMs - now));
         x.id = nextId++;
         Effect effect = settings.classes().get(kind).effect();
         x.unsafe = effect == Effect.UNSAFE;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -62,14 +62,14 @@
     private final ControlFront control;
     private final Names names;
     private volatile boolean ready;
-    private volatile boolean beside;
-    private volatile Succession.Holds holds = new Succession.Holds(1, 0);
+    private volatile Succession.Holds holds = new Succession.Holds(1, 0, false);
     private volatile Succession.Holds other = Succession.Holds.NOTHING;
     private volatile int configsRead = 1;
     private volatile int configsRefused;
     private double drainEndsMs;
-    private double listenEndsMs;
+    private double toldMs;
     private double idleEndsMs;
+    private volatile double longestMs;
 
     private Proxy(Config config, ByteBufAllocator allocator) throws InterruptedException, IOException {
         this.config = config;
@@ -82,10 +82,9 @@
         if (control != null) {
             discovery.nameKnown();
             other = control.begunBeside();
-            beside = !other.equals(Succession.Holds.NOTHING);
             control.follow();
         }
-        WarmUp warmUp = new WarmUp(loop, config, allocator, peers, beside);
+        WarmUp warmUp = new WarmUp(loop, config, allocator, peers, other.serves());
         loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
         dispatcher.log(warmUp.toString());
         loop.submit(() -> {
@@ -162,7 +161,6 @@
 
         @Override
         public void beside(Succession.Holds holds) {
-            beside = !holds.equals(Succession.Holds.NOTHING);
             other = holds;
         }
     }
@@ -170,7 +168,7 @@
     /** Tells another process of this proxy what this one holds, and makes room for what that one does. */
     private void share() {
         // It holds something at least: who holds nothing is not there.
-        holds = new Succession.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse());
+        holds = new Succession.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
         dispatcher.reserveUpstream(other);
         door.reserve(config.sockets(), other);
         loop.schedule(this::share, SHARE_MS, TimeUnit.MILLISECONDS);
@@ -266,13 +264,13 @@
         for (ServiceClass c : config.settings().classes()) {
             longest = Math.max(longest, c.deadlineMs());
         }
-        double wait = longest;
+        longestMs = longest;
         ready = false;
         loop.execute(() -> {
-            double now = dispatcher.now();
-            listenEndsMs = now + Succession.listenMs(beside);
-            idleEndsMs = now + Succession.idleMs(beside);
-            drainEndsMs = idleEndsMs + wait + 150;
+            toldMs = dispatcher.now();
+            idleEndsMs = Double.POSITIVE_INFINITY;
+            drainEndsMs = Double.POSITIVE_INFINITY;
+            dispatcher.answerBy(toldMs + Succession.answeredMs(longestMs));
             drainOn();
         });
         try {
@@ -284,8 +282,13 @@
 
     private void drainOn() {
         double now = dispatcher.now();
-        if (now >= listenEndsMs && !dispatcher.draining()) {
-            dispatcher.drain();
+        boolean listens = Succession.listens(now - toldMs, other);
+        if (!dispatcher.draining() && (other.serves() || !listens)) {
+            dispatcher.drain(now, Succession.leaveMs(other));
+            idleEndsMs = now + Succession.idleMs(other);
+            drainEndsMs = idleEndsMs + longestMs + 150;
+        }
+        if (!listens && server.isOpen()) {
             server.closeEmpty(BACKLOG / Door.batch());
         }
         if (now >= idleEndsMs) {
--- a/src/main/java/damsonworks/proxy/SharedFolder.java
+++ b/src/main/java/damsonworks/proxy/SharedFolder.java
@@ -26,9 +26,9 @@
     private static final String SLOTS = "damsonworks.slots";
     /** A slot can be held for a moment by one who only looks whether it is. */
     private static final int TRIES = 10;
-    /** Behind the bytes that are locked, for each slot: clients and servers, big-endian. */
+    /** Behind the bytes that are locked, for each slot: clients, servers, 1 if it serves; big-endian. */
     private static final int HOLDS_AT = 8;
-    private static final int HOLDS_BYTES = 2 * Integer.BYTES;
+    private static final int HOLDS_BYTES = 3 * Integer.BYTES;
 
     private final Path log;
     private FileChannel slots;
@@ -87,7 +87,8 @@
         if (slots == null) {
             return Succession.Holds.NOTHING;
         }
-        slots.write(ByteBuffer.allocate(HOLDS_BYTES).putInt(holds.clients()).putInt(holds.servers()).flip(),
+        slots.write(ByteBuffer.allocate(HOLDS_BYTES).putInt(holds.clients()).putInt(holds.servers())
+                .putInt(holds.serves() ? 1 : 0).flip(),
                 HOLDS_AT + slot * HOLDS_BYTES);
         ByteBuffer other = ByteBuffer.allocate(HOLDS_BYTES);
         if (!beside()) {
@@ -95,8 +96,9 @@
         }
         slots.read(other, HOLDS_AT + (1 - slot) * HOLDS_BYTES);
         // One that has just begun may not have written yet.
-        return other.hasRemaining() ? new Succession.Holds(1, 0)
-                : new Succession.Holds(Math.max(1, other.getInt(0)), Math.max(0, other.getInt(Integer.BYTES)));
+        return other.hasRemaining() ? new Succession.Holds(1, 0, false)
+                : new Succession.Holds(Math.max(1, other.getInt(0)), Math.max(0, other.getInt(Integer.BYTES)),
+                        other.getInt(2 * Integer.BYTES) == 1);
     }
 
     /** The nodes that are out now; null where nothing has changed since it was last asked. */
--- a/src/test/java/damsonworks/control/ControlRulesTest.java
+++ b/src/test/java/damsonworks/control/ControlRulesTest.java
@@ -48,7 +48,18 @@
     @CsvSource({"384, 192, 40, 0, 0, 0", "384, 192, 40, 1, 0, 0", "384, 192, 40, 60, 40, 60", "384, 192, 40, 90, 60, 110",
         "384, 192, 128, 192, 128, 144", "256, 107, 20, 50, 20, 53"})
     void togetherTheyHoldWhatOneMay(int sockets, int places, int servers, int clients, int itsServers, int left) {
-        Succession.Holds other = new Succession.Holds(clients, itsServers);
+        Succession.Holds other = new Succession.Holds(clients, itsServers, true);
         assertThat(Succession.clientsLeft(sockets, places, servers, other)).isEqualTo(left);
     }
+
+    /** Told to end so long ago, beside nobody, one that starts or one that serves: whether it takes connections. */
+    @ParameterizedTest
+    @CsvSource({"0, nobody, true", "499, nobody, true", "500, nobody, false", "499, serves, true", "500, serves, false",
+        "1199, starts, true", "1200, starts, false"})
+    void itListensUntilSomebodyElseDoes(double ms, String other, boolean listens) {
+        Succession.Holds holds = other.equals("nobody") ? Succession.Holds.NOTHING
+                : new Succession.Holds(1, 0, other.equals("serves"));
+        assertThat(Succession.listens(ms, holds)).isEqualTo(listens);
+        assertThat(Succession.idleMs(holds) > 0).isEqualTo(other.equals("serves"));
+    }
 }
