A cold server is sent its part of what warm ones of its kind answer

A cold server's sends are now bounded by its capacity's part of what warm ones of its kind answer, which holds whatever set of keys it has and however much is asked again, so its ramp is used whole. Where no warm one has answered it is as before. Rejected: a smaller margin (no bound when half the fleet is away), one by how much of the fleet is away (no gain).

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -19,10 +19,15 @@
     private static final double DOUBT_SHARE = 0.05;
     private static final double DOUBT_SAVED = 5;
     /**
-     * A cold server takes this part less than it could: with half the fleet gone each key set is twice as
-     * large.
+     * A cold server is sent its part of what the warm ones of its kind answer, at most; this many may be
+     * saved up. Guards it however large its set of keys is and however much is asked again; a fixed half of
+     * its ramp, less the more was asked, left it idle while warm ones turned requests away.
      */
+    private static final double COLD_SAVED = 2;
+    /** While no warm one has answered, it takes this part less than it could: it may have more keys. */
     private static final double COLD_MARGIN = 2;
+    /** Answers of warm servers are counted over about this time. */
+    private static final double ANSWERS_MS = 2000;
     /** Ranks kept per request: with half the fleet lost, all eight are down for one key in 256. */
     private static final int RANKS = 8;
     /** A server out of reach is tried again after this many connect time-outs, doubled at each failure. */
@@ -78,6 +83,11 @@
         int doubts;
         boolean trial;
         boolean probed;
+        /** Answers lately, fading; what a cold one may still be sent, and when that was last looked at. */
+        double answers;
+        double answersAt;
+        double allowed = COLD_SAVED;
+        double allowedAt;
         /** When it was last taken out by hand and when it came back; 0: never. */
         double outMs;
         double backMs;
@@ -704,9 +714,35 @@
         }
         double age = now - bornMs(s);
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
-        double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
+        double warm = warmRate(now, s);
+        double ramp = warm > 0 ? Math.min(1, capacity) : capacity / COLD_MARGIN / crowd.pressure(now);
         boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
-        return fair && Carp.lot(f.keyHash, s.hash) < ramp;
+        if (!fair || Carp.lot(f.keyHash, s.hash) >= ramp) {
+            return false;
+        }
+        if (warm > 0) {
+            double more = capacity * warm * Math.max(0, now - Math.max(s.allowedAt, s.member.bornMs()));
+            s.allowed = Math.min(COLD_SAVED, s.allowed + more);
+            s.allowedAt = now;
+            if (s.allowed < 1) {
+                return false;
+            }
+            s.allowed--;
+        }
+        return true;
+    }
+
+    /** Answers a millisecond of a warm server like this one, on the mean; 0: none has answered. */
+    private double warmRate(double now, Server like) {
+        double sum = 0;
+        int n = 0;
+        for (Server s : ranked) {
+            if (s.member.kind() == like.member.kind() && s.failures == 0 && !cold(now, s)) {
+                sum += s.answers * Math.exp((s.answersAt - now) / ANSWERS_MS);
+                n++;
+            }
+        }
+        return n == 0 ? 0 : sum / n / ANSWERS_MS;
     }
 
     private boolean cold(double now, Server s) {
@@ -838,6 +874,10 @@
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
                 s.breaks = 0;
+                if (!s.ofOrigin && end.outcome() != Outcome.FULL) {
+                    s.answers = s.answers * Math.exp((s.answersAt - now) / ANSWERS_MS) + 1;
+                    s.answersAt = now;
+                }
                 if (!s.ofOrigin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
                     crowd.asked(now);
                 }
