A test that fails without the bound on a cold server's sends

Reading the change again with its code taken out part by part: the test of the cold server's part passed without the bound, as its ramp alone gives the same part. No main code.

--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -334,6 +334,30 @@
         assertThat(sent[2] / warm).isBetween(least, most);
     }
 
+    /** All ask for its own keys at once, a hundred in 200 ms: its part of the warm ones' answers is some four. */
+    @Test
+    void aColdServerIsNotSentABurstOfItsOwnKeys() {
+        Rig rig = Rig.aside().fleet(12);
+        rig.now = 100000;
+        for (int id = 1; id <= 1000; id++) {
+            rig.now += 4;
+            rig.read(id, id);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        rig.change(Rig.member(5, State.READY, rig.now));
+        int got = 0;
+        for (int key = 1001, asked = 0; asked < 100; key++) {
+            if (topRank(key, 12) == 5) {
+                asked++;
+                rig.now += 2;
+                rig.read(key, key);
+                got += rig.last().server() == 5 ? 1 : 0;
+                rig.end(rig.last(), Outcome.OK);
+            }
+        }
+        assertThat(got).isBetween(1, 6);
+    }
+
     /** Out by hand it gets nothing, whatever the list says, and counts as cold from its return. */
     @Test
     void aServerThatIsOutByHandGetsNothingUntilTheCallBack() {
