--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -3,7 +3,18 @@
 # (DEPLOY: as low as 32 MB).
 # Heap, direct memory, metaspace and code are all given a bound. The heap is taken whole at the start: what is
 # there from the first second does not grow, and the limit is met on the first day or not at all.
-mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$BALANCER_CONFIG" 2>/dev/null | head -n 1)
+# Up to exec the shell does all by itself: where other programs are refused (FLEET), $(...) or a pipe is no start at all.
+mb=
+if [ -r "$BALANCER_CONFIG" ]; then
+    while IFS= read -r line || [ -n "$line" ]; do
+        case "$line" in *'"memory_mb"'*)
+            line=${line#*'"memory_mb"'}
+            line=${line#"${line%%[0-9]*}"}
+            mb=${line%%[!0-9]*}
+            break ;;
+        esac
+    done <"$BALANCER_CONFIG"
+fi
 case "$mb" in '' | *[!0-9]* | ????*) mb=128 ;; esac
 if [ "$mb" -ge 96 ]; then
     heap=32 direct=$((mb / 4)) meta=32 code=16
