--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -40,6 +40,14 @@
      * of a server that is gone this many requests see a refused connection, not one, before the runner-up.
      */
     private static final int BREAKS = 3;
+    /**
+     * A server that had no place for a connection is not asked for one again for so long, up to four times
+     * as long the more often that is so. Guards against a fleet whose servers take fewer connections than
+     * there are proxies: each new try costs the server a handshake and the request an attempt, and who asks
+     * for both ranks in vain ends at the origin. Harm: a place that comes free is found that much later; its
+     * keys are kept by their runner-up meanwhile.
+     */
+    private static final double NO_PLACE_MS = 2000;
 
     private final Settings cfg;
     private final SplittableRandom random;
@@ -83,6 +91,9 @@
         /** Connections that broke since its last answer. */
         int breaks;
         double shunnedUntil;
+        /** How often in a row it had no place for a connection, and until when it is not asked for one. */
+        int noPlace;
+        double noPlaceUntil;
         int doubts;
         boolean trial;
         boolean probed;
@@ -760,6 +771,9 @@
      * traffic: a proxy that meets a server once in many seconds cannot spend a request on each meeting.
      */
     private boolean open(double now, Flight f, Server s, Actions out) {
+        if (now < s.noPlaceUntil) {
+            return false; // the draft's member that cannot be contacted, though it is well
+        }
         if (s.failures == 0 || s.probed && !s.trial) {
             return warmEnough(now, f, s);
         }
@@ -949,7 +963,7 @@
         }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
-                s.breaks = 0;
+                s.breaks = s.noPlace = 0;
                 if (!s.ofOrigin && end.outcome() != Outcome.FULL) {
                     s.answers = s.answers * Math.exp((s.answersAt - now) / ANSWERS_MS) + 1;
                     s.answersAt = now;
@@ -982,7 +996,11 @@
                 }
             }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
-                if (!s.ofOrigin) {
+                if (end.outcome() == Outcome.CONNECT_FAILED && end.note() == NOTE_NO_PLACE) {
+                    s.trial = false;
+                    double wait = NO_PLACE_MS * (1 << Math.min(s.noPlace++, 2));
+                    s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
+                } else if (!s.ofOrigin) {
                     // One already doubted is likely hung: no sign of crowding unless others are late too.
                     boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
                     if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -87,6 +87,9 @@
     /** Note on an outcome: a miss while another request has been told to fetch the same key. */
     int NOTE_FETCH_OUT = 3;
 
+    /** Note on {@link Outcome#CONNECT_FAILED}: the server is well and holds as many connections as it takes. */
+    int NOTE_NO_PLACE = 4;
+
     /** Where the module's orders go. They are carried out in order, at the time of the event. */
     interface Actions {
         /** Sends an attempt; time-out 0: until the client gives up. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -451,9 +451,14 @@
         }
     }
 
-    /** Servers accept some forty connections each, for all proxies together. */
+    /**
+     * Servers accept some forty connections each, for all proxies together, and where there are many proxies fewer
+     * than those: one each then. A fuller table takes more of a server's capacity, and requests that follow each
+     * other on one connection wait little for one another where each proxy sends a server one or two in a second.
+     */
     private int cacheConnections() {
-        return Math.max(1, Math.min(4, 28 / Math.max(1, settings.instances())));
+        int each = 28 / Math.max(1, settings.instances());
+        return each < 3 ? 1 : Math.min(4, each);
     }
 
     private int passingConnections() {
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -28,7 +28,13 @@
     /** With those on which a long value passes, which may take seconds and has whatever comes behind it wait. */
     private final int mostConnections;
     private final int maxDepth;
+    /**
+     * Where it had no place for a connection beside those there are, no further one is asked for so long: each costs
+     * it a handshake and the request that waits for it an attempt.
+     */
+    private static final double NO_PLACE_MS = 5000;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
+    private double noPlaceUntil;
 
     Upstream(int id, boolean origin, Dispatcher dispatcher, Dialer dialer, int maxConnections,
             int mostConnections, int maxDepth) {
@@ -64,8 +70,10 @@
                 best = c;
             }
         }
-        if ((best == null || best.depth() > 0) && open < maxConnections && open + passing < mostConnections
-                && dispatcher.roomUpstream()) {
+        boolean place = connections.isEmpty() || dispatcher.now() >= noPlaceUntil;
+        // Where an answer that nobody waits for stands before all else, one more is no luxury.
+        boolean wanted = best == null ? open <= maxConnections : best.depth() > 0 && open < maxConnections;
+        if (wanted && open + passing < mostConnections && place && dispatcher.roomUpstream()) {
             best = open();
         }
         if (best == null && !origin) {
@@ -96,6 +104,12 @@
         }
     }
 
+    /** It had no place for a connection. True if it holds no other one of this proxy either. */
+    boolean refused() {
+        noPlaceUntil = dispatcher.now() + NO_PLACE_MS;
+        return connections.isEmpty();
+    }
+
     boolean isEmpty() {
         return connections.isEmpty();
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.RoutingApi;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.limits.Account;
 import damsonworks.limits.Cut;
@@ -53,6 +54,14 @@
      */
     private static final double PASSING_STALL_MS = 5000;
 
+    /**
+     * A node whose table of connections is full takes a further one, answers its first request {@code busy} and
+     * closes it. So long is such an answer kept back for the close that tells it from a full queue's: nobody may
+     * be sent to that node in the one case, all may in the other. Harm: a full queue's first answer on a connection
+     * is that much late.
+     */
+    private static final double REFUSAL_MS = 2;
+
     private final Upstream upstream;
     private final Account account;
     /** Of an answer that has begun. */
@@ -66,6 +75,9 @@
     private boolean retired;
     private boolean spoilt;
     private int abandoned;
+    /** Was turned away as the first on this connection, which may be about to end for want of a place. */
+    private Attempt refused;
+    private boolean answered;
     /** The attempt whose last byte is still to be written; nothing else may go out before that. */
     private Attempt held;
     /** The long value that is being passed on; null: none is. */
@@ -132,7 +144,7 @@
 
     /** Not closing, and no answer that nobody waits for stands before what would be sent. */
     boolean usable(int maxDepth) {
-        return !closed && !retired && held == null && abandoned == 0 && passage == null && attempts.size() < maxDepth
+        return !closed && !retired && held == null && refused == null && abandoned == 0 && passage == null && attempts.size() < maxDepth
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
@@ -204,6 +216,10 @@
         if (attempt.abandoned) {
             return false;
         }
+        if (attempt == refused) {
+            refused = null;
+            return true;
+        }
         if (!connected) {
             held = attempt == held ? null : held;
             return attempts.remove(attempt);
@@ -358,12 +374,30 @@
             retired |= surplus;
         }
         // Before the module hears of it, which may want to send at once.
+        boolean first = !answered;
+        answered = true;
+        if (first && outcome == Outcome.FULL && !upstream.origin && !attempt.abandoned && !closed) {
+            refused = attempt;
+            upstream.dispatcher().after(REFUSAL_MS, () -> endRefused(Outcome.FULL, note));
+            return;
+        }
         if (attempts.isEmpty() ? retired : abandoned == attempts.size()) {
             close();
         }
         upstream.dispatcher().end(attempt, outcome, note, report, answer);
     }
 
+    private void endRefused(Outcome outcome, int note) {
+        Attempt attempt = refused;
+        if (attempt != null) {
+            refused = null;
+            if (attempts.isEmpty() && retired) {
+                close();
+            }
+            upstream.dispatcher().end(attempt, outcome, note, null, null);
+        }
+    }
+
     /**
      * What came is not the protocol's: none of the attempts on the connection will have an answer. They end as
      * errors, which may have run; it is this connection that failed, and no sign that the server can't be
@@ -391,6 +425,10 @@
         account.set(Holding.OUTPUT, 0);
         account.close();
         upstream.closed(this);
+        if (refused != null) {
+            boolean alone = upstream.refused();
+            endRefused(alone ? Outcome.CONNECT_FAILED : Outcome.FULL, alone ? RoutingApi.NOTE_NO_PLACE : 0);
+        }
         for (Attempt a; (a = attempts.poll()) != null;) {
             Outcome outcome = !a.written() ? Outcome.CONNECT_FAILED : spoilt ? Outcome.ERROR : Outcome.RESET;
             upstream.dispatcher().end(a, outcome, 0, null, null);
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -80,6 +80,41 @@
         }
     }
 
+    /**
+     * A node without a place for one more connection turns the first request away and closes; one whose queue is full
+     * does not close. The first was asked again by each request, the second must be.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNodeWithoutAPlaceIsNotAskedForOneAgainAndAgain(boolean noPlace) throws Exception {
+        try (Stage stage = new Stage()) {
+            Peer full = stage.peer(line -> {
+                while (line.read() != null) {
+                    line.write("SERVER_ERROR busy\r\n");
+                    if (noPlace) {
+                        line.close();
+                    }
+                }
+            });
+            Peer origin = stage.peer(Peer.Line::head);
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", full), Stage.cache("s-2", stage.fullCache()),
+                    Stage.origin(origin));
+            Peer.Line client = stage.client();
+            for (int i = 0; i < 20; i++) {
+                client.write(Stage.read("key" + i, "id" + i));
+                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+                assertThat(client.read()).isEqualTo("hi");
+            }
+            assertThat(origin.heard).isEmpty();
+            if (noPlace) {
+                assertThat(full.lines).hasSize(1);
+            } else {
+                assertThat(full.heard).hasSizeGreaterThan(1);
+                assertThat(full.open()).isPositive();
+            }
+        }
+    }
+
     /** An answer over HTTP carries no id: a second copy was served to whoever asked next on that connection. */
     @ParameterizedTest
     @ValueSource(strings = {"copy", "noise"})
