--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -6,6 +6,7 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.gossip.ListVersions;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -29,6 +30,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,8 +41,12 @@
  * call and leaves the list as it was.
  */
 final class DiscoveryClient {
-    /** A watch's wait. Each call costs the service some fifty lines of the few hundred it sends in a second. */
-    private static final int WAIT_MS = 20_000;
+    /**
+     * A watch's wait, by lot between half of it and the whole, so that what began together does not go on together.
+     * Each call costs the service some fifty lines of the few hundred it sends in a second; a watch that has fallen
+     * silent is seen as such only once its wait is over, and the list is old until then.
+     */
+    private static final int WAIT_MS = 12_000;
     /** How long a call without a wait may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
     /**
@@ -74,6 +80,12 @@
     private long version;
     private boolean watching;
     private double movedMs = Double.NEGATIVE_INFINITY;
+    /** Null: nobody to hear of the list from. */
+    private ListVersions versions;
+    private PeerSocket peers;
+    /** For the one time at which there is next something to do about versions; null: none. */
+    private Timers.Timer versionTimer;
+    private final SplittableRandom lots;
 
     DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher, Names names) {
         this.loop = loop;
@@ -81,6 +93,38 @@
         this.config = config;
         this.dispatcher = dispatcher;
         address = config.discovery();
+        lots = new SplittableRandom(config.seed());
+    }
+
+    /** From now on what peers say of the list's version tells whether the own watch still lives. */
+    void listenTo(PeerSocket socket) {
+        if (config.settings().askForList() && socket.hasPeers()) {
+            peers = socket;
+            versions = new ListVersions(config.peers().size(), config.settings().me());
+            socket.onVersions((peer, version) -> {
+                versions.heard(dispatcher.now(), peer, version, lots.nextDouble());
+                lookAtVersions();
+            });
+        }
+    }
+
+    private void lookAtVersions() {
+        if (versionTimer != null) {
+            versionTimer.stop();
+        }
+        double due = versions.dueMs() - dispatcher.now();
+        versionTimer = due == Double.POSITIVE_INFINITY ? null : dispatcher.after(Math.max(0, due), () -> {
+            long tell = versions.tells(dispatcher.now());
+            if (tell > 0) {
+                peers.tellVersion(tell);
+            }
+            if (versions.asks(dispatcher.now()) && watching) {
+                dispatcher.log("discovery: others know of a newer list, the watch is begun again");
+                watchLine.close();
+                watch(true);
+            }
+            lookAtVersions();
+        });
     }
 
     /** The names on the list in the configuration, before it is used. */
@@ -137,8 +181,9 @@
         if (!on) {
             watchLine.close();
         } else if (watchLine.waiting == null) {
-            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS,
-                    WAIT_MS + WATCH_PATIENCE_MS, this::watched);
+            int wait = WAIT_MS / 2 + lots.nextInt(WAIT_MS / 2);
+            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait,
+                    wait + WATCH_PATIENCE_MS, this::watched);
         }
     }
 
@@ -193,6 +238,10 @@
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
         version = seq;
+        if (versions != null) {
+            versions.own(dispatcher.now(), version, lots.nextDouble());
+            lookAtVersions();
+        }
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 
 /**
@@ -23,12 +24,21 @@
     private static final byte OWN = (byte) 0xC1;
     private static final byte[] WHO_SERVES = {OWN, '?'};
     private static final byte[] I_SERVE = {OWN, '!'};
+    /** Followed by the version of the sender's list, eight bytes. */
+    private static final byte LIST_VERSION = 'v';
+    private static final int VERSION_MESSAGE = 2 + Long.BYTES;
 
     private final Config config;
     private final Dispatcher dispatcher;
     private Channel channel;
     private boolean serving;
     private Runnable whenOneServes = () -> { };
+    private VersionListener versions;
+
+    /** Is told which version of the list a peer says it has. */
+    interface VersionListener {
+        void version(int peer, long version);
+    }
 
     PeerSocket(EventLoop loop, Config config, Dispatcher dispatcher) {
         this.config = config;
@@ -69,6 +79,18 @@
         whenOneServes = () -> { };
     }
 
+    /** From now on what peers say of their lists comes here. */
+    void onVersions(VersionListener listener) {
+        versions = listener;
+    }
+
+    /** Tells all of the tier at which version this one's list is. */
+    void tellVersion(long version) {
+        if (config.peersAll() != null) {
+            write(-1, ByteBuffer.allocate(VERSION_MESSAGE).put(OWN).put(LIST_VERSION).putLong(version).array());
+        }
+    }
+
     /** Sends to the proxy of this number, or to all of the tier if it is negative. */
     void send(int peer, byte[] message) {
         if (message.length > 0 && message[0] == OWN) { // the peer would take it for a question of ours
@@ -104,6 +126,8 @@
                 whenOneServes.run();
             } else if (Arrays.equals(message, WHO_SERVES) && serving) {
                 write(peer, I_SERVE);
+            } else if (versions != null && bytes == VERSION_MESSAGE && message[1] == LIST_VERSION) {
+                versions.version(peer, ByteBuffer.wrap(message).getLong(2));
             }
         }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -93,6 +93,7 @@
                 io.watch(new LoopWatch(dispatcher));
             }
             dispatcher.start(discovery, peers, door::left);
+            discovery.listenTo(peers);
             discovery.start();
             if (control != null) {
                 share();
--- a/src/test/java/damsonworks/proxy/DiscoveryTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryTest.java
@@ -3,7 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonParser;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** The list under discoveries that move or answer what can't be used. */
@@ -25,6 +30,40 @@
         }
     }
 
+    /** Hard case: the watch falls silent. It was waited for to its end while others knew of nodes that had gone. */
+    @Test
+    void aSilentWatchIsBegunAgainOnceAPeerKnowsANewerList() throws Exception {
+        try (Stage stage = new Stage(); DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            stage.peers = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:%1$d\"],\"peers_all\":\"127.0.0.1:%1$d\","
+                    .formatted(peer.getLocalPort());
+            Peer cache = stage.fullCache();
+            AtomicInteger calls = new AtomicInteger();
+            Peer discovery = stage.peer(line -> {
+                while (line.head() != null) {
+                    if (calls.incrementAndGet() == 2) {
+                        line.http("200 OK", "", Stage.list(5, Stage.cache("s-2", cache)));
+                    } else {
+                        Thread.sleep(Stage.PATIENCE.toMillis() * 3);
+                    }
+                }
+            });
+            stage.start(discovery, Stage.cache("s-1", cache));
+            Stage.await(() -> calls.get() == 1);
+            long hintedNanos = System.nanoTime();
+            byte[] hint = {(byte) 0xC1, 'v', 0, 0, 0, 0, 0, 0, 0, 5};
+            peer.send(new DatagramPacket(hint, hint.length, stage.proxy.peerAddress()));
+            Stage.await(() -> calls.get() >= 2);
+            // By itself it would have been left after 8 s at the soonest.
+            assertThat((System.nanoTime() - hintedNanos) / 1e9).isLessThan(6);
+            peer.setSoTimeout((int) Stage.PATIENCE.toMillis());
+            DatagramPacket told = new DatagramPacket(new byte[256], 256);
+            do {
+                peer.receive(told); // questions of the start come as well
+            } while (told.getLength() != hint.length);
+            assertThat(Arrays.copyOf(told.getData(), hint.length)).isEqualTo(hint);
+        }
+    }
+
     /** A list that can't be used is a failed call: the hosts held go on being asked. */
     @Test
     void anUnusableListLeavesTheOneHeld() throws Exception {
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/damsonworks/proxy/Stage.java
@@ -31,6 +31,8 @@
     boolean control;
     /** The wait for the loop from which on requests are turned away; what follows from the classes, or 0: never. */
     double waitMs = Config.BY_AIM;
+    /** What the configuration says of peers, each line with its comma. */
+    String peers = "";
     Proxy proxy;
 
     <T extends AutoCloseable> T keep(T thing) {
@@ -56,7 +58,7 @@
         return """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
-                 "known":%s,
+                 "known":%s,%s
                  "settings":{"me":0,"balancers":2,"locality":0,"zones":["z"],"kinds":["cache","origin"],
                   "discovery":"ask","extra":{"mode":"aside","origin-kind":1},
                   "report":{"how":"piggyback","names":["util"]},"value-by":"request","over-share-worth":1,
@@ -73,7 +75,7 @@
                    {"name":"save","idempotency":"dedup","group":"all","window":15000,"promise":2000,
                     "deadline":10000,"late-share":0.2,"stream":false}],
                   "tenants":[]}}
-                """.formatted(discovery, memoryMb, sockets, list(1, hosts));
+                """.formatted(discovery, memoryMb, sockets, list(1, hosts), peers);
     }
 
     /** A whole list in discovery's form. */
