The old listener leaves its selector before it takes its last connections; models of places and lists

A channel whose key the selector still holds is closed by the selector's next round only (JDK 17: ServerSocketChannelImpl, kill once deregistered), so the kernel went on dealing connections to the old listener after its last look at the backlog, and reset them. Change: Listener.closeEmpty lets the selector go first, waits until the key is gone, takes what is there and closes at once. The test asks once again.

--- /dev/null
+++ b/src/main/java/damsonworks/model/PlacesModel.java
@@ -0,0 +1,261 @@
+package damsonworks.model;
+
+import damsonworks.Policy;
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.Actions;
+import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Many instances of the decision module in virtual time, with cache nodes that take fewer connections than there are
+ * instances. One connection for an instance and a node, kept once it is had; a node without a place turns the request
+ * away, and what is told of that to the module is the model's one switch. Nodes have no queues and all the time they
+ * need: what is counted here is what the want of places alone costs. Deterministic by its seed. Times in milliseconds.
+ */
+public final class PlacesModel {
+    private static final int KEYS = 4000;
+    private static final double SERVE_MS = 40;
+    private static final double REFUSE_MS = 6;
+    private static final double FETCH_MS = 60;
+    private static final double DEADLINE_MS = 1000;
+    private static final int ORIGIN = 1 << 20;
+
+    /** What it came to, over all instances. */
+    public static final class Counts {
+        public int requests;
+        /** Attempts that found no place. */
+        public int refused;
+        /** Reads that the origin was asked for, and those of them whose key no node had been asked for in vain. */
+        public int fetches;
+        public int fetchesForWantOfAPlace;
+        /** Final answers: served, refused or failed; more or fewer than one for a request is a breach. */
+        public int answers;
+        public int denied;
+    }
+
+    private record Event(double at, long order, Runnable task) { }
+
+    private static final class Node {
+        final Set<Long> keys = new HashSet<>();
+        final Set<Integer> holders = new HashSet<>();
+    }
+
+    private final Settings settings;
+    private final int places;
+    private final boolean told;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Instance> instances = new ArrayList<>();
+    private final Counts counts = new Counts();
+    private double now;
+    private long order;
+
+    /**
+     * @param settings of the aside mode, with the origin's kind
+     * @param told whether the module is told that a node had no place; else it hears of a full node
+     */
+    public PlacesModel(Settings settings, int instances, int nodes, int places, boolean told, long seed) {
+        this.settings = settings;
+        this.places = places;
+        this.told = told;
+        random = new SplittableRandom(seed);
+        for (int n = 0; n < nodes; n++) {
+            this.nodes.add(new Node());
+        }
+        for (int i = 0; i < instances; i++) {
+            this.instances.add(new Instance(i));
+        }
+    }
+
+    public Counts counts() {
+        return counts;
+    }
+
+    /** Each instance is asked so often in a second, until this time. */
+    public void run(double untilMs, double perSecond) {
+        for (Instance i : instances) {
+            i.asks(untilMs, 1000 / perSecond);
+        }
+        for (Event e; (e = events.peek()) != null && e.at() <= untilMs + 2 * DEADLINE_MS; ) {
+            events.poll();
+            now = e.at();
+            e.task().run();
+        }
+    }
+
+    /** Kills the first so many instances at this time; they are back at once and know nothing. */
+    public void restart(double atMs, int first) {
+        at(atMs - now, () -> instances.subList(0, first).forEach(Instance::restart));
+    }
+
+    private void at(double afterMs, Runnable task) {
+        events.add(new Event(now + afterMs, order++, task));
+    }
+
+    /** Zipf-like: the first keys draw a large part. */
+    private long key() {
+        return 1 + (long) (KEYS * Math.pow(random.nextDouble(), 4));
+    }
+
+    private final class Instance implements Actions {
+        private final int me;
+        private final Map<Integer, Ask> asks = new HashMap<>();
+        private Policy module;
+        private int life;
+        private int nextId;
+
+        Instance(int me) {
+            this.me = me;
+            restart();
+        }
+
+        void restart() {
+            life++;
+            asks.clear();
+            nodes.forEach(n -> n.holders.remove(me));
+            module = new Policy(settings, random.nextLong());
+            List<Member> list = new ArrayList<>();
+            int kind = settings.originKind() == 0 ? 1 : 0;
+            for (int n = 0; n < nodes.size(); n++) {
+                list.add(new Member(n, 0, kind, 0, State.READY, 1, 0));
+            }
+            list.add(new Member(ORIGIN, 0, settings.originKind(), 0, State.READY, 1, 0));
+            module.onList(now, ListKind.CACHED, list, this);
+        }
+
+        /** What still belongs to this life of it. */
+        private void later(double afterMs, Runnable task) {
+            int born = life;
+            at(afterMs, () -> {
+                if (born == life) {
+                    task.run();
+                }
+            });
+        }
+
+        void asks(double untilMs, double everyMs) {
+            at(-Math.log(1 - random.nextDouble()) * everyMs, () -> {
+                if (now < untilMs) {
+                    int id = nextId++;
+                    Ask ask = new Ask(key());
+                    asks.put(id, ask);
+                    counts.requests++;
+                    later(DEADLINE_MS + 1, () -> asks.remove(id));
+                    module.onRequest(now, new Request(id, 0, 0, ask.key, now + DEADLINE_MS, Double.NaN, 0, false, false),
+                            this);
+                    asks(untilMs, everyMs);
+                }
+            });
+        }
+
+        @Override
+        public void place(int request, int server, double timeoutMs) {
+            Ask ask = asks.get(request);
+            int attempt = ask.attempts++;
+            if (server == ORIGIN) {
+                counts.fetches++;
+                counts.fetchesForWantOfAPlace += ask.missedAt.isEmpty() ? 1 : 0;
+                later(FETCH_MS, () -> {
+                    ask.missedAt.forEach(n -> n.keys.add(ask.key));
+                    end(request, attempt, server, Outcome.OK, 0, FETCH_MS);
+                });
+                return;
+            }
+            Node node = nodes.get(server);
+            if (!node.holders.contains(me) && node.holders.size() >= places) {
+                counts.refused++;
+                later(REFUSE_MS, () -> end(request, attempt, server, told ? Outcome.CONNECT_FAILED : Outcome.FULL,
+                        told ? RoutingApi.NOTE_NO_PLACE : 0, REFUSE_MS));
+                return;
+            }
+            node.holders.add(me);
+            later(SERVE_MS, () -> {
+                boolean hit = node.keys.contains(ask.key);
+                if (!hit) {
+                    ask.missedAt.add(node);
+                }
+                end(request, attempt, server, hit ? Outcome.OK : Outcome.MISS, 0, SERVE_MS);
+            });
+        }
+
+        private void end(int request, int attempt, int server, Outcome outcome, int note, double elapsedMs) {
+            Ask ask = asks.get(request);
+            if (ask == null) {
+                return;
+            }
+            if (outcome == Outcome.OK && !ask.over) {
+                answered(ask);
+            }
+            module.onAttemptEnd(now, new AttemptEnd(request, attempt, server, outcome, elapsedMs, ask.over, note, null),
+                    this);
+        }
+
+        private void answered(Ask ask) {
+            ask.over = true;
+            counts.answers++;
+        }
+
+        @Override
+        public void deny(int request, double retryAfterMs) {
+            counts.denied++;
+            answered(asks.get(request));
+        }
+
+        @Override
+        public void fail(int request) {
+            answered(asks.get(request));
+        }
+
+        @Override
+        public void setTimer(double afterMs, int token) {
+            later(afterMs, () -> module.onTimer(now, token, this));
+        }
+
+        @Override
+        public void cancel(int request, int attempt) { }
+
+        @Override
+        public void probe(int server) { }
+
+        @Override
+        public void closeIdle(int server) { }
+
+        @Override
+        public void tell(int peer, byte[] message) { }
+
+        @Override
+        public void watch(boolean on) { }
+
+        @Override
+        public void fetchList() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    private static final class Ask {
+        final long key;
+        final Set<Node> missedAt = new HashSet<>();
+        int attempts;
+        boolean over;
+
+        Ask(long key) {
+            this.key = key;
+        }
+    }
+}
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/damsonworks/proxy/Listener.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The listening socket. It asks the door before it takes a connection from the kernel, not after, so that the
@@ -9,6 +10,7 @@
  */
 final class Listener extends NioServerSocketChannel {
     private final Door door;
+    private boolean ending;
 
     Listener(Door door) {
         this.door = door;
@@ -30,12 +32,26 @@
     }
 
     /**
-     * Ends it with nobody left in the kernel's backlog, who would be reset. On the event loop.
+     * Ends it with nobody left in the kernel's backlog, who would be reset. On the event loop; done a round or two of
+     * it later. The selector goes first: a channel that it still holds a key of is closed by its next round only, and
+     * the kernel takes connections until then. What is left is the moment between the last empty look and the close.
      *
      * @param batches so many batches are taken at most
      */
     void closeEmpty(int batches) {
-        for (int before = -1; batches > 0 && door.inUse() != before; batches--) {
+        if (!ending) {
+            ending = true;
+            deregister().addListener(f -> takeRest(batches));
+        }
+    }
+
+    private void takeRest(int batches) {
+        if (javaChannel().isRegistered()) {
+            eventLoop().schedule(() -> takeRest(batches), 1, TimeUnit.MILLISECONDS);
+            return;
+        }
+        int left = batches;
+        for (int before = -1; left > 0 && door.inUse() != before; left--) {
             before = door.inUse();
             unsafe().read();
         }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -301,7 +301,7 @@
                     c.finish();
                 }
             }
-            if (door.clients().isEmpty() || now >= drainEndsMs) {
+            if (door.clients().isEmpty() && !server.isOpen() || now >= drainEndsMs) {
                 ended.countDown();
                 return;
             }
--- a/src/test/java/damsonworks/gossip/ListVersionsTest.java
+++ b/src/test/java/damsonworks/gossip/ListVersionsTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
+import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -61,10 +64,81 @@
         assertThat(versions.tells(1000)).isEqualTo(10);
     }
 
+    /**
+     * Hard case: of fourteen watches two live, datagrams take up to 30 ms and one in three is lost. All must know within
+     * seconds, where the waits of their watches would have taken ten and more, and must not call all at once.
+     */
+    @Test
+    void twoWatchesThatLiveAreEnoughForAll() {
+        for (long seed = 1; seed <= 100; seed++) {
+            twoWatchesThatLive(seed);
+        }
+    }
+
+    private static void twoWatchesThatLive(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ListVersions[] tier = new ListVersions[TIER];
+        long[] has = new long[TIER];
+        double[] knownMs = new double[TIER];
+        PriorityQueue<Map.Entry<Double, Runnable>> due = new PriorityQueue<>(Map.Entry.comparingByKey());
+        for (int p = 0; p < TIER; p++) {
+            tier[p] = new ListVersions(TIER, p);
+            tier[p].own(0, 1, random.nextDouble());
+            int me = p;
+            if (p < 2) {
+                due.add(Map.entry(1000.0, () -> {
+                    has[me] = 2;
+                    knownMs[me] = 1000;
+                    tier[me].own(1000, 2, random.nextDouble());
+                }));
+            }
+        }
+        int calls = 0;
+        int told = 0;
+        int callsInASecond = 0;
+        double second = 0;
+        for (double now = 0; now < 20_000; now++) {
+            while (!due.isEmpty() && due.peek().getKey() <= now) {
+                due.poll().getValue().run();
+            }
+            for (int p = 0; p < TIER; p++) {
+                long tells = tier[p].tells(now);
+                if (tells > 0) {
+                    told++;
+                    for (int q = 0; q < TIER; q++) {
+                        int from = p;
+                        int to = q;
+                        double at = now + 4 + random.nextInt(26);
+                        if (q != p && random.nextInt(3) > 0) {
+                            due.add(Map.entry(at, () -> tier[to].heard(at, from, tells, random.nextDouble())));
+                        }
+                    }
+                }
+                if (tier[p].asks(now)) {
+                    calls++;
+                    callsInASecond = now - second < 1000 ? callsInASecond + 1 : 1;
+                    second = now - second < 1000 ? second : now;
+                    assertThat(callsInASecond).as("seed %d", seed).isLessThan(TIER);
+                    int me = p;
+                    double at = now + 200;
+                    due.add(Map.entry(at, () -> {
+                        knownMs[me] = has[me] == 2 ? knownMs[me] : at;
+                        has[me] = 2;
+                        tier[me].own(at, 2, random.nextDouble());
+                    }));
+                }
+            }
+        }
+        assertThat(has).as("seed %d", seed).containsOnly(2);
+        assertThat(knownMs).as("seed %d", seed).satisfies(k -> assertThat(Arrays.stream(k).max().orElseThrow()).isLessThan(8000));
+        assertThat(calls).as("seed %d", seed).isEqualTo(TIER - 2);
+        assertThat(told).as("seed %d", seed).isLessThan(3 * TIER);
+    }
+
     /** Spoilt numbers and versions, peers that are none: bounded in what is told and asked, and never stuck. */
     @Test
     void whateverIsHeardToldAndAskedStayBounded() {
-        long seed = System.nanoTime();
+        long seed = 20261201;
         SplittableRandom random = new SplittableRandom(seed);
         int told = 0;
         int asked = 0;
--- a/src/test/java/damsonworks/proxy/ControlTest.java
+++ b/src/test/java/damsonworks/proxy/ControlTest.java
@@ -145,10 +145,6 @@
             for (int i = 0; old.process.isAlive(); i++) { // a new connection each, as the old one's listener goes
                 try (Peer.Line caller = line(old.port)) {
                     Stage.serves(caller, "n" + i);
-                } catch (java.io.IOException | AssertionError e) { // crossed the listener's end: once more (PROTOCOL)
-                    try (Peer.Line again = line(old.port)) {
-                        Stage.serves(again, "m" + i);
-                    }
                 }
             }
             assertThat(client.read()).as("ended between requests").isNull();
