--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -18,7 +18,7 @@
 import java.util.Map;
 
 /** One instance with its orders written down; time is a field the tests move. */
-final class Rig implements RoutingApi.Actions {
+public final class Rig implements RoutingApi.Actions {
     static final int ORIGIN = 9000;
     static final int SAFE = 0;
     static final int KEYED = 1;
@@ -48,7 +48,7 @@
         policy = new Policy(settings, 42);
     }
 
-    static Settings settings(boolean aside, boolean ask, boolean copies, Group group) {
+    public static Settings settings(boolean aside, boolean ask, boolean copies, Group group) {
         return settings(aside, ask, copies, group, true, List.of(new Tenant("a", 1, 100)));
     }
 
--- a/src/test/java/damsonworks/model/PlacesTest.java
+++ b/src/test/java/damsonworks/model/PlacesTest.java
@@ -2,7 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.SettingsForTests;
+import damsonworks.Rig;
+import damsonworks.RoutingApi.Group;
 import damsonworks.model.PlacesModel.Counts;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -11,7 +12,7 @@
 /** Fourteen proxies and nodes that take ten to twelve connections each, counted over all proxies. */
 class PlacesTest {
     private static Counts play(boolean told, int places, long seed) {
-        PlacesModel model = new PlacesModel(SettingsForTests.aside(), 14, 40, places, told, seed);
+        PlacesModel model = new PlacesModel(Rig.settings(true, false, false, Group.ALL), 14, 40, places, told, seed);
         model.restart(8000, 10);
         model.run(20_000, 60);
         return model.counts();
