What the kernel holds of a client is read before its connection is ended

Need: a proxy must not end a connection with a request in the kernel that its loop has not come to.

Change: one way out in the Door, which reads first and then asks for the reason again; in a drain the connection looks before its end; each is looked at once in a pass, so that nobody who asks as fast as it is refused holds the loop.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -78,7 +78,10 @@
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
+    /** It was sent an error, or will be: nothing is read until then. */
     private boolean penalised;
+    /** It comes from an address that was turned away again and again, and is not read yet. */
+    private boolean heldOff;
     /** Something was read since this was last cleared. */
     private boolean readSomething;
     private int errors;
@@ -132,12 +135,16 @@
 
     /** Nothing is read from it for this time. */
     void holdOff(double ms) {
-        penalised = true;
+        heldOff = true;
         pauseReading();
-        ctx.executor().schedule(() -> {
-            penalised = false;
+        ctx.executor().schedule(this::endHoldOff, (long) ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void endHoldOff() {
+        if (heldOff) {
+            heldOff = false;
             regulate();
-        }, (long) ms, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Between requests: nothing owed and nothing begun. */
@@ -145,6 +152,12 @@
         return exchanges.isEmpty() && incoming == null && owedBytes == 0 && actualReadableBytes() == 0;
     }
 
+    /** Before it is shown out: reads what the kernel has of it, also where it was to wait for that. True: something. */
+    boolean lastLook() {
+        endHoldOff();
+        return readNow();
+    }
+
     /** Reads what the kernel has of it. True: that was something, or its end. */
     boolean readNow() {
         if (readPaused || !(ctx.channel() instanceof AbstractNioChannel nio) || !nio.isActive()) {
@@ -173,7 +186,7 @@
     /** Nothing that it asked was ever answered, and nothing that it asked is open: the first to make room. */
     @Override
     public boolean useless() {
-        return penalised || finished || answered() == 0 && exchanges.isEmpty() && owedBytes == 0;
+        return penalised || heldOff || finished || answered() == 0 && exchanges.isEmpty() && owedBytes == 0;
     }
 
     @Override
@@ -190,7 +203,7 @@
         if (taking.tooSlow(now, patience)) {
             return Cut.SLOW_READER;
         }
-        if (penalised) {
+        if (penalised || heldOff) {
             return null; // it is we who do not read
         }
         if (writing.tooSlow(now, patience)) {
@@ -222,7 +235,7 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (penalised || !hasHand()) {
+        if (penalised || heldOff || !hasHand()) {
             pauseReading();
             return;
         }
@@ -470,7 +483,9 @@
             ctx.flush();
         }
         regulate();
-        endIfDone();
+        if (closing) {
+            endIfDone();
+        }
     }
 
     /**
@@ -547,16 +562,19 @@
         }
     }
 
-    /** Ends the connection where that waited only for its last answer to be taken. */
+    /**
+     * Ends the connection where that waited only for its last answer to be taken. In a drain it may have asked again
+     * meanwhile: what the kernel has of that is answered first.
+     */
     private void endIfDone() {
-        if (exchanges.isEmpty() && owedBytes == 0 && (closing || dispatcher.leaves(lot) && idle())) {
+        if (exchanges.isEmpty() && owedBytes == 0 && (closing || dispatcher.leaves(lot) && idle() && !readNow())) {
             finish();
         }
     }
 
     /** Reads on once there is room for what may come of it. */
     private void regulate() {
-        if (readPaused && !penalised && hasHand() && ctx.channel().isActive()) {
+        if (readPaused && !penalised && !heldOff && hasHand() && ctx.channel().isActive()) {
             readPaused = false;
             ctx.channel().config().setAutoRead(true);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -12,6 +12,7 @@
 import damsonworks.limits.Pressure;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -147,7 +148,7 @@
         dispatcher.log("a connection could not be taken: " + cause);
         ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
         if (first != null) {
-            show(first, why(first));
+            showUnlessItAsked(first);
         }
         resting = true;
         listener.config().setAutoRead(false);
@@ -162,6 +163,10 @@
     void enter(Channel channel) {
         ClientConnection client = new ClientConnection(dispatcher, this);
         channel.pipeline().addLast(client);
+        // While it is only expected, so that the choice can't fall on it before it could say a word.
+        if (rules.isShort(clients.size(), expected + reserved)) { // else the next sweep sees to it: this looks at every guest
+            makeRoom();
+        }
         expected = Math.max(0, expected - 1);
         clients.add(client);
         double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
@@ -169,9 +174,6 @@
             cuts.count(Cut.HELD_OFF);
             client.holdOff(wait);
         }
-        if (rules.isShort(clients.size(), expected + reserved)) { // else the next sweep sees to it: this looks at every guest
-            makeRoom();
-        }
     }
 
     @Override
@@ -231,37 +233,54 @@
         }
     }
 
-    /** Shows out until the rules are content, or nobody is left who may be. */
+    /**
+     * Shows out until the rules are content, or nobody is left who may be. Each is looked at once: one that asks as fast
+     * as it is refused would hold the loop, and has the next turn for it.
+     */
     private void makeRoom() {
-        double now = dispatcher.now();
-        for (ClientConnection c; (c = rules.next(now, clients, expected + reserved)) != null;) {
-            if (!hasAskedUnread(c)) {
-                show(c, why(c));
+        Set<ClientConnection> kept = new HashSet<>();
+        for (ClientConnection c; (c = rules.next(dispatcher.now(), clients, expected + reserved)) != null;) {
+            if (!showUnlessItAsked(c) && !kept.add(c)) {
+                return;
             }
         }
     }
 
     /**
-     * Whether one that seemed to stand idle had a request in the kernel, which has been read now. A round of the loop
-     * that takes long leaves time for that, and to close the connection then would lose the request.
+     * Nobody is shown out with a request that the kernel has and the loop has not come to yet: it would be lost with its
+     * connection. What there is is read first, and the reason to go must still hold then. False: it does not.
      */
-    private boolean hasAskedUnread(ClientConnection c) {
-        return c.idle() && c.readNow();
+    private boolean showUnlessItAsked(ClientConnection c) {
+        boolean useless = c.useless();
+        boolean busy = !useless && c.busy();
+        if (!busy && c.lastLook() && (useless ? !c.useless() : c.busy())) {
+            return false;
+        }
+        show(c, useless ? Cut.USELESS : busy ? Cut.HOARDER : Cut.IDLE);
+        return true;
     }
 
-    private static Cut why(ClientConnection c) {
-        return c.useless() ? Cut.USELESS : c.busy() ? Cut.HOARDER : Cut.IDLE;
+    /** The same for one that is too slow or says nothing: what it has said meanwhile counts before its time does. */
+    private void cutIfStalled(ClientConnection c, double patience) {
+        if (c.stalled(dispatcher.now(), patience) != null) {
+            c.lastLook();
+            Cut why = c.stalled(dispatcher.now(), patience);
+            if (why != null) {
+                show(c, why);
+            }
+        }
     }
 
-    /** Out of the set at once: the next choice must not fall on it again. */
+    /** Out of the set at once: the next choice must not fall on it again. One that has left by itself is in it no more. */
     private void show(ClientConnection client, Cut why) {
+        if (!clients.remove(client)) {
+            return;
+        }
+        released(1);
         cuts.count(why);
         if (why != Cut.IDLE && why != Cut.USELESS) { // those two are no fault of its own
             turnedAway(client);
         }
-        if (clients.remove(client)) {
-            released(1);
-        }
         client.close();
     }
 
@@ -281,10 +300,7 @@
             Pressure.Level level = pressure.at(Math.max(accounts.share(),
                     Math.max(lag.share(now), (double) inUse() / rules.places() * PLACES_SHARE)));
             for (ClientConnection c : List.copyOf(clients)) {
-                Cut why = c.stalled(now, level.patience());
-                if (why != null) {
-                    show(c, why);
-                }
+                cutIfStalled(c, level.patience());
             }
             makeRoom();
             resume();
