A budget that knows no cost yet turns nothing away, and no line shows NaN

Cause: Budget.excess asked only for how long the loop's rounds had been, which at a start are long whatever comes; and Costs.span faded counts by a tenth in each span, so that a proxy with some 20 requests a second never had the 20 that tell a cost, for as long as it ran.

Change: nothing is turned away before 20 requests were taken; counts fade no further than that; what is not known is said to be unknown; a rehearsal, which refuses on purpose, writes no such line.

Measured: BudgetTest (a start with rounds of 400 ms, five requests a second) fails on the former code.

--- a/src/main/java/damsonworks/budget/Budget.java
+++ b/src/main/java/damsonworks/budget/Budget.java
@@ -80,8 +80,14 @@
 
     // ---- what fits
 
-    /** The part of what is read now that does not fit, from 0; 0: nobody needs to be asked. */
+    /**
+     * The part of what is read now that does not fit, from 0; 0: nobody needs to be asked. As long as too few were taken
+     * to know what one costs, all fit: rounds are long at a start, and tell nothing of what comes.
+     */
     public double excess(double nowMs) {
+        if (!costs.known()) {
+            return 0;
+        }
         double excess = admission.excess();
         return excess > 0 || rounds.waitedMs(nowMs) > admission.targetMs() ? Math.max(Double.MIN_VALUE, excess) : 0;
     }
@@ -119,8 +125,14 @@
     @Override
     public String toString() {
         return String.format(Locale.ROOT, "not enough processor: %d turned away of %d, %.0f/s; loop late by %.0f ms, at most"
-                + " %.0f, all is taken up to %.0f; at work %.0f%%, ran %.0f%%, kept waiting %.0f%%; a request takes %.0f us,"
-                + " a refusal %.0f us", refused, taken + refused, perSecond, admission.waitMs(), mostWaitMs, admission.targetMs(), 100 * busy,
-                100 * time.ran(), 100 * time.held(), 1000 * costs.servedMs(), 1000 * costs.refusalMs());
+                + " %.0f, all is taken up to %.0f; at work %.0f%%, ran %s, kept waiting %s; a request takes %s, a refusal %.0f us",
+                refused, taken + refused, perSecond, admission.waitMs(), mostWaitMs, admission.targetMs(), 100 * busy,
+                figure(100 * time.ran(), "%"), figure(100 * time.held(), "%"), figure(1000 * costs.servedMs(), " us"),
+                1000 * costs.refusalMs());
+    }
+
+    /** What is not known is said to be so. */
+    private static String figure(double value, String unit) {
+        return Double.isNaN(value) ? "unknown" : Math.round(value) + unit;
     }
 }
--- a/src/main/java/damsonworks/budget/Costs.java
+++ b/src/main/java/damsonworks/budget/Costs.java
@@ -5,9 +5,9 @@
  * and the rest of what the loop took goes to those that are served. Both fade, so that what they cost now counts.
  */
 public final class Costs {
-    /** Counts keep this part from one span to the next. */
+    /** Counts keep this part from one span to the next, as long as {@link #ENOUGH} are left. */
     static final double KEPT = 0.9;
-    /** Fewer than this tell nothing. */
+    /** Fewer than this tell nothing. Where little comes, so many are what is told of, however old the first is. */
     static final double ENOUGH = 20;
     /** A refusal that took so many times the usual stood still in between: it is not counted with its time. */
     static final double STOOD_STILL = 8;
@@ -41,12 +41,18 @@
     /** A span has ended in which the loop ran for so long. */
     public void span(double ranMs) {
         double ofRefusals = Math.min(ranMs, refusedNow * refusalMs());
-        served = served * KEPT + servedNow;
-        servedMs = servedMs * KEPT + ranMs - ofRefusals;
+        double kept = served == 0 ? 1 : Math.max(KEPT, Math.min(1, ENOUGH / served));
+        served = served * kept + servedNow;
+        servedMs = servedMs * kept + ranMs - ofRefusals;
         servedNow = 0;
         refusedNow = 0;
     }
 
+    /** Whether enough were taken in hand to tell what one costs. */
+    public boolean known() {
+        return served + servedNow >= ENOUGH;
+    }
+
     /** Milliseconds for each that is served; NaN: not known yet. */
     public double servedMs() {
         return served < ENOUGH ? Double.NaN : servedMs / served;
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -360,7 +360,7 @@
     }
 
     private void sweep(double now) {
-        String news = budget == null ? null : budget.news(now);
+        String news = budget == null || refuseOneIn > 0 ? null : budget.news(now);
         if (news != null) {
             budgetLog.line(news, null);
         }
--- a/src/test/java/damsonworks/budget/BudgetTest.java
+++ b/src/test/java/damsonworks/budget/BudgetTest.java
@@ -46,6 +46,25 @@
         assertThat(costs.servedMs()).isBetween(0.35, 0.55);
     }
 
+    /** A start: rounds of 400 ms where 62 are aimed at, and five requests a second. */
+    @Test
+    void nothingIsTurnedAwayBeforeACostIsKnownAndNothingIsTimedAsNoNumber() {
+        Budget budget = new Budget(62);
+        double now = 0;
+        for (int round = 1; round <= 60; round++) {
+            if (budget.entering(now, now + 10)) {
+                budget.span(now, "");
+            }
+            budget.selected(now + 1);
+            now += 400;
+            assertThat(budget.excess(now) > 0).as("round %d", round).isEqualTo(2 * round > Costs.ENOUGH);
+            budget.taken();
+            budget.taken();
+        }
+        budget.refused(0.1);
+        assertThat(budget.news(now)).contains("ran unknown", "a request takes 199500 us").doesNotContain("NaN");
+    }
+
     @ParameterizedTest
     @CsvSource({"40000000 10000000 7, 0.4, 0.1", "'', NaN, NaN", "40000000, NaN, NaN", "a b c, NaN, NaN"})
     void whatTheSystemTellsOfTheThread(String line, double ran, double held) {
