An open-loop load generator: command load, with its rules apart from its sockets

Need: no test and nobody without the kit could send a request that did not wait for an answer, so that a stall showed as one slow answer.

Change: package load. Rules by seed and without I/O: arrivals (even, Poisson) under five shapes, Zipf keys that drift, a hot key, a target that is overtaken, clients' patience and retries, traces (own form, others by a map of columns), the tally and its report as text, JSON and one HTML page. Sockets: lanes with connections, timers and a tally of their own. Times run from when a request was due; the first line says when the generator itself fell behind. picocli and HdrHistogram come with it and are loaded by the command alone; ArchUnit for tests.

--- /dev/null
+++ b/src/main/java/damsonworks/load/Ask.java
@@ -0,0 +1,11 @@
+package damsonworks.load;
+
+/**
+ * One request as it is due, before any try.
+ *
+ * @param number from 0, in the order in which they are due
+ * @param atMs when it is due, in milliseconds from the load's start
+ * @param target the number of the address that it goes to
+ * @param bytes of its value, for a write
+ */
+public record Ask(long number, double atMs, int kind, String key, int target, int bytes) { }
--- /dev/null
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -0,0 +1,95 @@
+package damsonworks.load;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * Carries a plan out against one or more addresses, whatever becomes of it: a request is written when it is due, not when
+ * the one before it is over. Each thread has its own part of the plan, connections and tally, and shares nothing.
+ */
+public final class Generator {
+    /**
+     * @param targets where requests go, by the plan's numbers
+     * @param plan the same one with each call; each thread draws it all and keeps its part
+     * @param connections at most to one address and from one thread; who finds none waits, and its time runs
+     * @param tenant as requests name it
+     */
+    public record Settings(List<InetSocketAddress> targets, List<Kind> kinds, Supplier<Iterator<Ask>> plan,
+            Patience patience, int threads, int connections, String tenant, long seed) { }
+
+    /** How far along it is, for a line on a terminal. */
+    public record Progress(double seconds, long begun, long ended, int open, int connections) { }
+
+    private final Settings settings;
+    private final MultiThreadIoEventLoopGroup group;
+    private final List<Lane> lanes = new ArrayList<>();
+    private final CountDownLatch done;
+    private volatile long startNanos;
+    private volatile boolean stopped;
+
+    public Generator(Settings settings) {
+        this.settings = settings;
+        group = new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
+        done = new CountDownLatch(settings.threads());
+    }
+
+    /** Milliseconds since the load began, as the plan has them. */
+    double nowMs() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
+    boolean stopped() {
+        return stopped;
+    }
+
+    void laneDone() {
+        done.countDown();
+    }
+
+    /** Runs to the plan's end and the last answer's, or until {@link #stop}. What it came to. */
+    public Tally run() throws InterruptedException {
+        startNanos = System.nanoTime();
+        for (int i = 0; i < settings.threads(); i++) {
+            EventLoop loop = group.next();
+            Lane lane = new Lane(this, loop, i);
+            lanes.add(lane);
+            loop.execute(lane::begin);
+        }
+        done.await();
+        Tally all = new Tally(settings.kinds());
+        for (Lane lane : lanes) {
+            lane.loop().submit(() -> all.add(lane.tally())).syncUninterruptibly(); // one after the other
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        return all;
+    }
+
+    /** Nothing more is begun, and what is open is left: the report is of what was done. From any thread. */
+    public void stop() {
+        stopped = true;
+    }
+
+    public Progress progress() {
+        long begun = 0;
+        long ended = 0;
+        int connections = 0;
+        for (Lane lane : List.copyOf(lanes)) {
+            begun += lane.begun();
+            ended += lane.ended();
+            connections += lane.connections();
+        }
+        return new Progress(nowMs() / 1000, begun, ended, (int) (begun - ended), connections);
+    }
+}
