The start script no longer takes the square of the list's length before java

In all logs java's first line stands 0.33 to 0.43 s after the start (60 nodes, half a core), a third of the 1.0 to 1.2 s that a restart takes, and processes listed at that time were 'sh deploy/serve.sh' at 100% of a core.

Looked into: the configuration is one line, the list of nodes ahead of the limits.

Lines at fault: case *'"memory_mb"'* and ${line#*'"memory_mb"'} on the whole line try each length of prefix in turn.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -4,16 +4,24 @@
 # Heap, direct memory, metaspace and code are all given a bound. The heap is taken whole at the start: what is
 # there from the first second does not grow, and the limit is met on the first day or not at all.
 # Up to exec the shell does all by itself: where other programs are refused (FLEET), $(...) or a pipe is no start at all.
+# The configuration may be one line of many kilobytes, the list of nodes ahead of the limits: it is cut at its commas first,
+# as a pattern over all of it takes the square of its length (1.6 s for 200 nodes; cut up, 0.01 s).
 mb=
 if [ -r "$BALANCER_CONFIG" ]; then
+    set -f
     while IFS= read -r line || [ -n "$line" ]; do
-        case "$line" in *'"memory_mb"'*)
-            line=${line#*'"memory_mb"'}
-            line=${line#"${line%%[0-9]*}"}
-            mb=${line%%[!0-9]*}
-            break ;;
-        esac
+        IFS=,
+        for entry in $line; do
+            case "$entry" in *'"memory_mb"'*)
+                entry=${entry#*'"memory_mb"'}
+                entry=${entry#"${entry%%[0-9]*}"}
+                mb=${entry%%[!0-9]*}
+                break 2 ;;
+            esac
+        done
     done <"$BALANCER_CONFIG"
+    unset IFS
+    set +f
 fi
 case "$mb" in '' | *[!0-9]* | ????*) mb=128 ;; esac
 if [ "$mb" -ge 96 ]; then
