A zone that is silent is passed over as a whole, and proxies of one zone tell each other

Need: with a lost zone 14 to 20% were refused in the five seconds after it, of which most had waited for all their time.

Ruled out: the processor's budget (not one line), nodes that come back cold (refused there: 4%).

Change, in the module: signs of silence are counted by zone (a connection that never comes up is two, an overdue answer or a peer of the own zone that says so is one). Four of them at two servers or more, with an answer from another zone and none from this one between, put the zone out of reach for ten connect time-outs, and each request that waits for it gets one copy at its runner-up, beside the budget. Whoever finds a zone out tells all, once, in three bytes; only those of its own zone listen, as a zone that is cut off sees the others gone. Where no zone answers, all are slow and nothing is out.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -49,6 +49,19 @@
      */
     private static final double NO_PLACE_MS = 2000;
 
+    /**
+     * Signs of silence from a zone, at two of its servers or more, with answers from others and none from it
+     * between, after which all of it is out of reach: a connection that never comes up is two, an overdue
+     * answer or a peer of this zone that says so one. Guards against a lost zone of which each proxy, with a
+     * request in some seconds for each server, would learn server by server. Should also guard a proxy whose
+     * own zone is cut off. Harm: a zone that all stands still for a moment loses its keys for a while.
+     */
+    private static final int ZONE_SIGNS = 4;
+    /** Signs that are older than so many connect time-outs say nothing of now. */
+    private static final int SIGNS_CONNECTS = 20;
+    /** Of a message between instances: what it is, the teller's zone, the zone that is silent for it. */
+    private static final byte ZONE_SILENT = 'Z';
+
     private final Settings cfg;
     private final SplittableRandom random;
     private final Map<Integer, Server> servers = new HashMap<>();
@@ -64,6 +77,7 @@
     private final Shares shares;
     /** Taken out by hand, by id, with the time at which. */
     private final Map<Integer, Double> byHand = new HashMap<>();
+    private final Zone[] zones;
     private Server[] ranked = new Server[0];
     private Server[] top = new Server[RANKS];
     private double[] topScore = new double[RANKS];
@@ -114,6 +128,14 @@
         }
     }
 
+    /** What this instance has lately not heard of a zone. */
+    private static final class Zone {
+        int signs, failures;
+        /** The server that the signs are of; -1: of several. */
+        int silent;
+        double since, signAt, outUntil, heardAt = Double.NEGATIVE_INFINITY;
+    }
+
     /** A request the instance holds, with its attempts. */
     private final class Flight {
         final Request request;
@@ -376,6 +398,8 @@
     public Policy(Settings settings, long seed) {
         cfg = settings;
         random = new SplittableRandom(seed);
+        zones = new Zone[settings.zones()];
+        Arrays.setAll(zones, z -> new Zone());
         ranks = new Ranks();
         shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
         double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min()
@@ -637,6 +661,9 @@
         if (cfg.secondCopies() || ++s.doubts > 1) {
             suspect(now, s, cfg.secondCopies() ? f.kind.aimMs() : shunMs());
         }
+        if (silent(now, s.member.zone(), s.id, 1, out)) {
+            return;
+        }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
             return;
         }
@@ -649,6 +676,51 @@
         }
     }
 
+    /**
+     * A sign that a zone is silent. True: it is out of reach by that from now on, and all that waits for it
+     * goes to runners-up: these copies are no waste, and each request has one.
+     */
+    private boolean silent(double now, int zone, int server, int weight, Actions out) {
+        Zone z = zones[zone];
+        if (cfg.zones() < 2 || !cfg.secondCopies() || now < z.outUntil) {
+            return false;
+        }
+        if (z.signs == 0 || now - z.signAt > SIGNS_CONNECTS * cfg.connectTimeoutMs()) {
+            z.signs = 0;
+            z.since = now;
+            z.silent = server;
+        }
+        z.silent = z.silent == server ? server : -1;
+        z.signs += weight;
+        z.signAt = now;
+        // Where nobody answers, all are slow. One sign is enough while it was not heard since it was out.
+        boolean others = Arrays.stream(zones).anyMatch(o -> o != z && o.heardAt > z.since);
+        if (!others || z.failures == 0 && (z.signs < ZONE_SIGNS || z.silent >= 0)) {
+            return false;
+        }
+        z.outUntil = now + shunMs() * (1 << Math.min(z.failures, 1));
+        if (z.failures++ == 0 && cfg.peers()) {
+            out.tell(-1, new byte[] {ZONE_SILENT, (byte) cfg.zone(), (byte) zone});
+        }
+        for (Flight f : List.copyOf(flights.values())) {
+            int a = f.attempts - 1;
+            if (a >= 0 && f.safe && !f.ended[a] && !f.at[a].ofOrigin && f.at[a].member.zone() == zone) {
+                advance(now, f, out);
+            }
+        }
+        return true;
+    }
+
+    /** Its zone is there. */
+    private void heard(double now, Server s) {
+        if (!s.ofOrigin) {
+            Zone z = zones[s.member.zone()];
+            z.signs = z.failures = 0;
+            z.outUntil = 0;
+            z.heardAt = now;
+        }
+    }
+
     private double shunMs() {
         return SHUN_CONNECTS * cfg.connectTimeoutMs();
     }
@@ -771,8 +843,8 @@
      * traffic: a proxy that meets a server once in many seconds cannot spend a request on each meeting.
      */
     private boolean open(double now, Flight f, Server s, Actions out) {
-        if (now < s.noPlaceUntil) {
-            return false; // the draft's member that cannot be contacted, though it is well
+        if (now < s.noPlaceUntil || now < zones[s.member.zone()].outUntil) {
+            return false; // the draft's member that cannot be contacted, though it may be well
         }
         if (s.failures == 0 || s.probed && !s.trial) {
             return warmEnough(now, f, s);
@@ -881,7 +953,7 @@
         Server s = f.at[end.attempt()];
         f.ended[end.attempt()] = true;
         f.out--;
-        learn(now, f, s, end);
+        learn(now, f, s, end, out);
         if (end.outcome().mayHaveRun() && Double.isNaN(f.maybeRanSince)) {
             f.maybeRanSince = f.sentAt[end.attempt()];
             f.maybeRanAt = s;
@@ -957,13 +1029,14 @@
         }
     }
 
-    private void learn(double now, Flight f, Server s, AttemptEnd end) {
+    private void learn(double now, Flight f, Server s, AttemptEnd end, Actions out) {
         if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
             doubts++;
         }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
                 s.breaks = s.noPlace = 0;
+                heard(now, s);
                 if (!s.ofOrigin && end.outcome() != Outcome.FULL) {
                     s.answers = s.answers * Math.exp((s.answersAt - now) / ANSWERS_MS) + 1;
                     s.answersAt = now;
@@ -998,6 +1071,7 @@
             case CONNECT_FAILED, RESET, TIMEOUT -> {
                 if (end.outcome() == Outcome.CONNECT_FAILED && end.note() == NOTE_NO_PLACE) {
                     s.trial = false;
+                    heard(now, s);
                     double wait = NO_PLACE_MS * (1 << Math.min(s.noPlace++, 2));
                     s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
                 } else if (!s.ofOrigin) {
@@ -1012,6 +1086,9 @@
                     if (++s.breaks >= BREAKS || silent || s.failures > 0) {
                         suspect(now, s, shunMs());
                     }
+                    if (silent && end.outcome() == Outcome.CONNECT_FAILED) {
+                        silent(now, s.member.zone(), s.id, 2, out);
+                    }
                 }
             }
             default -> s.trial = false;
@@ -1111,5 +1188,11 @@
     }
 
     @Override
-    public void onPeer(double now, int peer, byte[] message, Actions out) { }
+    public void onPeer(double now, int peer, byte[] message, Actions out) {
+        // Who is in another zone may be the one that is cut off.
+        if (message.length == 3 && message[0] == ZONE_SILENT && message[1] == cfg.zone() && message[2] >= 0
+                && message[2] < zones.length) {
+            silent(now, message[2], -1, 1, out);
+        }
+    }
 }
--- a/src/main/java/damsonworks/model/PlacesModel.java
+++ b/src/main/java/damsonworks/model/PlacesModel.java
@@ -23,7 +23,8 @@
  * Many instances of the decision module in virtual time, with cache nodes that take fewer connections than there are
  * instances. One connection for an instance and a node, kept once it is had; a node without a place turns the request
  * away, and what is told of that to the module is the model's one switch. Nodes have no queues and all the time they
- * need: what is counted here is what the want of places alone costs. Deterministic by its seed. Times in milliseconds.
+ * need: what is counted here is what the want of places alone costs, or the loss of a zone. Deterministic by its seed. Times
+ * in milliseconds.
  */
 public final class PlacesModel {
     private static final int KEYS = 4000;
@@ -32,6 +33,7 @@
     private static final double FETCH_MS = 60;
     private static final double DEADLINE_MS = 1000;
     private static final int ORIGIN = 1 << 20;
+    private static final int ZONES = 4;
 
     /** What it came to, over all instances. */
     public static final class Counts {
@@ -44,13 +46,27 @@
         /** Final answers: served, refused or failed; more or fewer than one for a request is a breach. */
         public int answers;
         public int denied;
+        /** Of those that came while a zone was lost: how many, and how many of them were served within their aim. */
+        public int duringLoss;
+        public int inTimeDuringLoss;
+        /** Attempts that were sent to a node that said nothing. */
+        public int intoSilence;
+        /** Datagrams that instances sent to all others. */
+        public int told;
     }
 
     private record Event(double at, long order, Runnable task) { }
 
     private static final class Node {
+        /** Where it is, whatever the settings say of zones. */
+        final int zone;
         final Set<Long> keys = new HashSet<>();
         final Set<Integer> holders = new HashSet<>();
+        double stallsFrom;
+
+        Node(int zone) {
+            this.zone = zone;
+        }
     }
 
     private final Settings settings;
@@ -64,6 +80,11 @@
     private final Counts counts = new Counts();
     private double now;
     private long order;
+    private int lost = -1;
+    private double lostFrom;
+    private double lostUntil;
+    private double stallEvery;
+    private double stallMs;
 
     /**
      * @param settings of the aside mode, with the origin's kind
@@ -75,7 +96,7 @@
         this.told = told;
         random = new SplittableRandom(seed);
         for (int n = 0; n < nodes; n++) {
-            this.nodes.add(new Node());
+            this.nodes.add(new Node(n % ZONES));
         }
         for (int i = 0; i < instances; i++) {
             this.instances.add(new Instance(i));
@@ -103,6 +124,42 @@
         at(atMs - now, () -> instances.subList(0, first).forEach(Instance::restart));
     }
 
+    /**
+     * All nodes of a zone say nothing for this time: connections that are open stay open, new ones don't come up. Who had
+     * sent them a request hears nothing of it before the request's time is up.
+     */
+    public void lose(int zone, double fromMs, double untilMs) {
+        lost = zone;
+        lostFrom = fromMs;
+        lostUntil = untilMs;
+    }
+
+    /** This part of the nodes stands still for so long, each at its own time in a span. */
+    public void stall(double part, double everyMs, double forMs) {
+        stallEvery = everyMs;
+        stallMs = forMs;
+        nodes.forEach(n -> n.stallsFrom = random.nextDouble() < part ? random.nextDouble() * everyMs : Double.NaN);
+    }
+
+    private boolean silent(Node node) {
+        return node.zone == lost && now >= lostFrom && now < lostUntil;
+    }
+
+    /** How long a node still stands still. */
+    private double stalled(Node node) {
+        double into = stallMs > 0 && !Double.isNaN(node.stallsFrom) ? (now - node.stallsFrom) % stallEvery : -1;
+        return into >= 0 && into < stallMs ? stallMs - into : 0;
+    }
+
+    private Settings settingsOf(int me) {
+        Settings s = settings;
+        return new Settings(me, instances.size(), me % s.zones(), s.zones(), s.kinds(), s.askForList(), s.aside(), s.originKind(),
+                s.reports(), s.reportNames(), s.worthByWork(), s.overShareWorth(), s.mayCancel(), s.mayProbe(), s.peers(),
+                s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(), s.connectTimeoutMs(),
+                s.drainGraceMs(), s.answerGraceMs(), s.startCapacity(), s.warmUpMs(), s.tipMultiple(), s.fallMs(),
+                s.askWithinMs(), s.originFallMultiple(), s.originFallMs(), s.classes(), s.tenants());
+    }
+
     private void at(double afterMs, Runnable task) {
         events.add(new Event(now + afterMs, order++, task));
     }
@@ -128,11 +185,11 @@
             life++;
             asks.clear();
             nodes.forEach(n -> n.holders.remove(me));
-            module = new Policy(settings, random.nextLong());
+            module = new Policy(settingsOf(me), random.nextLong());
             List<Member> list = new ArrayList<>();
             int kind = settings.originKind() == 0 ? 1 : 0;
             for (int n = 0; n < nodes.size(); n++) {
-                list.add(new Member(n, 0, kind, 0, State.READY, 1, 0));
+                list.add(new Member(n, nodes.get(n).zone % settings.zones(), kind, 0, State.READY, 1, 0));
             }
             list.add(new Member(ORIGIN, 0, settings.originKind(), 0, State.READY, 1, 0));
             module.onList(now, ListKind.CACHED, list, this);
@@ -152,7 +209,8 @@
             at(-Math.log(1 - random.nextDouble()) * everyMs, () -> {
                 if (now < untilMs) {
                     int id = nextId++;
-                    Ask ask = new Ask(key());
+                    Ask ask = new Ask(key(), now);
+                    counts.duringLoss += now >= lostFrom && now < lostUntil ? 1 : 0;
                     asks.put(id, ask);
                     counts.requests++;
                     later(DEADLINE_MS + 1, () -> asks.remove(id));
@@ -177,6 +235,13 @@
                 return;
             }
             Node node = nodes.get(server);
+            if (silent(node)) {
+                counts.intoSilence++;
+                boolean held = node.holders.contains(me);
+                double wait = held ? ask.bornMs + DEADLINE_MS - now : settings.connectTimeoutMs();
+                later(Math.max(0, wait), () -> end(request, attempt, server, held ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, wait));
+                return;
+            }
             if (!node.holders.contains(me) && node.holders.size() >= places) {
                 counts.refused++;
                 later(REFUSE_MS, () -> end(request, attempt, server, told ? Outcome.CONNECT_FAILED : Outcome.FULL,
@@ -184,12 +249,17 @@
                 return;
             }
             node.holders.add(me);
-            later(SERVE_MS, () -> {
+            double serveMs = SERVE_MS + stalled(node);
+            later(serveMs, () -> {
+                if (silent(node)) {
+                    later(ask.bornMs + DEADLINE_MS - now, () -> end(request, attempt, server, Outcome.TIMEOUT, 0, DEADLINE_MS));
+                    return;
+                }
                 boolean hit = node.keys.contains(ask.key);
                 if (!hit) {
                     ask.missedAt.add(node);
                 }
-                end(request, attempt, server, hit ? Outcome.OK : Outcome.MISS, 0, SERVE_MS);
+                end(request, attempt, server, hit ? Outcome.OK : Outcome.MISS, 0, serveMs);
             });
         }
 
@@ -199,6 +269,8 @@
                 return;
             }
             if (outcome == Outcome.OK && !ask.over) {
+                boolean lossTime = ask.bornMs >= lostFrom && ask.bornMs < lostUntil;
+                counts.inTimeDuringLoss += lossTime && now - ask.bornMs <= settings.classes().get(0).aimMs() ? 1 : 0;
                 answered(ask);
             }
             module.onAttemptEnd(now, new AttemptEnd(request, attempt, server, outcome, elapsedMs, ask.over, note, null),
@@ -235,8 +307,16 @@
         @Override
         public void closeIdle(int server) { }
 
+        /** Each copy takes 3.6 to 30 ms, and one in five is lost. */
         @Override
-        public void tell(int peer, byte[] message) { }
+        public void tell(int peer, byte[] message) {
+            counts.told++;
+            for (Instance other : instances) {
+                if (other != this && random.nextDouble() < 0.8) {
+                    other.later(3.6 + 26.4 * random.nextDouble(), () -> other.module.onPeer(now, me, message, other));
+                }
+            }
+        }
 
         @Override
         public void watch(boolean on) { }
@@ -250,12 +330,14 @@
 
     private static final class Ask {
         final long key;
+        final double bornMs;
         final Set<Node> missedAt = new HashSet<>();
         int attempts;
         boolean over;
 
-        Ask(long key) {
+        Ask(long key, double bornMs) {
             this.key = key;
+            this.bornMs = bornMs;
         }
     }
 }
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -52,6 +52,16 @@
         return settings(aside, ask, copies, group, true, List.of(new Tenant("a", 1, 100)));
     }
 
+    /** Aside mode with second copies, so many zones, and datagrams between instances or none. */
+    public static Settings zoned(int zones, boolean peers) {
+        Settings s = settings(true, false, true, Group.ALL, false, List.of(new Tenant("a", 1, 100)));
+        return new Settings(s.me(), 100, s.zone(), zones, s.kinds(), s.askForList(), s.aside(), s.originKind(), s.reports(),
+                s.reportNames(), s.worthByWork(), s.overShareWorth(), s.mayCancel(), s.mayProbe(), peers, s.secondCopies(),
+                s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(), s.connectTimeoutMs(), s.drainGraceMs(),
+                s.answerGraceMs(), s.startCapacity(), s.warmUpMs(), s.tipMultiple(), s.fallMs(), s.askWithinMs(),
+                s.originFallMultiple(), s.originFallMs(), s.classes(), s.tenants());
+    }
+
     /** As {@link #aside()}, with second copies or without, where servers may not be probed. */
     static Rig unprobed(boolean copies) {
         return new Rig(settings(true, false, copies, Group.ALL, false, List.of(new Tenant("a", 1, 100))));
