A stand-in site on loopback and the demo: cache nodes, origin, discovery, real proxies, a verdict

Change: package site gets its rules (a station with slots, waiting room, cold ramp and stops; a shelf with bound and windows of idempotency keys; the roster with its versions; the budget of a cold server) and its sockets (cache nodes, the origin, discovery on one event loop), with faults from the outside: stall, crash and restart, drain, silence, a spoilt answer, a new node. Command demo starts real proxies against it, sends them load, has a node fail in the middle and ends with the ledger's verdict.

SiteTest has the test itself break each of the four rules, and the ledger finds each. Not there yet: scenario files, a control port, lost datagrams, discovery's capacity and outages.

--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -2,12 +2,14 @@
 
 import damsonworks.load.LoadCommand;
 import damsonworks.proxy.Proxy;
+import damsonworks.site.Demo;
 import damsonworks.wire.Drill;
 import java.util.Arrays;
 
 /**
  * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
- * standard input and output, {@code load} is a load generator. What a command needs is loaded with it alone.
+ * standard input and output, {@code load} is a load generator, {@code demo} a
+ * site, proxies and load in one. What a command needs is loaded with it alone.
  */
 public final class Main {
     private Main() { }
@@ -21,11 +23,14 @@
         if (args.length > 0 && args[0].equals("load")) {
             System.exit(LoadCommand.run(Arrays.copyOfRange(args, 1, args.length)));
         }
+        if (args.length > 0 && args[0].equals("demo")) {
+            System.exit(Demo.run(Arrays.copyOfRange(args, 1, args.length)));
+        }
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> Proxy.main(null);
             case "drill" -> System.exit(Drill.main());
             default -> {
-                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ...");
+                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ...");
                 System.exit(2);
             }
         }
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -21,9 +21,15 @@
      * @param plan the same one with each call; each thread draws it all and keeps its part
      * @param connections at most to one address and from one thread; who finds none waits, and its time runs
      * @param tenant as requests name it
+     * @param witness is told of each try
      */
     public record Settings(List<InetSocketAddress> targets, List<Kind> kinds, Supplier<Iterator<Ask>> plan,
-            Patience patience, int threads, int connections, String tenant, long seed) { }
+            Patience patience, int threads, int connections, String tenant, long seed, Witness witness) {
+        public Settings(List<InetSocketAddress> targets, List<Kind> kinds, Supplier<Iterator<Ask>> plan, Patience patience,
+                int threads, int connections, String tenant, long seed) {
+            this(targets, kinds, plan, patience, threads, connections, tenant, seed, Witness.NONE);
+        }
+    }
 
     /** How far along it is, for a line on a terminal. */
     public record Progress(double seconds, long begun, long ended, int open, int connections) { }
--- a/src/main/java/damsonworks/load/Keys.java
+++ b/src/main/java/damsonworks/load/Keys.java
@@ -54,6 +54,11 @@
         return name((rank + (long) (atMs * driftPerMs)) % upTo.length);
     }
 
+    /** The key of this rank before any drift; 0: the most popular. */
+    public static String ofRank(int rank) {
+        return name(rank);
+    }
+
     /** Spread over all 64 bits, as hashes that work on few bits are to show. */
     private static String name(long index) {
         long z = (index + 1) * 0x9E3779B97F4A7C15L;
--- a/src/main/java/damsonworks/load/Lane.java
+++ b/src/main/java/damsonworks/load/Lane.java
@@ -224,18 +224,22 @@
         if (open.kind.write()) {
             text.append("x".repeat(open.ask.bytes())).append("\r\n");
         }
+        settings.witness().sent(open.id, open.kind, open.idempotency, left);
         Channel channel = line.channel();
         line.expect(open.id, (end, advice) -> answered(open, line, end, advice));
         channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), text));
         open.timer = wheel.at(now + left + SLACK_MS, () -> {
             line.forget();
             line.close(); // the client goes away
+            settings.witness().ended(open.id, Patience.End.LOST, true);
             ended(open, Patience.End.LOST, 0);
         });
     }
 
     private void answered(Open open, Line line, Patience.End end, double adviceMs) {
         open.timer.stop();
+        boolean crossed = end == Patience.End.LOST && line.crossed();
+        settings.witness().ended(open.id, end, crossed); // a request that crossed the connection's end was not taken
         if (end == Patience.End.LOST && line.crossed() && !open.resent && (open.kind.safe() || open.kind.keyed())) {
             // The proxy ended the connection between two requests, and this one was on its way.
             open.resent = true;
--- /dev/null
+++ b/src/main/java/damsonworks/load/Witness.java
@@ -0,0 +1,27 @@
+package damsonworks.load;
+
+/**
+ * Is told of each try as its client has it, from the generator's threads: for who keeps account of both sides. Each try has
+ * an id of its own.
+ */
+public interface Witness {
+    /** Hears nothing. */
+    Witness NONE = new Witness() {
+        @Override
+        public void sent(String id, Kind kind, String idempotency, double waitsMs) { }
+
+        @Override
+        public void ended(String id, Patience.End end, boolean gaveUp) { }
+    };
+
+    /**
+     * A try is about to be written.
+     *
+     * @param idempotency null: it has none
+     * @param waitsMs its client gives up after this
+     */
+    void sent(String id, Kind kind, String idempotency, double waitsMs);
+
+    /** It has ended; {@code gaveUp}: as the client closed the connection, not the target. */
+    void ended(String id, Patience.End end, boolean gaveUp);
+}
--- /dev/null
+++ b/src/main/java/damsonworks/site/DiscoveryFront.java
@@ -0,0 +1,108 @@
+package damsonworks.site;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Discovery: the whole list, and watches that wait for what is newer. On the site's loop. */
+final class DiscoveryFront {
+    private static final double MOST_WAIT_MS = 60_000;
+
+    private final Site site;
+    private final Roster roster;
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private Channel listener;
+
+    private record Watch(ChannelHandlerContext ctx, long since) { }
+
+    DiscoveryFront(Site site, Roster roster) {
+        this.site = site;
+        this.roster = roster;
+    }
+
+    void bound(Channel at) {
+        listener = at;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    ChannelHandler[] connection() {
+        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(1 << 12), new Connection()};
+    }
+
+    /** The list has changed: all who wait are told. */
+    void changed() {
+        Set<Watch> told = Set.copyOf(watches);
+        watches.clear();
+        told.forEach(w -> say(w.ctx(), HttpResponseStatus.OK, roster.since(w.since())));
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            if (!uri.path().equals("/discovery/hosts")) {
+                say(ctx, HttpResponseStatus.NOT_FOUND, "");
+                return;
+            }
+            List<String> since = uri.parameters().get("since");
+            if (since == null) {
+                say(ctx, HttpResponseStatus.OK, roster.whole());
+                return;
+            }
+            try {
+                long seen = Long.parseLong(since.get(0));
+                double wait = Double.parseDouble(uri.parameters().getOrDefault("timeout_ms", List.of("0")).get(0));
+                if (seen != roster.version()) {
+                    say(ctx, HttpResponseStatus.OK, roster.since(seen));
+                    return;
+                }
+                Watch watch = new Watch(ctx, seen);
+                watches.add(watch);
+                site.later(Math.max(0, Math.min(MOST_WAIT_MS, wait)), () -> {
+                    if (watches.remove(watch)) {
+                        say(ctx, HttpResponseStatus.OK, roster.since(seen));
+                    }
+                });
+            } catch (NumberFormatException e) {
+                say(ctx, HttpResponseStatus.BAD_REQUEST, "");
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+            super.channelInactive(ctx);
+            watches.removeIf(w -> w.ctx() == ctx);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private static void say(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        ctx.writeAndFlush(response);
+    }
+}
--- a/src/main/java/damsonworks/site/Ledger.java
+++ b/src/main/java/damsonworks/site/Ledger.java
@@ -163,6 +163,11 @@
         leaving.remove(server);
     }
 
+    /** A cold server was sent more than it may be. */
+    public void pushedOver(String server, double nowMs, double sentMs, double allowedMs) {
+        breach(4, nowMs, "%s, cold, was sent %.0f ms of work where %.0f are allowed", server, sentMs, allowedMs);
+    }
+
     // ---- what it comes to
 
     /** Judges all requests whose time is over by now, and lets go of them. */
--- /dev/null
+++ b/src/main/java/damsonworks/site/Roster.java
@@ -0,0 +1,71 @@
+package damsonworks.site;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Discovery's list: entries with the version at which each last changed. Rules alone. */
+public final class Roster {
+    /** How a host stands. */
+    public enum Health { UP, DRAINING, REMOVED }
+
+    /** @param bornMs Unix time of its last start in milliseconds; 0: long ago */
+    public record Host(String name, String dial, String zone, String kind, Health health, long bornMs) {
+        Host with(Health other) {
+            return new Host(name, dial, zone, kind, other, bornMs);
+        }
+
+        String json() {
+            return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"" + zone + "\",\"class\":\"" + kind
+                    + "\",\"block\":0,\"health\":\"" + health.name().toLowerCase(java.util.Locale.ROOT)
+                    + "\",\"share\":1,\"born_ms\":" + bornMs + "}";
+        }
+    }
+
+    private record Entry(Host host, long version) { }
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private long version = 1;
+
+    public long version() {
+        return version;
+    }
+
+    /** One more version, with this host as it is now. */
+    public void put(Host host) {
+        version++;
+        entries.put(host.name(), new Entry(host, version));
+    }
+
+    public void health(String name, Health health) {
+        Entry e = entries.get(name);
+        if (e == null) {
+            throw new IllegalArgumentException("no host " + name + " among " + entries.keySet());
+        }
+        put(e.host().with(health));
+    }
+
+    public Host host(String name) {
+        return entries.get(name) == null ? null : entries.get(name).host();
+    }
+
+    /** All that is there, without what is removed. */
+    public String whole() {
+        return json(true, entries.values().stream().filter(e -> e.host().health() != Health.REMOVED).toList());
+    }
+
+    /** What has changed since this version; all that is there where nobody can have it. */
+    public String since(long seen) {
+        if (seen < 1 || seen > version) {
+            return whole();
+        }
+        return json(false, entries.values().stream().filter(e -> e.version() > seen).toList());
+    }
+
+    private String json(boolean whole, List<Entry> of) {
+        List<String> hosts = new ArrayList<>();
+        of.forEach(e -> hosts.add(e.host().json()));
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/site/Site.java
@@ -0,0 +1,321 @@
+package damsonworks.site;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Cache nodes, an origin and discovery on loopback ports, in one process and on one thread: what decides is in the rules'
+ * classes, what happened in the ledger. Nothing is shared between two of them.
+ */
+public final class Site implements AutoCloseable {
+    /**
+     * @param nodes cache nodes, from 1
+     * @param slowPart of them that are of the slow kind
+     * @param zones that they are spread over
+     * @param keys that each has room for
+     * @param workMs of a read at a cache node at a speed of 1, on the mean
+     * @param fetchMs of the origin's work for a read
+     * @param places connections that a node takes
+     * @param noticeMs after which discovery tells of a change
+     * @param seed of all that is drawn
+     */
+    public record Plan(int nodes, double slowPart, int zones, int keys, double workMs, double fetchMs, int places,
+            int originSlots, double noticeMs, long seed) {
+        public static Plan of(int nodes, long seed) {
+            return new Plan(nodes, 0.41, 4, 4000, 20, 40, 40, 16, 500, seed);
+        }
+    }
+
+    static final double START_CAPACITY = 0.3;
+    static final double WARM_UP_MS = 9000;
+    static final double TIP_MULTIPLE = 3;
+    static final double FALL_MS = 1500;
+    static final double KEYED_MS = 1500;
+    static final double DRAIN_GRACE_MS = 2000;
+    static final double ANSWER_GRACE_MS = 50;
+
+    private final Plan plan;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final long startNanos = System.nanoTime();
+    private final Ledger ledger = new Ledger(new Ledger.Grace(ANSWER_GRACE_MS, DRAIN_GRACE_MS + ANSWER_GRACE_MS, KEYED_MS));
+    private final SplittableRandom random;
+    private final Roster roster = new Roster();
+    private final Map<String, CacheFront> nodes = new LinkedHashMap<>();
+    private final Shelf.Missed missed = new Shelf.Missed();
+    private final OriginFront origin;
+    private final DiscoveryFront discovery;
+    private int named;
+
+    /** Starts all of it; each on a port that the system chooses. */
+    public Site(Plan plan) throws Exception {
+        this.plan = plan;
+        random = new SplittableRandom(plan.seed());
+        origin = new OriginFront(this, new Station<>(new Station.Traits(plan.originSlots(), 4 * plan.originSlots(), 1, 1, 0)));
+        Channel at = bind(origin::connection);
+        roster.put(new Roster.Host("s-origin", dial(at), zone(0), "origin", Roster.Health.UP, 0));
+        for (int n = 0; n < plan.nodes(); n++) {
+            add(false);
+        }
+        discovery = new DiscoveryFront(this, roster);
+        discovery.bound(bind(discovery::connection));
+    }
+
+    // ---- what the fronts need
+
+    Plan plan() {
+        return plan;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Milliseconds since the site's start: the ledger's clock. */
+    public double nowMs() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    /** The ledger belongs to whoever holds its lock: clients tell it from threads of their own. */
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    Shelf.Missed missed() {
+        return missed;
+    }
+
+    Iterable<CacheFront> nodes() {
+        return nodes.values();
+    }
+
+    void later(double afterMs, Runnable task) {
+        loop.schedule(task, Math.max(0, Math.round(afterMs * 1000)), TimeUnit.MICROSECONDS);
+    }
+
+    /** Work of a request: exponential about the mean, the longest ten times it. */
+    double draw(double meanMs) {
+        return Math.min(10 * meanMs, -meanMs * Math.log(1 - random.nextDouble()));
+    }
+
+    Channel bind(Supplier<ChannelHandler[]> handlers) throws InterruptedException {
+        return bind(handlers, 0);
+    }
+
+    Channel bind(Supplier<ChannelHandler[]> handlers, int port) throws InterruptedException {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(handlers.get());
+                    }
+                }).bind("127.0.0.1", port).sync().channel();
+    }
+
+    private static String dial(Channel at) {
+        return "127.0.0.1:" + ((InetSocketAddress) at.localAddress()).getPort();
+    }
+
+    private String zone(int n) {
+        return String.valueOf((char) ('a' + n % plan.zones()));
+    }
+
+    private String add(boolean cold) throws InterruptedException {
+        int n = named++;
+        boolean slow = n % 100 < plan.slowPart() * 100 || n * plan.slowPart() % 1 + plan.slowPart() >= 1;
+        Station<CacheFront.Job> station = new Station<>(new Station.Traits(4, 32, slow ? 0.9 : 1.8, START_CAPACITY, WARM_UP_MS));
+        String name = String.format("s-%04x", n + 1);
+        CacheFront node = new CacheFront(this, name, station, new Shelf(plan.keys(), KEYED_MS));
+        Channel at = bind(node::connection);
+        node.bound(at);
+        nodes.put(name, node);
+        if (cold) {
+            station.born(nowMs());
+        }
+        roster.put(new Roster.Host(name, dial(at), zone(n), slow ? "node-slow" : "node-fast", Roster.Health.UP,
+                cold ? System.currentTimeMillis() : 0));
+        return name;
+    }
+
+    // ---- faults, from any thread
+
+    private <T> T on(Callable<T> task) throws Exception {
+        return loop.submit(task).get(10, TimeUnit.SECONDS);
+    }
+
+    public List<String> names() throws Exception {
+        return on(() -> new ArrayList<>(nodes.keySet()));
+    }
+
+    private CacheFront node(String name) {
+        CacheFront node = nodes.get(name);
+        if (node == null) {
+            throw new IllegalArgumentException("no cache node " + name + " among " + nodes.keySet());
+        }
+        return node;
+    }
+
+    /** All nodes have these keys, the first of them used last. */
+    public void stock(List<String> keys) throws Exception {
+        on(() -> {
+            for (int k = keys.size() - 1; k >= 0; k--) {
+                for (CacheFront node : nodes.values()) {
+                    node.shelf().put(keys.get(k));
+                }
+            }
+            return null;
+        });
+    }
+
+    /** It stands still for so long, with its connections open. */
+    public void stall(String name, double forMs) throws Exception {
+        on(() -> {
+            node(name).station().stand(nowMs(), forMs);
+            return null;
+        });
+    }
+
+    /** Its process dies: connections are reset and new ones refused. The list tells so after the notice. */
+    public void crash(String name) throws Exception {
+        on(() -> {
+            node(name).crash();
+            told(name, Roster.Health.REMOVED);
+            return null;
+        });
+    }
+
+    /** Starts again at its address, cold and empty. */
+    public void restart(String name) throws Exception {
+        CacheFront node = on(() -> node(name));
+        Channel at = bind(node::connection, node.port());
+        on(() -> {
+            node.bound(at);
+            node.station().born(nowMs());
+            node.shelf().clear();
+            Roster.Host host = roster.host(name);
+            later(plan.noticeMs(), () -> {
+                roster.put(new Roster.Host(name, host.dial(), host.zone(), host.kind(), Roster.Health.UP,
+                        System.currentTimeMillis()));
+                synchronized (ledger) {
+                    ledger.returns(name);
+                }
+                discovery.changed();
+            });
+            return null;
+        });
+    }
+
+    /** It finishes what it has and wants nothing new. */
+    public void drain(String name) throws Exception {
+        on(() -> {
+            node(name).drain();
+            told(name, Roster.Health.DRAINING);
+            return null;
+        });
+    }
+
+    /** From now on it says nothing, or does again; its connections stay open. */
+    public void silent(String name, boolean on) throws Exception {
+        on(() -> {
+            node(name).silent(on);
+            return null;
+        });
+    }
+
+    /** One more node, cold. Its name. */
+    public String join() throws Exception {
+        String name = add(true);
+        on(() -> {
+            discovery.changed();
+            return null;
+        });
+        return name;
+    }
+
+    /** The next answer of this node is spoilt: a line that can't be read. */
+    public void spoil(String name) throws Exception {
+        on(() -> {
+            node(name).spoil();
+            return null;
+        });
+    }
+
+    private void told(String name, Roster.Health health) {
+        later(plan.noticeMs(), () -> {
+            roster.health(name, health);
+            synchronized (ledger) {
+                ledger.leaves(name, nowMs());
+            }
+            discovery.changed();
+        });
+    }
+
+    // ---- for those who start proxies against it
+
+    public InetSocketAddress discovery() {
+        return discovery.address();
+    }
+
+    /** A proxy's configuration, as the platform writes it. */
+    public String config(int me, int proxies, int listen, List<damsonworks.load.Kind> kinds) throws Exception {
+        String known = on(roster::whole);
+        List<String> zones = new ArrayList<>();
+        for (int z = 0; z < plan.zones(); z++) {
+            zones.add("\"" + zone(z) + "\"");
+        }
+        List<String> classes = new ArrayList<>();
+        for (damsonworks.load.Kind k : kinds) {
+            classes.add(String.format(java.util.Locale.ROOT, "{\"name\":\"%s\",\"idempotency\":\"%s\",\"group\":\"all\",\"window\":%.0f,"
+                    + "\"promise\":%.0f,\"deadline\":%.0f,\"late-share\":0.3,\"worth\":1,\"stream\":false}", k.name(),
+                    k.keyed() ? "dedup" : k.safe() ? "retryable" : "fragile", KEYED_MS, k.aimMs(), k.patienceMs()));
+        }
+        return String.format(java.util.Locale.ROOT, """
+                {"name":"n%d","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%016x",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+                 "known":%s,
+                 "settings":{"me":%d,"balancers":%d,"locality":%d,"zones":[%s],"kinds":["node-fast","node-slow","origin"],
+                  "discovery":"ask","extra":{"mode":"aside","origin-kind":2},"report":{"how":"silent","names":[]},
+                  "value-by":"request","over-share-worth":1,
+                  "caps":{"may-cancel":true,"may-probe":false,"peers":false,"second-copies":true,"retry-after":true,
+                   "max-attempts":3,"max-retry-after":500,"connect-timeout":250,"idle-close":15000,"streams-per-conn":64},
+                  "guarantees":{"drain-grace":%.0f,"grace-to-answer":20,"start-capacity":%s,"warm-up":%.0f,
+                   "tip-multiple":%s,"fall":%.0f,"ask-within":10000},
+                  "classes":[%s],"tenants":[]}}
+                """, me, listen, discovery().getPort(), plan.seed() + me, known, me, proxies, me % plan.zones(),
+                String.join(",", zones), DRAIN_GRACE_MS, START_CAPACITY, WARM_UP_MS, TIP_MULTIPLE, FALL_MS,
+                String.join(",", classes));
+    }
+
+    /** Judges all that is over, and says what broke. */
+    public List<Breach> judge() {
+        synchronized (ledger) {
+            ledger.settle(nowMs());
+            return ledger.breaches();
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -22,15 +22,16 @@
             .importPackages("damsonworks");
 
     /** Rules within a package that has sockets too. */
-    private static final List<String> LOAD_RULES = List.of("Arrivals", "Ask", "Keys", "Kind", "Patience", "Plan", "Shape",
-            "Tally", "Wheel");
+    private static final List<String> RULES = List.of("load.Arrivals", "load.Ask", "load.Keys", "load.Kind", "load.Patience",
+            "load.Plan", "load.Shape", "load.Tally", "load.Wheel", "site.Breach", "site.ColdGuard", "site.Ledger", "site.Roster",
+            "site.Shelf", "site.Station");
 
     private static DescribedPredicate<JavaClass> rules() {
         return DescribedPredicate.describe("rules", c -> {
             String in = c.getPackageName().replace("damsonworks", "");
-            return List.of(".limits", ".budget", ".control", ".gossip", ".site").contains(in)
+            return List.of(".limits", ".budget", ".control", ".gossip").contains(in)
                     || in.isEmpty() && !c.getSimpleName().equals("Main")
-                    || in.equals(".load") && LOAD_RULES.stream().anyMatch(r -> c.getName().matches(".*\\." + r + "(\\$.*)?"));
+                    || RULES.stream().anyMatch(r -> c.getName().matches("damsonworks\\." + r + "(\\$.*)?"));
         });
     }
 
--- /dev/null
+++ b/src/test/java/damsonworks/site/SiteTest.java
@@ -0,0 +1,181 @@
+package damsonworks.site;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonParser;
+import damsonworks.load.Kind;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The stand-ins over sockets, and what the ledger finds when a proxy, played by the test, breaks a rule. */
+@Timeout(60)
+class SiteTest {
+    private static final class Caller implements AutoCloseable {
+        final Socket socket;
+        final BufferedReader in;
+
+        Caller(int port) throws IOException {
+            socket = new Socket("127.0.0.1", port);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(20_000);
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        }
+
+        String ask(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return in.readLine();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static Site site(int nodes) throws Exception {
+        return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 7));
+    }
+
+    private static int port(Site site, String name) throws Exception {
+        return JsonParser.parseString(site.config(0, 1, 1, Kind.USUAL)).getAsJsonObject().getAsJsonObject("known")
+                .getAsJsonArray("hosts").asList().stream().map(h -> h.getAsJsonObject())
+                .filter(h -> h.get("host").getAsString().equals(name))
+                .map(h -> Integer.parseInt(h.get("dial").getAsString().split(":")[1])).findFirst().orElseThrow();
+    }
+
+    private static void taken(Site site, Ledger.Effect effect, String... ids) {
+        taken(site, 100, effect, ids);
+    }
+
+    private static void taken(Site site, double waitsMs, Ledger.Effect effect, String... ids) {
+        synchronized (site.ledger()) {
+            for (String id : ids) {
+                site.ledger().taken(id, effect, null, site.nowMs(), site.nowMs() + waitsMs);
+            }
+        }
+    }
+
+    private static void told(Site site, String id, Ledger.Told told) {
+        synchronized (site.ledger()) {
+            site.ledger().told(id, told, site.nowMs());
+        }
+    }
+
+    private static String get(Caller origin, String method, String key, String id) throws IOException {
+        String status = origin.ask(method + " /" + key + " HTTP/1.1\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        String line = origin.in.readLine();
+        int length = 0;
+        for (; !line.isEmpty(); line = origin.in.readLine()) {
+            length = line.toLowerCase().startsWith("content-length: ") ? Integer.parseInt(line.substring(16)) : length;
+        }
+        for (int i = 0; i < length; i++) {
+            origin.in.read();
+        }
+        return status;
+    }
+
+    private static List<Breach> judgedAfter(Site site) throws Exception {
+        Thread.sleep(400); // the requests' time, and twice the slack
+        return site.judge();
+    }
+
+    @Test
+    void aMissIsStoredWhereItWasOnceTheOriginHasAnsweredAndAWriteDropsIt() throws Exception {
+        try (Site site = site(1); Caller node = new Caller(port(site, "s-0001")); Caller origin = new Caller(port(site, "s-origin"))) {
+            taken(site, 60_000, Ledger.Effect.SAFE, "r1", "r2", "r3", "r4");
+            taken(site, 60_000, Ledger.Effect.UNSAFE, "w1");
+            assertThat(node.ask("mg a v Or1 Pc=seg-text,d=99\r\n")).isEqualTo("EN Or1 h0");
+            assertThat(get(origin, "GET", "a", "r1")).startsWith("HTTP/1.1 200");
+            told(site, "r1", Ledger.Told.SERVED);
+            assertThat(node.ask("mg a v Or2 Pc=seg-text,d=99\r\n")).isEqualTo("VA 512 Or2 h1");
+            node.in.readLine();
+            told(site, "r2", Ledger.Told.SERVED);
+            assertThat(get(origin, "PUT", "a", "w1")).startsWith("HTTP/1.1 200");
+            told(site, "w1", Ledger.Told.SERVED);
+            assertThat(node.ask("mg a v Or3 Pc=seg-text,d=99\r\n")).isEqualTo("EN Or3 h0");
+            told(site, "r3", Ledger.Told.REFUSED);
+            site.spoil("s-0001");
+            assertThat(node.ask("mg a v Or4 Pc=seg-text,d=99\r\n")).contains("spoilt");
+            told(site, "r4", Ledger.Told.FAILED);
+            synchronized (site.ledger()) { // a good proxy
+                site.ledger().settle(site.nowMs() + 120_000);
+                assertThat(site.ledger().judged()).isEqualTo(5);
+                assertThat(site.ledger().breaches()).isEmpty();
+            }
+        }
+    }
+
+    @Test
+    void aFullTableAnswersBusyAndClosesAndACrashedNodeRefusesUntilItIsBack() throws Exception {
+        try (Site site = site(1)) {
+            int port = port(site, "s-0001");
+            Caller[] held = {new Caller(port), new Caller(port), new Caller(port), new Caller(port)};
+            for (int i = 0; i < 3; i++) {
+                assertThat(held[i].ask("mn\r\n")).isEqualTo("MN");
+            }
+            assertThat(held[3].ask("mn\r\n")).isEqualTo("SERVER_ERROR busy");
+            assertThat(held[3].in.readLine()).isNull();
+            site.crash("s-0001");
+            Assertions.assertThatThrownBy(() -> {
+                if (held[0].in.readLine() == null) {
+                    throw new SocketException("ended");
+                }
+            }).isInstanceOf(SocketException.class);
+            Assertions.assertThatThrownBy(() -> new Caller(port).close()).isInstanceOf(ConnectException.class);
+            site.restart("s-0001");
+            try (Caller again = new Caller(port)) {
+                assertThat(again.ask("mn\r\n")).isEqualTo("MN");
+            }
+        }
+    }
+
+    @Test
+    void theLedgerFindsEachOfTheFourRulesBroken() throws Exception {
+        try (Site site = site(2); Caller node = new Caller(port(site, "s-0001")); Caller origin = new Caller(port(site, "s-origin"))) {
+            taken(site, Ledger.Effect.SAFE, "lost", "unasked");
+            told(site, "unasked", Ledger.Told.SERVED); // rule 1: by nobody; and "lost" is never answered
+            taken(site, Ledger.Effect.UNSAFE, "twice");
+            get(origin, "PUT", "a", "twice");
+            get(origin, "PUT", "a", "twice"); // rule 2
+            told(site, "twice", Ledger.Told.SERVED);
+            assertThat(judgedAfter(site)).extracting(Breach::rule).containsExactlyInAnyOrder(1, 1, 2);
+
+            String cold = site.join();
+            try (Caller burst = new Caller(port(site, cold))) {
+                StringBuilder text = new StringBuilder();
+                for (int i = 0; i < 20_000; i++) {
+                    text.append("mg k").append(i).append(" v Ob").append(i).append(" Pc=seg-text,d=99\r\n");
+                    taken(site, Ledger.Effect.SAFE, "b" + i);
+                    synchronized (site.ledger()) {
+                        site.ledger().left("b" + i); // its client went away: nothing is owed
+                    }
+                }
+                burst.ask(text.toString()); // rule 4
+                assertThat(judgedAfter(site)).extracting(Breach::rule).contains(4);
+            }
+
+            site.drain("s-0001");
+            Thread.sleep((long) (Site.DRAIN_GRACE_MS + Site.ANSWER_GRACE_MS + 200));
+            taken(site, Ledger.Effect.SAFE, "late");
+            assertThat(node.ask("mg a v Olate Pc=seg-text,d=99\r\n")).isEqualTo("SERVER_ERROR busy"); // rule 3
+            assertThat(site.judge()).extracting(Breach::rule).contains(3);
+        }
+    }
+
+    /** The whole of it, with real proxies as processes: no rule is broken by one that crashes in the middle. */
+    @Test
+    void theDemoEndsWithAVerdict() {
+        assertThat(Demo.run("--nodes", "4", "--seconds", "3", "--rate", "50", "--fault", "crash")).isZero();
+        assertThat(Demo.run("--nodes", "0")).isEqualTo(2);
+        assertThat(Demo.run("--fault", "earthquake")).isEqualTo(2);
+    }
+}
