Scenarios of the site: faults by time from a file, discovery's capacity and outages

Need: a demo with one fault of one kind can't be an evening. Faults now come from a TOML file, at a time or again and again, for a node, one by lot or a part of them, the same for the same seed; what can't be used is one line. Discovery works through calls in turn, sends away who would wait over 2 s, and goes out of reach and comes back.

--- a/src/main/java/damsonworks/site/CacheFront.java
+++ b/src/main/java/damsonworks/site/CacheFront.java
@@ -86,8 +86,10 @@
         life++;
         listener.close();
         for (Connection c : Set.copyOf(connections)) {
-            c.ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0); // a reset
-            c.ctx.close();
+            if (c.ctx.channel().isActive()) {
+                c.ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0); // a reset
+                c.ctx.close();
+            }
         }
         station.born(site.nowMs());
         shelf.clear();
--- a/src/main/java/damsonworks/site/Demo.java
+++ b/src/main/java/damsonworks/site/Demo.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -51,6 +52,12 @@
     private long seed;
     @Option(names = "--fault", defaultValue = "stall", description = "In the middle: stall, crash, drain, silent or none (${DEFAULT-VALUE}).")
     private String fault;
+    @Option(names = "--scenario", paramLabel = "FILE", description = "Faults by time, in TOML, in place of that one (docs/site.md).")
+    private Path scenario;
+    @Option(names = "--json", paramLabel = "FILE", description = "The load's report as JSON.")
+    private Path json;
+    @Option(names = "--html", paramLabel = "FILE", description = "The load's report as one page with plots.")
+    private Path html;
 
     /** Exit code: 0 all rules held, 1 they did not or it failed, 2 unusable arguments. */
     public static int run(String... args) {
@@ -58,8 +65,8 @@
             System.err.println("demo: " + e.getMessage().lines().findFirst().orElse("") + " (see demo --help)");
             return 2;
         }).setExecutionExceptionHandler((e, line, parsed) -> {
-            System.err.println("demo failed: " + e);
-            return 1;
+            System.err.println(e instanceof Scenario.BadScenario ? e.getMessage() : "demo failed: " + e);
+            return e instanceof Scenario.BadScenario ? 2 : 1;
         }).execute(args);
     }
 
@@ -71,6 +78,7 @@
                     + " --fault stall, crash, drain, silent or none");
             return 2;
         }
+        Scenario plan = scenario();
         Path folder = Files.createTempDirectory("demo");
         List<Process> running = new ArrayList<>();
         Thread hook = new Thread(() -> running.forEach(Process::destroyForcibly));
@@ -90,8 +98,15 @@
                 }
             }
             System.out.println(nodes + " cache nodes, an origin, " + proxies + " proxies at " + targets);
-            Tally tally = load(site, targets);
-            System.out.print(new Report(tally, seconds, false).text());
+            Tally tally = load(site, targets, plan);
+            Report report = new Report(tally, seconds, false);
+            System.out.print(report.text());
+            if (json != null) {
+                Files.writeString(json, report.json());
+            }
+            if (html != null) {
+                Files.writeString(html, report.html());
+            }
             return verdict(site, tally, running);
         } finally {
             running.forEach(Process::destroy);
@@ -109,7 +124,19 @@
         }
     }
 
-    private Tally load(Site site, List<InetSocketAddress> targets) throws Exception {
+    private Scenario scenario() throws Scenario.BadScenario {
+        if (scenario != null) {
+            try {
+                return Scenario.parse(scenario.toString(), Files.readString(scenario), nodes, seed);
+            } catch (IOException e) {
+                throw new Scenario.BadScenario(scenario + ": can't be read: " + e.getClass().getSimpleName());
+            }
+        }
+        return fault.equals("none") ? Scenario.NONE : Scenario.of(seconds * 500, Scenario.What.valueOf(fault.toUpperCase(Locale.ROOT)),
+                nodes / 2, 2000);
+    }
+
+    private Tally load(Site site, List<InetSocketAddress> targets, Scenario plan) throws Exception {
         Ledger ledger = site.ledger();
         Witness witness = new Witness() {
             @Override
@@ -140,31 +167,37 @@
         Generator generator = new Generator(new Generator.Settings(targets, Kind.USUAL, () -> new Plan(Kind.USUAL,
                 new Arrivals(rate, new Shape.Steady(), true, seed), new Keys(KEYS, 0.95, 0, Keys.Hot.NONE, seed + 1), targets.size(),
                 Plan.Overtaken.NONE, 64, seconds * 1000, seed + 2), Patience.USUAL, 1, 512, "t", seed + 3, witness));
+        long began = System.nanoTime();
         Thread faults = new Thread(() -> {
             try {
-                Thread.sleep((long) (seconds * 500));
-                List<String> names = site.names();
-                String name = names.get(names.size() / 2);
-                if (!fault.equals("none")) {
-                    System.out.println(fault + " of " + name + " after " + seconds / 2 + " s");
-                }
-                switch (fault) {
-                    case "stall" -> site.stall(name, 2000);
-                    case "crash" -> site.crash(name);
-                    case "drain" -> site.drain(name);
-                    case "silent" -> site.silent(name, true);
-                    default -> { }
+                for (Scenario.Event e : plan.events()) {
+                    double wait = e.atMs() - (System.nanoTime() - began) / 1e6;
+                    Thread.sleep((long) Math.max(0, wait));
+                    carryOut(site, e);
                 }
-            } catch (Exception e) {
-                Thread.currentThread().interrupt();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt(); // the load is over before the scenario is
             }
         });
+        faults.setDaemon(true);
         faults.start();
         Tally tally = generator.run();
+        faults.interrupt();
         faults.join();
         return tally;
     }
 
+    /** One that fails, as a restart of what has not crashed, does not keep the next from coming. */
+    private static void carryOut(Site site, Scenario.Event e) throws InterruptedException {
+        try {
+            site.play(e);
+        } catch (InterruptedException interrupted) {
+            throw interrupted;
+        } catch (Exception failed) {
+            System.err.println("fault " + e + " could not be carried out: " + failed.getMessage());
+        }
+    }
+
     private static int verdict(Site site, Tally tally, List<Process> running) throws InterruptedException {
         Thread.sleep(1500); // what is still under way at the nodes, and the last requests' time
         List<Breach> breaches = site.judge();
--- a/src/main/java/damsonworks/site/DiscoveryFront.java
+++ b/src/main/java/damsonworks/site/DiscoveryFront.java
@@ -19,15 +19,23 @@
 import java.util.List;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /** Discovery: the whole list, and watches that wait for what is newer. On the site's loop. */
 final class DiscoveryFront {
     private static final double MOST_WAIT_MS = 60_000;
+    /** A call costs so many lines besides those of its answer. */
+    private static final int CALL_LINES = 31;
+    /** Who would wait longer for its turn is sent away. */
+    private static final double MOST_QUEUE_MS = 2000;
 
     private final Site site;
     private final Roster roster;
     private final Set<Watch> watches = new LinkedHashSet<>();
+    private final Set<Channel> open = new LinkedHashSet<>();
     private Channel listener;
+    private double busyUntil;
+    private boolean out;
 
     private record Watch(ChannelHandlerContext ctx, long since) { }
 
@@ -48,11 +56,35 @@
         return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(1 << 12), new Connection()};
     }
 
+    /** From now on it is out of reach, or back: connections end, watches with them, and new ones too. */
+    void out(boolean is) {
+        out = is;
+        if (is) {
+            watches.clear();
+            Set.copyOf(open).forEach(Channel::close);
+        } else {
+            busyUntil = site.nowMs();
+        }
+    }
+
+    /** Works through calls in turn, so many lines a second. */
+    private void inTurn(ChannelHandlerContext ctx, Supplier<String> answer) {
+        double now = site.nowMs();
+        if (busyUntil - now > MOST_QUEUE_MS) {
+            say(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+            return;
+        }
+        String text = answer.get();
+        int lines = CALL_LINES + text.split("\"host\"", -1).length - 1;
+        busyUntil = Math.max(now, busyUntil) + lines * 1000.0 / site.plan().linesPerS();
+        site.later(busyUntil - now, () -> say(ctx, HttpResponseStatus.OK, text));
+    }
+
     /** The list has changed: all who wait are told. */
     void changed() {
         Set<Watch> told = Set.copyOf(watches);
         watches.clear();
-        told.forEach(w -> say(w.ctx(), HttpResponseStatus.OK, roster.since(w.since())));
+        told.forEach(w -> inTurn(w.ctx(), () -> roster.since(w.since())));
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -65,21 +97,21 @@
             }
             List<String> since = uri.parameters().get("since");
             if (since == null) {
-                say(ctx, HttpResponseStatus.OK, roster.whole());
+                inTurn(ctx, roster::whole);
                 return;
             }
             try {
                 long seen = Long.parseLong(since.get(0));
                 double wait = Double.parseDouble(uri.parameters().getOrDefault("timeout_ms", List.of("0")).get(0));
                 if (seen != roster.version()) {
-                    say(ctx, HttpResponseStatus.OK, roster.since(seen));
+                    inTurn(ctx, () -> roster.since(seen));
                     return;
                 }
                 Watch watch = new Watch(ctx, seen);
                 watches.add(watch);
                 site.later(Math.max(0, Math.min(MOST_WAIT_MS, wait)), () -> {
                     if (watches.remove(watch)) {
-                        say(ctx, HttpResponseStatus.OK, roster.since(seen));
+                        inTurn(ctx, () -> roster.since(seen));
                     }
                 });
             } catch (NumberFormatException e) {
@@ -87,9 +119,19 @@
             }
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) throws Exception {
+            open.add(ctx.channel());
+            if (out) {
+                ctx.close();
+            }
+            super.channelActive(ctx);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             super.channelInactive(ctx);
+            open.remove(ctx.channel());
             watches.removeIf(w -> w.ctx() == ctx);
         }
 
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -33,12 +33,13 @@
      * @param fetchMs of the origin's work for a read
      * @param places connections that a node takes
      * @param noticeMs after which discovery tells of a change
+     * @param linesPerS that discovery sends in all
      * @param seed of all that is drawn
      */
     public record Plan(int nodes, double slowPart, int zones, int keys, double workMs, double fetchMs, int places,
-            int originSlots, double noticeMs, long seed) {
+            int originSlots, double noticeMs, double linesPerS, long seed) {
         public static Plan of(int nodes, long seed) {
-            return new Plan(nodes, 0.41, 4, 4000, 20, 40, 40, 16, 500, seed);
+            return new Plan(nodes, 0.41, 4, 4000, 20, 40, 40, 16, 500, 200, seed);
         }
     }
 
@@ -260,6 +261,31 @@
         });
     }
 
+    /** Discovery is out of reach from now on, or is back. */
+    public void lists(boolean out) throws Exception {
+        on(() -> {
+            discovery.out(out);
+            return null;
+        });
+    }
+
+    /** Carries a scenario's fault out. */
+    public void play(Scenario.Event e) throws Exception {
+        String name = e.what().ofNode() ? String.format("s-%04x", e.node() + 1) : "";
+        switch (e.what()) {
+            case STALL -> stall(name, e.forMs());
+            case CRASH -> crash(name);
+            case RESTART -> restart(name);
+            case DRAIN -> drain(name);
+            case SILENT -> silent(name, true);
+            case SPEAK -> silent(name, false);
+            case SPOIL -> spoil(name);
+            case JOIN -> join();
+            case LISTS_OUT -> lists(true);
+            case LISTS_BACK -> lists(false);
+        }
+    }
+
     private void told(String name, Roster.Health health) {
         later(plan.noticeMs(), () -> {
             roster.health(name, health);
--- a/src/test/java/damsonworks/site/SiteRulesTest.java
+++ b/src/test/java/damsonworks/site/SiteRulesTest.java
@@ -6,7 +6,11 @@
 
 import damsonworks.site.Roster.Health;
 import damsonworks.site.Station.Offer;
+import java.util.Comparator;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What decides a stand-in's answers, on a clock of the test's own. */
 class SiteRulesTest {
@@ -67,6 +71,37 @@
         assertThatThrownBy(() -> roster.health("s-9", Health.UP)).hasMessageContaining("no host s-9 among [s-1, s-2]");
     }
 
+    @Test
+    void aScenarioIsTheSameWithTheSameSeedAndDrawsOthersEachTime() throws Exception {
+        String text = "[[fault]]\nat_s = 2\nwhat = 'stall'\npart = 0.41\nfor_ms = 160\nevery_s = 3\nuntil_s = 8\n"
+                + "[[fault]]\nat_s = 1\nwhat = 'lists_out'\n[[fault]]\nat_s = 5\nwhat = 'crash'\nnode = 7\n";
+        List<Scenario.Event> events = Scenario.parse("f", text, 20, 1).events();
+        assertThat(events).hasSize(3 * 8 + 2).isSortedAccordingTo(Comparator.comparingDouble(Scenario.Event::atMs));
+        assertThat(events.get(0)).isEqualTo(new Scenario.Event(1000, Scenario.What.LISTS_OUT, -1, 1000));
+        assertThat(events).contains(new Scenario.Event(5000, Scenario.What.CRASH, 7, 1000));
+        assertThat(Scenario.parse("f", text, 20, 1).events()).isEqualTo(events);
+        assertThat(Scenario.parse("f", text, 20, 2).events()).isNotEqualTo(events);
+        List<Integer> first = events.stream().filter(e -> e.atMs() == 2000).map(Scenario.Event::node).toList();
+        assertThat(first).doesNotHaveDuplicates().isNotEqualTo(events.stream().filter(e -> e.atMs() == 8000)
+                .map(Scenario.Event::node).toList());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
+        "[[fault]];at_s = 1;what = 'fire' | f, fault 1: 'what' fire: allowed are [stall, crash",
+        "[[fault]];what = 'stall' | f, fault 1: 'at_s' null: allowed are 0.0 to 86400.0",
+        "[[fault]];at_s = 1;what = 'stall';node = 20 | f, fault 1: 'node' 20: allowed are 0.0 to 19.0",
+        "[[fault]];at_s = 1;what = 'stall';node = 1.5 | f, fault 1: 'node' 1.5",
+        "[[fault]];at_s = 1;what = 'stall';node = 1;part = 0.5 | f, fault 1: 'node' and 'part'",
+        "[[fault]];at_s = 1;what = 'stall';when = 1 | f, fault 1: 'when': allowed are [at_s",
+        "[[fault]];at_s = 1;what = 'stall';part = 1;every_s = 0.01;until_s = 9000 | f, fault 1: 'every_s' 0.01: more than",
+        "[[fault]];at_s = 5;what = 'stall';until_s = 4 | f, fault 1: 'until_s' 4: allowed are 5.0",
+        "[other];a = 1 | f: 'other': only tables [[fault]]", "at_s = | f: not TOML"})
+    void aScenarioThatCantBeUsedIsOneLine(String text, String says) {
+        assertThatThrownBy(() -> Scenario.parse("f", text.replace(";", "\n"), 20, 1)).isInstanceOf(Scenario.BadScenario.class)
+                .hasMessageStartingWith(says).hasMessageNotContaining("\n");
+    }
+
     @Test
     void aColdServerIsPushedOverByAShortBurstAndNotByWhatItCanDo() {
         ColdGuard guard = new ColdGuard(3, 1500);
--- a/src/test/java/damsonworks/site/SiteTest.java
+++ b/src/test/java/damsonworks/site/SiteTest.java
@@ -11,10 +11,13 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The stand-ins over sockets, and what the ledger finds when a proxy, played by the test, breaks a rule. */
 @Timeout(60)
@@ -42,7 +45,7 @@
     }
 
     private static Site site(int nodes) throws Exception {
-        return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 7));
+        return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 1000, 7));
     }
 
     private static int port(Site site, String name) throws Exception {
@@ -171,10 +174,41 @@
         }
     }
 
+    @Test
+    void discoveryWorksThroughCallsInTurnAndGoesOutOfReach() throws Exception {
+        try (Site site = site(60)) {
+            String call = "GET /discovery/hosts HTTP/1.1\r\n\r\n";
+            Caller[] callers = new Caller[30];
+            for (int i = 0; i < callers.length; i++) { // 92 lines each, 1,000 a second: those that would wait over 2 s are sent away
+                callers[i] = new Caller(site.discovery().getPort());
+                callers[i].socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
+            }
+            long began = System.nanoTime();
+            int sentAway = 0;
+            for (Caller c : callers) {
+                sentAway += c.in.readLine().contains("503") ? 1 : 0;
+                c.close();
+            }
+            assertThat(sentAway).isBetween(4, 9);
+            assertThat(System.nanoTime() - began).isGreaterThan(1_500_000_000L);
+            Caller watch = new Caller(site.discovery().getPort());
+            watch.socket.getOutputStream().write("GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n".getBytes());
+            site.lists(true);
+            assertThat(watch.in.readLine()).isNull();
+            site.lists(false);
+            assertThat(new Caller(site.discovery().getPort()).ask(call)).isEqualTo("HTTP/1.1 200 OK");
+        }
+    }
+
     /** The whole of it, with real proxies as processes: no rule is broken by one that crashes in the middle. */
     @Test
-    void theDemoEndsWithAVerdict() {
-        assertThat(Demo.run("--nodes", "4", "--seconds", "3", "--rate", "50", "--fault", "crash")).isZero();
+    void theDemoEndsWithAVerdict(@TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("s.toml"), "[[fault]]\nat_s = 0.5\nwhat = 'crash'\nnode = 1\n[[fault]]\nat_s = 1\n"
+                + "what = 'restart'\nnode = 1\n[[fault]]\nat_s = 0.2\nwhat = 'spoil'\n[[fault]]\nat_s = 1.5\nwhat = 'join'\n"
+                + "[[fault]]\nat_s = 2\nwhat = 'lists_out'\n[[fault]]\nat_s = 2\nwhat = 'drain'\nnode = 2\n");
+        assertThat(Demo.run("--nodes", "4", "--seconds", "3", "--rate", "50", "--scenario", file.toString())).isZero();
+        Files.writeString(file, "[[fault]]\nat_s = 'now'\n");
+        assertThat(Demo.run("--scenario", file.toString())).isEqualTo(2);
         assertThat(Demo.run("--nodes", "0")).isEqualTo(2);
         assertThat(Demo.run("--fault", "earthquake")).isEqualTo(2);
     }
