--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -2,6 +2,7 @@
 
 import damsonworks.load.LoadCommand;
 import damsonworks.proxy.Proxy;
+import damsonworks.settings.CheckCommand;
 import damsonworks.site.Demo;
 import damsonworks.wire.Drill;
 import java.util.Arrays;
@@ -9,7 +10,7 @@
 /**
  * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
  * standard input and output, {@code load} is a load generator, {@code demo} a
- * site, proxies and load in one. What a command needs is loaded with it alone.
+ * site, proxies and load in one, {@code check} looks at an operator's file. What a command needs is loaded with it alone.
  */
 public final class Main {
     private Main() { }
@@ -20,17 +21,15 @@
             Proxy.main(args[2]);
             return;
         }
-        if (args.length > 0 && args[0].equals("load")) {
-            System.exit(LoadCommand.run(Arrays.copyOfRange(args, 1, args.length)));
-        }
-        if (args.length > 0 && args[0].equals("demo")) {
-            System.exit(Demo.run(Arrays.copyOfRange(args, 1, args.length)));
-        }
-        switch (args.length == 1 ? args[0] : "") {
+        String[] rest = args.length > 0 ? Arrays.copyOfRange(args, 1, args.length) : args;
+        switch (args.length == 1 || args.length > 1 && !args[0].matches("serve|drill") ? args[0] : "") {
             case "serve" -> Proxy.main(null);
             case "drill" -> System.exit(Drill.main());
+            case "load" -> System.exit(LoadCommand.run(rest));
+            case "demo" -> System.exit(Demo.run(rest));
+            case "check" -> System.exit(CheckCommand.run(rest));
             default -> {
-                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ...");
+                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | check FILE");
                 System.exit(2);
             }
         }
--- a/src/main/java/damsonworks/load/LoadCommand.java
+++ b/src/main/java/damsonworks/load/LoadCommand.java
@@ -20,8 +20,10 @@
     "Open-loop load against proxies that speak the clients' protocol.",
     "Requests are written when they are due, whatever became of those before. Times run from when they were due."})
 public final class LoadCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "HOST:PORT", arity = "1..*", description = "Where requests go, evenly.")
+    @Parameters(paramLabel = "HOST:PORT", arity = "0..*", description = "Where requests go, evenly.")
     private List<String> targets = new ArrayList<>();
+    @Option(names = "--echo", description = "In place of an address: a target of its own that serves at once. What this generator itself can do.")
+    private boolean echo;
     @Option(names = "--rate", defaultValue = "200", description = "Requests a second at a multiple of 1 (${DEFAULT-VALUE}).")
     private double rate;
     @Option(names = "--seconds", defaultValue = "20", description = "For how long requests are due (${DEFAULT-VALUE}).")
@@ -81,6 +83,9 @@
     @Override
     public Integer call() throws UsageException, IOException, InterruptedException {
         List<InetSocketAddress> addresses = new ArrayList<>();
+        if (echo == !targets.isEmpty()) {
+            throw new UsageException("load: HOST:PORT, one or more, or --echo is wanted (see load --help)");
+        }
         for (String target : targets) {
             addresses.add(address(target));
         }
@@ -100,17 +105,21 @@
         double[] part = window("--overtaken", overtaken);
         Supplier<Iterator<Ask>> plan;
         if (trace != null) {
-            List<Ask> asks = Trace.read(trace, columns, speed, Kind.USUAL, addresses.size(), seed);
+            List<Ask> asks = Trace.read(trace, columns, speed, Kind.USUAL, Math.max(1, addresses.size()), seed);
             plan = asks::iterator;
         } else {
             plan = () -> new Plan(Kind.USUAL, new Arrivals(rate, form, !fixed, seed), new Keys(keys, zipf, drift,
-                    new Keys.Hot(key[0], key[1], key[2]), seed + 1), addresses.size(),
+                    new Keys.Hot(key[0], key[1], key[2]), seed + 1), Math.max(1, addresses.size()),
                     new Plan.Overtaken(0, part[0], part[1], part[2]), valueBytes, seconds * 1000, seed + 2);
         }
         if (record != null) {
             Trace.write(record, plan.get(), Kind.USUAL);
             return 0;
         }
+        Echo own = echo ? new Echo() : null;
+        if (own != null) {
+            addresses.add(own.address());
+        }
         Patience usual = Patience.USUAL;
         Generator generator = new Generator(new Generator.Settings(addresses, Kind.USUAL, plan, new Patience(retries,
                 usual.tryPart(), usual.backoffMs(), usual.honours(), longer), threads, connections, tenant, seed + 3));
@@ -129,6 +138,9 @@
         if (line != null) {
             line.interrupt();
         }
+        if (own != null) {
+            own.close();
+        }
         Report report = new Report(tally, generator.nowMs() / 1000, generator.stopped());
         System.out.print(report.text());
         if (json != null) {
--- a/src/main/java/damsonworks/settings/OperatorFile.java
+++ b/src/main/java/damsonworks/settings/OperatorFile.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -35,6 +36,11 @@
         return tables.get(Table.BUDGET);
     }
 
+    /** All there are, in the order of their names. */
+    Collection<Table> tables() {
+        return new TreeMap<>(tables).values();
+    }
+
     /** Reads and checks the file. */
     public static OperatorFile read(Path path) throws SettingsException {
         String file = path.toString();
--- a/src/main/java/damsonworks/settings/Table.java
+++ b/src/main/java/damsonworks/settings/Table.java
@@ -44,6 +44,12 @@
         this.values = Map.copyOf(values);
     }
 
+    /** What the file sets here, a line each, in the order of the keys' names. */
+    List<String> lines() {
+        return values.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                .map(e -> "[" + name + "] " + e.getKey() + " = " + e.getValue()).toList();
+    }
+
     /** The number that the file gives; empty: none. */
     public OptionalLong number(String key) {
         return values.get(key) instanceof Number n ? OptionalLong.of(n.longValue()) : OptionalLong.empty();
--- a/src/test/java/damsonworks/load/LoadRulesTest.java
+++ b/src/test/java/damsonworks/load/LoadRulesTest.java
@@ -112,7 +112,7 @@
 
     @ParameterizedTest
     @CsvSource({"--rate,0,127.0.0.1:1", "--shape,zigzag,127.0.0.1:1", "--shape,wave:0:1,127.0.0.1:1", "--hot,2:1:2,127.0.0.1:1",
-        "--seconds,1,127.0.0.1", "--seconds,1,127.0.0.1:70000", "--threads,0,127.0.0.1:1", "--nonsense,1,127.0.0.1:1"})
+        "--seconds,1,127.0.0.1", "--seconds,1,127.0.0.1:70000", "--threads,0,127.0.0.1:1", "--nonsense,1,127.0.0.1:1", "--echo,127.0.0.1:1,127.0.0.1:2"})
     void whatCantBeAskedForEndsWithTwo(String option, String value, String target) {
         assertThat(LoadCommand.run(option, value, target)).isEqualTo(2);
     }
--- a/src/test/java/damsonworks/settings/OperatorFileTest.java
+++ b/src/test/java/damsonworks/settings/OperatorFileTest.java
@@ -32,6 +32,19 @@
         assertThat(limits.flag("show_out_idle", true)).isTrue();
     }
 
+    @Test
+    void checkTellsWhatIsSetOrOneLineThatSaysWhyNot() throws Exception {
+        assertThat(CheckCommand.run("deploy/clayhoist.toml")).isZero();
+        Path file = Files.writeString(folder.resolve("c.toml"), "[limits]\nplaces = 100\nhold_off = false\n[budget]\nwait_ms = 9\n");
+        assertThat(OperatorFile.read(file).tables()).flatExtracting(Table::lines)
+                .containsExactly("[budget] wait_ms = 9", "[limits] hold_off = false", "[limits] places = 100");
+        assertThat(CheckCommand.run(file.toString())).isZero();
+        Files.writeString(file, "[limits]\nplaces = 1\n");
+        assertThat(CheckCommand.run(file.toString())).isEqualTo(2);
+        assertThat(CheckCommand.run("no such file")).isEqualTo(2);
+        assertThat(CheckCommand.run()).isEqualTo(2);
+    }
+
     /** The file that is shipped sets nothing. */
     @Test
     void theShippedFileIsGoodAndLeavesAllToTheProgram() throws Exception {
