The generator looks at sockets between requests, and rehearses before it measures

Cause: Lane.turn came again by execute(), and the event loop works off its tasks for up to a second before it looks at sockets. It is a timer now, and a rehearsal of two seconds against an own target compiles the code first; hexadecimal digits without String.format.

--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -34,6 +34,9 @@
     /** How far along it is, for a line on a terminal. */
     public record Progress(double seconds, long begun, long ended, int open, int connections) { }
 
+    private static final double REHEARSED_PER_SECOND = 20_000;
+    private static final double REHEARSED_MS = 2000;
+
     private final Settings settings;
     private final MultiThreadIoEventLoopGroup group;
     private final List<Lane> lanes = new ArrayList<>();
@@ -47,6 +50,21 @@
         done = new CountDownLatch(settings.threads());
     }
 
+    /**
+     * Has this process send some thousand requests to a target of its own, unmeasured: code that is not compiled yet makes
+     * the first seconds of a load late by hundreds of milliseconds. Takes some two seconds.
+     *
+     * @param perSecond as the load will be, up to which it is worth while
+     */
+    public static void rehearse(double perSecond, int threads) throws InterruptedException {
+        try (Echo echo = new Echo()) {
+            double rate = Math.max(500, Math.min(perSecond, REHEARSED_PER_SECOND));
+            new Generator(new Settings(List.of(echo.address()), Kind.USUAL, () -> new Plan(Kind.USUAL, new Arrivals(rate,
+                    new Shape.Ramp(REHEARSED_MS / 2), true, 1), new Keys(1000, 1, 0, Keys.Hot.NONE, 1), 1, Plan.Overtaken.NONE, 64,
+                    REHEARSED_MS, 1), Patience.USUAL, threads, 64, "t", 1)).run();
+        }
+    }
+
     /** Milliseconds since the load began, as the plan has them. */
     double nowMs() {
         return (System.nanoTime() - startNanos) / 1e6;
--- a/src/main/java/damsonworks/load/Keys.java
+++ b/src/main/java/damsonworks/load/Keys.java
@@ -1,6 +1,7 @@
 package damsonworks.load;
 
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.SplittableRandom;
 
 /**
@@ -63,6 +64,6 @@
     private static String name(long index) {
         long z = (index + 1) * 0x9E3779B97F4A7C15L;
         z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        return String.format("%016x", z ^ z >>> 27);
+        return HexFormat.of().toHexDigits(z ^ z >>> 27);
     }
 }
--- a/src/main/java/damsonworks/load/Lane.java
+++ b/src/main/java/damsonworks/load/Lane.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
@@ -45,7 +46,7 @@
             this.ask = ask;
             this.kind = kind;
             lot = random.nextDouble();
-            idempotency = kind.keyed() ? String.format("%016x", random.nextLong()) : null;
+            idempotency = kind.keyed() ? HexFormat.of().toHexDigits(random.nextLong()) : null;
         }
     }
 
@@ -129,7 +130,8 @@
         if (generator.stopped() || next == null && begun == ended) {
             end();
         } else if (next != null && next.atMs() - now < SPIN_MS) {
-            loop.execute(this::turn);
+            // Not by execute(): the loop works off its tasks for up to a second before it looks at sockets again.
+            loop.schedule(this::turn, 1, TimeUnit.NANOSECONDS);
         } else {
             loop.schedule(this::turn, 1, TimeUnit.MILLISECONDS);
         }
@@ -209,7 +211,7 @@
         }
         open.tries++;
         tally.tries++;
-        open.id = String.format("%016x", random.nextLong());
+        open.id = HexFormat.of().toHexDigits(random.nextLong());
         open.line = line;
         StringBuilder text = new StringBuilder(160).append(open.kind.write() ? "ms " : "mg ").append(open.ask.key());
         text.append(open.kind.write() ? " " + open.ask.bytes() : " v").append(" O").append(open.id).append(" Pc=")
--- a/src/main/java/damsonworks/load/LoadCommand.java
+++ b/src/main/java/damsonworks/load/LoadCommand.java
@@ -116,6 +116,7 @@
             Trace.write(record, plan.get(), Kind.USUAL);
             return 0;
         }
+        Generator.rehearse(trace == null ? rate : 1000, threads);
         Echo own = echo ? new Echo() : null;
         if (own != null) {
             addresses.add(own.address());
--- a/src/main/java/damsonworks/site/Demo.java
+++ b/src/main/java/damsonworks/site/Demo.java
@@ -91,6 +91,7 @@
                 running.add(start(folder, p, site.config(p, proxies, port, Kind.USUAL)));
                 targets.add(new InetSocketAddress("127.0.0.1", port));
             }
+            Generator.rehearse(rate, 1); // while the proxies start
             for (int p = 0; p < proxies; p++) {
                 if (!ready(targets.get(p), running.get(p))) {
                     System.err.println("demo: proxy n" + p + " does not serve: " + Files.readString(folder.resolve("n" + p + ".log")));
