The ledger books a request at the origin when it comes, its effect when it begins

Seen: one proxy at 4,000 requests a second had 88 breaches 'was sent to s-origin 88 ms after its final answer'. Cause: OriginFront told the ledger of a request as its work began, after its wait in the origin's room. Sent and effect are two entries now.

--- a/src/main/java/damsonworks/site/CacheFront.java
+++ b/src/main/java/damsonworks/site/CacheFront.java
@@ -115,7 +115,7 @@
     private void take(Job job) {
         double now = site.nowMs();
         synchronized (site.ledger()) {
-            site.ledger().ran(job.id, name, now, false); // that it was sent here at all; a cache node has no effect
+            site.ledger().sent(job.id, name, now); // a cache node has no effect
         }
         if (draining) {
             answer(job, BUSY);
--- a/src/main/java/damsonworks/site/Ledger.java
+++ b/src/main/java/damsonworks/site/Ledger.java
@@ -82,8 +82,25 @@
         }
     }
 
-    /** A server has begun a request that a proxy sent it; {@code took}: it took effect there, and was no repeat. */
+    /** A proxy's request has come to a server and is begun at once; {@code took}: it took effect there, and was no repeat. */
     public void ran(String id, String server, double nowMs, boolean took) {
+        sent(id, server, nowMs);
+        if (took) {
+            effect(id, server, nowMs);
+        }
+    }
+
+    /** What came to a server earlier takes effect there now, and is no repeat. */
+    public void effect(String id, String server, double nowMs) {
+        Request r = open.get(id);
+        if (r != null) {
+            took(r, server, nowMs);
+            r.runs.add(new Run(server, nowMs, true));
+        }
+    }
+
+    /** A proxy's request has come to a server, which begins it now or later. */
+    public void sent(String id, String server, double nowMs) {
         Double told = leaving.get(server);
         if (told != null && nowMs > told + grace.drainMs()) {
             breach(3, nowMs, "%s was sent request %s %.0f ms after it was told to leave", server, id, nowMs - told);
@@ -97,10 +114,7 @@
             breach(1, nowMs, "request %s was sent to %s %.0f ms after its final answer (%s)", id, server, nowMs - r.toldMs,
                     r.told);
         }
-        if (took) {
-            took(r, server, nowMs);
-        }
-        r.runs.add(new Run(server, nowMs, took));
+        r.runs.add(new Run(server, nowMs, false));
     }
 
     private void took(Request r, String server, double nowMs) {
--- a/src/main/java/damsonworks/site/OriginFront.java
+++ b/src/main/java/damsonworks/site/OriginFront.java
@@ -52,6 +52,9 @@
             }
             Job job = new Job(ctx, write, request.uri().substring(1), id, idempotency,
                     site.draw(site.plan().fetchMs() * (write ? WRITE : 1)));
+            synchronized (site.ledger()) {
+                site.ledger().sent(id, "s-origin", site.nowMs());
+            }
             switch (station.offer(job)) {
                 case BEGINS -> begin(job);
                 case WAITS -> { }
@@ -67,9 +70,10 @@
 
     private void begin(Job job) {
         double now = site.nowMs();
-        boolean took = job.write() && repeats.takes(now, job.idempotency());
-        synchronized (site.ledger()) {
-            site.ledger().ran(job.id(), "s-origin", now, took);
+        if (job.write() && repeats.takes(now, job.idempotency())) {
+            synchronized (site.ledger()) {
+                site.ledger().effect(job.id(), "s-origin", now);
+            }
         }
         site.later(station.doneMs(now, job.workMs()) - now, () -> done(job));
     }
