A request that crosses its connection's end is nobody's in the demo's account

Need: the generator sends such a request once more, but told its witness of the first try as one that its client gave up, so that the demo's ledger called it never answered. Found on reading; a proxy that closes idle connections would have been blamed.

Change: the witness hears of it by itself, and the ledger owes nothing for it. Measured: the case in GeneratorTest counts both.

--- a/src/main/java/damsonworks/load/Lane.java
+++ b/src/main/java/damsonworks/load/Lane.java
@@ -241,8 +241,12 @@
     private void answered(Open open, Line line, Patience.End end, double adviceMs) {
         open.timer.stop();
         boolean crossed = end == Patience.End.LOST && line.crossed();
-        settings.witness().ended(open.id, end, crossed); // a request that crossed the connection's end was not taken
-        if (end == Patience.End.LOST && line.crossed() && !open.resent && (open.kind.safe() || open.kind.keyed())) {
+        if (crossed) {
+            settings.witness().crossed(open.id);
+        } else {
+            settings.witness().ended(open.id, end, false);
+        }
+        if (crossed && !open.resent && (open.kind.safe() || open.kind.keyed())) {
             // The proxy ended the connection between two requests, and this one was on its way.
             open.resent = true;
             open.tries--; // the same try, once more
--- a/src/main/java/damsonworks/load/Witness.java
+++ b/src/main/java/damsonworks/load/Witness.java
@@ -12,6 +12,9 @@
 
         @Override
         public void ended(String id, Patience.End end, boolean gaveUp) { }
+
+        @Override
+        public void crossed(String id) { }
     };
 
     /**
@@ -24,4 +27,7 @@
 
     /** It has ended; {@code gaveUp}: as the client closed the connection, not the target. */
     void ended(String id, Patience.End end, boolean gaveUp);
+
+    /** It was on its way as the target ended a used connection between two requests: nobody has taken it. */
+    void crossed(String id);
 }
--- a/src/main/java/damsonworks/site/Demo.java
+++ b/src/main/java/damsonworks/site/Demo.java
@@ -164,6 +164,13 @@
                     }
                 }
             }
+
+            @Override
+            public void crossed(String id) {
+                synchronized (ledger) {
+                    ledger.left(id);
+                }
+            }
         };
         Generator generator = new Generator(new Generator.Settings(targets, Kind.USUAL, () -> new Plan(Kind.USUAL,
                 new Arrivals(rate, new Shape.Steady(), true, seed), new Keys(KEYS, 0.95, 0, Keys.Hot.NONE, seed + 1), targets.size(),
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -175,15 +175,34 @@
     @Test
     void aConnectionThatEndsBetweenTwoRequestsCostsNeither() throws Exception {
         AtomicInteger closed = new AtomicInteger();
-        Tally t = play(target((ctx, n, id) -> {
+        InetSocketAddress to = target((ctx, n, id) -> {
             if (n % 10 == 0 && n % 20 != 0) { // never the first on its connection
                 closed.incrementAndGet();
                 ctx.close();
             } else {
                 serve(ctx, id);
             }
-        }), ONCE);
+        });
+        AtomicInteger crossed = new AtomicInteger();
+        AtomicInteger ended = new AtomicInteger();
+        Witness witness = new Witness() {
+            @Override
+            public void sent(String id, Kind kind, String idempotency, double waitsMs) { }
+
+            @Override
+            public void ended(String id, Patience.End end, boolean gaveUp) {
+                ended.incrementAndGet();
+            }
+
+            @Override
+            public void crossed(String id) {
+                crossed.incrementAndGet();
+            }
+        };
+        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), ONCE, 1, 256, "t", 1, witness)).run();
         assertThat(t.whole().served()).isEqualTo(200);
+        assertThat(crossed.get()).isEqualTo(closed.get()); // nobody has taken those: no account is owed of them
+        assertThat(ended.get()).isEqualTo(200);
         assertThat(t.resent).isEqualTo(closed.get()).isPositive();
     }
 
