Membership over the peers' socket, a room of its own; rigs have loopback addresses of their own

proxy/peers holds the datagram socket (senders found by table, not by search) and MemberLink, loaded only where [membership] on = true in the operator's file: a start asks some by lot in place of all, a leave at SIGTERM is told, lists' news and calls are spread by who is there, GET /ops/members shows the view. Off: as before, no class loaded. Loopback gives each rig a block of 127/8 and ports that the system deals to nobody; each proxy may be told the site under an address of its own, and its ways to nodes and to discovery cut alone (Ways).

--- a/src/main/java/damsonworks/gossip/ListVersions.java
+++ b/src/main/java/damsonworks/gossip/ListVersions.java
@@ -29,10 +29,17 @@
     static final double AGAIN_MS = 4000;
     private static final int MOST_DOUBLINGS = 6;
 
+    /** The spreads stand for a tier of this size; a larger one has more voices to keep apart. */
+    private static final double TIER = 14;
+    private static final double MOST_ASK_SPREAD_MS = 8000;
+    private static final double LEAST_TELL_SPREAD_MS = 20;
+
     private final int me;
     private final long[] told;
     private final double[] ignoredUntil;
     private final int[] mistaken;
+    private double tellSpreadMs = TELL_SPREAD_MS;
+    private double askSpreadMs = ASK_SPREAD_MS;
     private long own;
     private double tellMs = Double.POSITIVE_INFINITY;
     private double toldMs = Double.NEGATIVE_INFINITY;
@@ -50,6 +57,19 @@
         mistaken = new int[peers];
     }
 
+    /**
+     * How many of the tier are there, and how long a message takes there and back. News is spread so that about
+     * {@link #VOICES} speak before they can have heard others, and calls so that the service has as much time for each as
+     * in a tier of {@link #TIER}.
+     *
+     * @param delayMs 0: not known
+     */
+    public void tier(int alive, double delayMs) {
+        int there = Math.max(1, alive);
+        askSpreadMs = Math.min(MOST_ASK_SPREAD_MS, ASK_SPREAD_MS * there / TIER);
+        tellSpreadMs = delayMs > 0 ? Math.max(LEAST_TELL_SPREAD_MS, there * delayMs / 2 / VOICES) : TELL_SPREAD_MS * there / TIER;
+    }
+
     /** Discovery has told this proxy of the list up to this version; also where that is no news. */
     public void own(double now, long version, double lot) {
         boolean news = version > own;
@@ -58,7 +78,7 @@
             mistaken[p] = told[p] != 0 && told[p] <= own ? 0 : mistaken[p];
         }
         if (news) {
-            tellMs = Math.min(tellMs, Math.max(now + lot * TELL_SPREAD_MS, toldMs + TELL_AGAIN_MS));
+            tellMs = Math.min(tellMs, Math.max(now + lot * tellSpreadMs, toldMs + TELL_AGAIN_MS));
         }
         if (!behind()) {
             askMs = judgeMs = Double.POSITIVE_INFINITY;
@@ -72,9 +92,9 @@
         }
         told[peer] = version;
         if (version < own) { // it may have missed what was told
-            tellMs = Math.min(tellMs, Math.max(now + lot * TELL_SPREAD_MS, toldMs + TELL_AGAIN_MS));
+            tellMs = Math.min(tellMs, Math.max(now + lot * tellSpreadMs, toldMs + TELL_AGAIN_MS));
         } else if (version > own && askMs == Double.POSITIVE_INFINITY && judgeMs == Double.POSITIVE_INFINITY) {
-            askMs = now + LATE_MS + lot * ASK_SPREAD_MS;
+            askMs = now + LATE_MS + lot * askSpreadMs;
         }
     }
 
--- a/src/main/java/damsonworks/proxy/ControlFront.java
+++ b/src/main/java/damsonworks/proxy/ControlFront.java
@@ -45,6 +45,9 @@
         /** Has the figures as one JSON text; called back on any thread. */
         void stats(Consumer<String> then);
 
+        /** Has this proxy's view of its tier as one JSON text; called back on any thread. False: it is no member. */
+        boolean members(Consumer<String> then);
+
         /** Whether a node of this name was ever on the list. */
         boolean listed(String node);
 
@@ -174,7 +177,7 @@
             path = query < 0 ? path : path.substring(0, query);
             String body = request.content().toString(StandardCharsets.ISO_8859_1).strip();
             HttpMethod method = switch (path) {
-                case "/ops/readiness", "/ops/stats" -> HttpMethod.GET;
+                case "/ops/readiness", "/ops/stats", "/ops/members" -> HttpMethod.GET;
                 case "/ops/cache-nodes/down", "/ops/cache-nodes/up" -> HttpMethod.PUT;
                 default -> null;
             };
@@ -188,6 +191,10 @@
                         ready ? "ready\n" : "not ready\n");
             } else if (path.equals("/ops/stats")) {
                 stats(ctx);
+            } else if (path.equals("/ops/members")) {
+                if (!desk.members(json -> thread.execute(() -> answer(ctx, HttpResponseStatus.OK, json)))) {
+                    answer(ctx, HttpResponseStatus.NOT_FOUND, "membership is off\n");
+                }
             } else {
                 hand(ctx, body, path.endsWith("/down"));
             }
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -7,6 +7,8 @@
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
 import damsonworks.gossip.ListVersions;
+import damsonworks.proxy.peers.MemberLink;
+import damsonworks.proxy.peers.PeerSocket;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -83,6 +85,8 @@
     /** Null: nobody to hear of the list from. */
     private ListVersions versions;
     private PeerSocket peers;
+    /** Null: how many proxies there are is not known, the configuration's number apart. */
+    private MemberLink members;
     /** For the one time at which there is next something to do about versions; null: none. */
     private Timers.Timer versionTimer;
     private final SplittableRandom lots;
@@ -108,7 +112,15 @@
         }
     }
 
+    /** From now on what is told and asked about lists is spread by who is there. */
+    void tierBy(MemberLink link) {
+        members = link;
+    }
+
     private void lookAtVersions() {
+        if (members != null) {
+            versions.tier(members.alive(), members.delayMs());
+        }
         if (versionTimer != null) {
             versionTimer.stop();
         }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -21,6 +21,7 @@
 import damsonworks.limits.Limits;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
+import damsonworks.proxy.peers.PeerSocket;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -44,7 +45,7 @@
  * attempts are in: an attempt ends once, a request is answered once. All of it runs on the event loop; the
  * module is never called from within one of its own orders, what happens meanwhile waits in line.
  */
-final class Dispatcher implements Actions {
+final class Dispatcher implements Actions, PeerSocket.Receiver {
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
     private static final double PROBE_TIMEOUT_MS = 250;
@@ -469,7 +470,8 @@
         return Math.max(4, Math.min(48, 240 / Math.max(1, settings.instances())));
     }
 
-    void heard(int peer, byte[] message) {
+    @Override
+    public void heard(int peer, byte[] message) {
         tell(() -> module.onPeer(now(), peer, message, this));
     }
 
--- a/src/main/java/damsonworks/proxy/OperatorSettings.java
+++ b/src/main/java/damsonworks/proxy/OperatorSettings.java
@@ -2,6 +2,7 @@
 
 import damsonworks.limits.LeastRate;
 import damsonworks.limits.Limits;
+import damsonworks.membership.Timing;
 import damsonworks.settings.Table;
 import damsonworks.settings.OperatorFile;
 import damsonworks.settings.SettingsException;
@@ -16,6 +17,7 @@
         try {
             OperatorFile of = OperatorFile.read(Path.of(file));
             boolean turnAway = of.budget().flag("turn_away", true);
+            config = config.member(membership(of.membership()));
             return config.with(over(config.limits(), of.limits())).waiting(turnAway
                     ? of.budget().number("wait_ms", (long) Config.BY_AIM) : 0);
         } catch (SettingsException e) {
@@ -23,6 +25,18 @@
         }
     }
 
+    /** Null: off. */
+    private static Timing membership(Table t) {
+        if (!t.flag("on", false)) {
+            return null;
+        }
+        Timing usual = Timing.USUAL;
+        double period = t.number("period_ms", (long) usual.periodMs());
+        double scale = period / usual.periodMs();
+        return new Timing(period, usual.directMs() * scale, usual.probeMs() * scale, t.number("suspect_ms", (long) usual.suspectMs()),
+                usual.lateMs(), t.number("bytes_per_s", (long) usual.bytesPerS()));
+    }
+
     private static Limits over(Limits l, Table t) throws SettingsException {
         long places = t.number("places", l.places());
         if (places > l.places()) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -2,6 +2,8 @@
 
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.control.Succession;
+import damsonworks.proxy.peers.MemberLink;
+import damsonworks.proxy.peers.PeerSocket;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -55,6 +57,8 @@
     private final Config config;
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
+    /** Null where the operator's file does not make it a member. */
+    private MemberLink members;
     private final DiscoveryClient discovery;
     private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -76,7 +80,7 @@
         this.config = config;
         names = config.control() == null ? null : new Names();
         dispatcher = new Dispatcher(loop, config, allocator);
-        peers = new PeerSocket(loop, config, dispatcher);
+        peers = new PeerSocket(loop, config.peerAddresses(), dispatcher);
         door = new Door(loop, dispatcher);
         discovery = new DiscoveryClient(loop, config, dispatcher, names);
         control = config.control() == null ? null : new ControlFront(config.control(), config.shared(), new Desk());
@@ -85,6 +89,15 @@
             other = control.begunBeside();
             control.follow();
         }
+        if (config.membership() != null) {
+            if (peers.hasPeers()) {
+                loop.submit(() -> members = new MemberLink(loop, peers, config.peers().size(), config.settings().me(),
+                        config.membership(), config.seed(), dispatcher::log)).syncUninterruptibly();
+                discovery.tierBy(members);
+            } else {
+                dispatcher.log("membership: the configuration names no peers, it stays off");
+            }
+        }
         WarmUp warmUp = new WarmUp(loop, config, allocator, peers, other.serves());
         loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
         dispatcher.log(warmUp.toString());
@@ -145,6 +158,15 @@
             loop.execute(() -> then.accept(dispatcher.figures(configsRead, configsRefused)));
         }
 
+        @Override
+        public boolean members(Consumer<String> then) {
+            if (members == null) {
+                return false;
+            }
+            loop.execute(() -> then.accept(members.json()));
+            return true;
+        }
+
         @Override
         public boolean listed(String node) {
             return names.contains(node);
@@ -274,6 +296,9 @@
             toldMs = dispatcher.now();
             idleEndsMs = Double.POSITIVE_INFINITY;
             drainEndsMs = Double.POSITIVE_INFINITY;
+            if (members != null && other.equals(Succession.Holds.NOTHING)) { // with another process here, the member stays
+                members.leaving();
+            }
             dispatcher.answerBy(toldMs + Succession.answeredMs(longestMs));
             drainOn();
         });
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -8,6 +8,7 @@
 import damsonworks.control.Succession;
 import damsonworks.limits.Settling;
 import damsonworks.limits.StartSpan;
+import damsonworks.proxy.peers.PeerSocket;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/damsonworks/settings/OperatorFile.java
+++ b/src/main/java/damsonworks/settings/OperatorFile.java
@@ -36,6 +36,10 @@
         return tables.get(Table.BUDGET);
     }
 
+    public Table membership() {
+        return tables.get(Table.MEMBERSHIP);
+    }
+
     /** All there are, in the order of their names. */
     Collection<Table> tables() {
         return new TreeMap<>(tables).values();
--- a/src/main/java/damsonworks/settings/Table.java
+++ b/src/main/java/damsonworks/settings/Table.java
@@ -12,6 +12,7 @@
     /** The tables that there are. */
     static final String LIMITS = "limits";
     static final String BUDGET = "budget";
+    static final String MEMBERSHIP = "membership";
     private static final long GIB = 1L << 30;
 
     static final Map<String, List<Key>> KEYS = Map.of(LIMITS, List.of(
@@ -32,7 +33,11 @@
             Key.flag("show_out_idle"),
             Key.flag("hold_off")), BUDGET, List.of(
             Key.flag("turn_away"),
-            Key.number("wait_ms", 1, 10_000)));
+            Key.number("wait_ms", 1, 10_000)), MEMBERSHIP, List.of(
+            Key.flag("on"),
+            Key.number("period_ms", 100, 60_000),
+            Key.number("suspect_ms", 500, 600_000),
+            Key.number("bytes_per_s", 300, 1_000_000)));
 
     private final String file;
     private final String name;
--- a/src/main/java/damsonworks/site/CacheFront.java
+++ b/src/main/java/damsonworks/site/CacheFront.java
@@ -42,7 +42,7 @@
     private final Shelf shelf;
     private final ColdGuard guard = new ColdGuard(Site.TIP_MULTIPLE, Site.FALL_MS);
     private final Set<Connection> connections = new HashSet<>();
-    private Channel listener;
+    private List<Channel> listeners = List.of();
     private int port;
     private boolean draining;
     private boolean silent;
@@ -57,9 +57,9 @@
         this.shelf = shelf;
     }
 
-    void bound(Channel at) {
-        listener = at;
-        port = ((InetSocketAddress) at.localAddress()).getPort();
+    void bound(List<Channel> at) {
+        listeners = at;
+        port = ((InetSocketAddress) at.get(0).localAddress()).getPort();
         down = draining = false;
     }
 
@@ -84,7 +84,7 @@
     void crash() {
         down = true;
         life++;
-        listener.close();
+        listeners.forEach(Channel::close);
         for (Connection c : Set.copyOf(connections)) {
             if (c.ctx.channel().isActive()) {
                 c.ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0); // a reset
@@ -182,6 +182,7 @@
             ctx = context;
             turnedAway = connections.size() >= site.plan().places();
             connections.add(this);
+            site.ways().enter(ctx.channel(), Ways.To.NODES);
         }
 
         @Override
@@ -232,7 +233,8 @@
         }
 
         private void say(String text) {
-            ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+            site.ways().pass(ctx.channel(), Ways.To.NODES,
+                    () -> ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1)));
         }
 
         void flush() {
--- a/src/main/java/damsonworks/site/DiscoveryFront.java
+++ b/src/main/java/damsonworks/site/DiscoveryFront.java
@@ -33,7 +33,7 @@
     private final Roster roster;
     private final Set<Watch> watches = new LinkedHashSet<>();
     private final Set<Channel> open = new LinkedHashSet<>();
-    private Channel listener;
+    private List<Channel> listeners = List.of();
     private double busyUntil;
     private boolean out;
 
@@ -44,12 +44,12 @@
         this.roster = roster;
     }
 
-    void bound(Channel at) {
-        listener = at;
+    void bound(List<Channel> at) {
+        listeners = at;
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return (InetSocketAddress) listeners.get(0).localAddress();
     }
 
     ChannelHandler[] connection() {
@@ -74,7 +74,7 @@
             say(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             return;
         }
-        String text = answer.get();
+        String text = site.seenFrom(Loopback.proxyAt((InetSocketAddress) ctx.channel().localAddress()), answer.get());
         int lines = CALL_LINES + text.split("\"host\"", -1).length - 1;
         busyUntil = Math.max(now, busyUntil) + lines * 1000.0 / site.plan().linesPerS();
         site.later(busyUntil - now, () -> say(ctx, HttpResponseStatus.OK, text));
@@ -122,6 +122,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) throws Exception {
             open.add(ctx.channel());
+            site.ways().enter(ctx.channel(), Ways.To.LISTS);
             if (out) {
                 ctx.close();
             }
@@ -141,10 +142,10 @@
         }
     }
 
-    private static void say(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+    private void say(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-        ctx.writeAndFlush(response);
+        site.ways().pass(ctx.channel(), Ways.To.LISTS, () -> ctx.writeAndFlush(response));
     }
 }
--- a/src/main/java/damsonworks/site/OriginFront.java
+++ b/src/main/java/damsonworks/site/OriginFront.java
@@ -38,6 +38,12 @@
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) throws Exception {
+            site.ways().enter(ctx.channel(), Ways.To.NODES);
+            super.channelActive(ctx);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             String id = request.headers().get("Req-Id", "");
@@ -93,13 +99,13 @@
         }
     }
 
-    private static void say(ChannelHandlerContext ctx, HttpResponseStatus status, String body, boolean declined) {
+    private void say(ChannelHandlerContext ctx, HttpResponseStatus status, String body, boolean declined) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.copiedBuffer(body, StandardCharsets.ISO_8859_1));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length());
         if (declined) {
             response.headers().set("Srv-Declined", "1");
         }
-        ctx.writeAndFlush(response);
+        site.ways().pass(ctx.channel(), Ways.To.NODES, () -> ctx.writeAndFlush(response));
     }
 }
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -57,6 +57,9 @@
     private final long startNanos = System.nanoTime();
     private final Ledger ledger = new Ledger(new Ledger.Grace(ANSWER_GRACE_MS, DRAIN_GRACE_MS + ANSWER_GRACE_MS, KEYED_MS));
     private final SplittableRandom random;
+    private final Loopback loopback;
+    private final int views;
+    private final Ways ways = new Ways();
     private final Roster roster = new Roster();
     private final Map<String, CacheFront> nodes = new LinkedHashMap<>();
     private final Shelf.Missed missed = new Shelf.Missed();
@@ -64,18 +67,28 @@
     private final DiscoveryFront discovery;
     private int named;
 
-    /** Starts all of it; each on a port that the system chooses. */
     public Site(Plan plan) throws Exception {
+        this(plan, new Loopback(), 0);
+    }
+
+    /**
+     * Starts all of it, on ports of this block, which is closed with it.
+     *
+     * @param views so many proxies have addresses of their own for it, so that their ways to it can be cut one by one
+     */
+    public Site(Plan plan, Loopback loopback, int views) throws Exception {
         this.plan = plan;
+        this.loopback = loopback;
+        this.views = views;
         random = new SplittableRandom(plan.seed());
         origin = new OriginFront(this, new Station<>(new Station.Traits(plan.originSlots(), 4 * plan.originSlots(), 1, 1, 0)));
-        Channel at = bind(origin::connection);
+        List<Channel> at = bind(origin::connection, loopback.port());
         roster.put(new Roster.Host("s-origin", dial(at), zone(0), "origin", Roster.Health.UP, 0));
         for (int n = 0; n < plan.nodes(); n++) {
             add(false);
         }
         discovery = new DiscoveryFront(this, roster);
-        discovery.bound(bind(discovery::connection));
+        discovery.bound(bind(discovery::connection, loopback.port()));
     }
 
     // ---- what the fronts need
@@ -119,35 +132,62 @@
         return Math.min(10 * meanMs, -meanMs * Math.log(1 - random.nextDouble()));
     }
 
-    Channel bind(Supplier<ChannelHandler[]> handlers) throws InterruptedException {
-        return bind(handlers, 0);
+    /** Listeners at the site's own address and at each view of it. */
+    private List<Channel> bind(Supplier<ChannelHandler[]> handlers, int port) throws InterruptedException {
+        List<Channel> all = new ArrayList<>();
+        for (int view = -1; view < views; view++) {
+            all.add(bind(handlers, new InetSocketAddress(view < 0 ? loopback.host() : loopback.view(view), port)));
+        }
+        return all;
     }
 
-    Channel bind(Supplier<ChannelHandler[]> handlers, int port) throws InterruptedException {
+    private Channel bind(Supplier<ChannelHandler[]> handlers, InetSocketAddress at) throws InterruptedException {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handlers.get());
                     }
-                }).bind("127.0.0.1", port).sync().channel();
+                }).bind(at).sync().channel();
+    }
+
+    private String dial(List<Channel> at) {
+        return loopback.host() + ":" + ((InetSocketAddress) at.get(0).localAddress()).getPort();
+    }
+
+    /** A text of the list as this proxy is told it; -1: as it is. */
+    String seenFrom(int view, String text) {
+        return view < 0 || view >= views ? text : text.replace('"' + loopback.host() + ':', '"' + loopback.view(view) + ':');
     }
 
-    private static String dial(Channel at) {
-        return "127.0.0.1:" + ((InetSocketAddress) at.localAddress()).getPort();
+    Ways ways() {
+        return ways;
+    }
+
+    /** Cuts the ways from a proxy that has a view of its own, or opens them again. */
+    public void cut(int proxy, boolean toNodes, boolean toLists, boolean cut) throws Exception {
+        on(() -> {
+            if (toNodes) {
+                ways.set(proxy, Ways.To.NODES, cut);
+            }
+            if (toLists) {
+                ways.set(proxy, Ways.To.LISTS, cut);
+            }
+            return null;
+        });
     }
 
     private String zone(int n) {
         return String.valueOf((char) ('a' + n % plan.zones()));
     }
 
-    private String add(boolean cold) throws InterruptedException {
+    private String add(boolean cold) throws InterruptedException, java.io.IOException {
         int n = named++;
         boolean slow = n % 100 < plan.slowPart() * 100 || n * plan.slowPart() % 1 + plan.slowPart() >= 1;
         Station<CacheFront.Job> station = new Station<>(new Station.Traits(4, 32, slow ? 0.9 : 1.8, START_CAPACITY, WARM_UP_MS));
         String name = String.format("s-%04x", n + 1);
         CacheFront node = new CacheFront(this, name, station, new Shelf(plan.keys(), KEYED_MS));
-        Channel at = bind(node::connection);
+        List<Channel> at = bind(node::connection, loopback.port());
         node.bound(at);
         nodes.put(name, node);
         if (cold) {
@@ -208,7 +248,7 @@
     /** Starts again at its address, cold and empty. */
     public void restart(String name) throws Exception {
         CacheFront node = on(() -> node(name));
-        Channel at = bind(node::connection, node.port());
+        List<Channel> at = bind(node::connection, node.port());
         on(() -> {
             node.bound(at);
             node.station().born(nowMs());
@@ -304,7 +344,8 @@
 
     /** A proxy's configuration, as the platform writes it. */
     public String config(int me, int proxies, int listen, List<damsonworks.load.Kind> kinds) throws Exception {
-        String known = on(roster::whole);
+        int view = me < views ? me : -1;
+        String known = seenFrom(view, on(roster::whole));
         List<String> zones = new ArrayList<>();
         for (int z = 0; z < plan.zones(); z++) {
             zones.add("\"" + zone(z) + "\"");
@@ -316,7 +357,7 @@
                     k.keyed() ? "dedup" : k.safe() ? "retryable" : "fragile", KEYED_MS, k.aimMs(), k.patienceMs()));
         }
         return String.format(java.util.Locale.ROOT, """
-                {"name":"n%d","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%016x",
+                {"name":"n%d","listen":"127.0.0.1:%d","discovery":"%s:%d","seed":"%016x",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "known":%s,
                  "settings":{"me":%d,"balancers":%d,"locality":%d,"zones":[%s],"kinds":["node-fast","node-slow","origin"],
@@ -327,7 +368,7 @@
                   "guarantees":{"drain-grace":%.0f,"grace-to-answer":20,"start-capacity":%s,"warm-up":%.0f,
                    "tip-multiple":%s,"fall":%.0f,"ask-within":10000},
                   "classes":[%s],"tenants":[]}}
-                """, me, listen, discovery().getPort(), plan.seed() + me, known, me, proxies, me % plan.zones(),
+                """, me, listen, view < 0 ? loopback.host() : loopback.view(view), discovery().getPort(), plan.seed() + me, known, me, proxies, me % plan.zones(),
                 String.join(",", zones), DRAIN_GRACE_MS, START_CAPACITY, WARM_UP_MS, TIP_MULTIPLE, FALL_MS,
                 String.join(",", classes));
     }
@@ -343,5 +384,10 @@
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        try {
+            loopback.close();
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
     }
 }
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/damsonworks/proxy/WarmUpTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonParser;
+import damsonworks.proxy.peers.PeerSocket;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -51,7 +52,7 @@
             for (String listen : new String[] {"127.0.0.1", "0.0.0.0", "198.51.100.1"}) {
                 Config config = config(stage, "\"listen\":\"127.0.0.1", "\"listen\":\"" + listen);
                 WarmUp warmUp = new WarmUp(stage.proxy.loop(), config, ByteBufAllocator.DEFAULT,
-                        new PeerSocket(stage.proxy.loop(), config, stage.proxy.dispatcher()), false);
+                        new PeerSocket(stage.proxy.loop(), config.peerAddresses(), stage.proxy.dispatcher()), false);
                 stage.proxy.loop().submit(warmUp::run).sync().getNow().sync();
                 assertThat(warmUp.toString()).matches(listen.startsWith("198") ? "warm-up: 0 .*, not settled"
                         : "warm-up: [1-9]\\d\\d+ .*");
--- a/src/test/java/damsonworks/site/SiteTest.java
+++ b/src/test/java/damsonworks/site/SiteTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -26,8 +27,8 @@
         final Socket socket;
         final BufferedReader in;
 
-        Caller(int port) throws IOException {
-            socket = new Socket("127.0.0.1", port);
+        Caller(InetSocketAddress at) throws IOException {
+            socket = new Socket(at.getAddress(), at.getPort());
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(20_000);
             in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
@@ -48,11 +49,12 @@
         return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 1000, 7));
     }
 
-    private static int port(Site site, String name) throws Exception {
+    private static InetSocketAddress at(Site site, String name) throws Exception {
         return JsonParser.parseString(site.config(0, 1, 1, Kind.USUAL)).getAsJsonObject().getAsJsonObject("known")
                 .getAsJsonArray("hosts").asList().stream().map(h -> h.getAsJsonObject())
                 .filter(h -> h.get("host").getAsString().equals(name))
-                .map(h -> Integer.parseInt(h.get("dial").getAsString().split(":")[1])).findFirst().orElseThrow();
+                .map(h -> h.get("dial").getAsString().split(":"))
+                .map(d -> new InetSocketAddress(d[0], Integer.parseInt(d[1]))).findFirst().orElseThrow();
     }
 
     private static void taken(Site site, Ledger.Effect effect, String... ids) {
@@ -93,7 +95,7 @@
 
     @Test
     void aMissIsStoredWhereItWasOnceTheOriginHasAnsweredAndAWriteDropsIt() throws Exception {
-        try (Site site = site(1); Caller node = new Caller(port(site, "s-0001")); Caller origin = new Caller(port(site, "s-origin"))) {
+        try (Site site = site(1); Caller node = new Caller(at(site, "s-0001")); Caller origin = new Caller(at(site, "s-origin"))) {
             taken(site, 60_000, Ledger.Effect.SAFE, "r1", "r2", "r3", "r4");
             taken(site, 60_000, Ledger.Effect.UNSAFE, "w1");
             assertThat(node.ask("mg a v Or1 Pc=seg-text,d=99\r\n")).isEqualTo("EN Or1 h0");
@@ -120,7 +122,7 @@
     @Test
     void aFullTableAnswersBusyAndClosesAndACrashedNodeRefusesUntilItIsBack() throws Exception {
         try (Site site = site(1)) {
-            int port = port(site, "s-0001");
+            InetSocketAddress port = at(site, "s-0001");
             Caller[] held = {new Caller(port), new Caller(port), new Caller(port), new Caller(port)};
             for (int i = 0; i < 3; i++) {
                 assertThat(held[i].ask("mn\r\n")).isEqualTo("MN");
@@ -143,7 +145,7 @@
 
     @Test
     void theLedgerFindsEachOfTheFourRulesBroken() throws Exception {
-        try (Site site = site(2); Caller node = new Caller(port(site, "s-0001")); Caller origin = new Caller(port(site, "s-origin"))) {
+        try (Site site = site(2); Caller node = new Caller(at(site, "s-0001")); Caller origin = new Caller(at(site, "s-origin"))) {
             taken(site, Ledger.Effect.SAFE, "lost", "unasked");
             told(site, "unasked", Ledger.Told.SERVED); // rule 1: by nobody; and "lost" is never answered
             taken(site, Ledger.Effect.UNSAFE, "twice");
@@ -153,7 +155,7 @@
             assertThat(judgedAfter(site)).extracting(Breach::rule).containsExactlyInAnyOrder(1, 1, 2);
 
             String cold = site.join();
-            try (Caller burst = new Caller(port(site, cold))) {
+            try (Caller burst = new Caller(at(site, cold))) {
                 StringBuilder text = new StringBuilder();
                 for (int i = 0; i < 20_000; i++) {
                     text.append("mg k").append(i).append(" v Ob").append(i).append(" Pc=seg-text,d=99\r\n");
@@ -180,7 +182,7 @@
             String call = "GET /discovery/hosts HTTP/1.1\r\n\r\n";
             Caller[] callers = new Caller[30];
             for (int i = 0; i < callers.length; i++) { // 92 lines each, 1,000 a second: those that would wait over 2 s are sent away
-                callers[i] = new Caller(site.discovery().getPort());
+                callers[i] = new Caller(site.discovery());
                 callers[i].socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
             }
             long began = System.nanoTime();
@@ -191,12 +193,12 @@
             }
             assertThat(sentAway).isBetween(4, 9);
             assertThat(System.nanoTime() - began).isGreaterThan(1_500_000_000L);
-            Caller watch = new Caller(site.discovery().getPort());
+            Caller watch = new Caller(site.discovery());
             watch.socket.getOutputStream().write("GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n".getBytes());
             site.lists(true);
             assertThat(watch.in.readLine()).isNull();
             site.lists(false);
-            assertThat(new Caller(site.discovery().getPort()).ask(call)).isEqualTo("HTTP/1.1 200 OK");
+            assertThat(new Caller(site.discovery()).ask(call)).isEqualTo("HTTP/1.1 200 OK");
         }
     }
 
