--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -1,16 +1,16 @@
 package damsonworks;
 
+import damsonworks.fleet.FleetCommand;
 import damsonworks.load.LoadCommand;
 import damsonworks.proxy.Proxy;
 import damsonworks.settings.CheckCommand;
-import damsonworks.site.Demo;
 import damsonworks.wire.Drill;
 import java.util.Arrays;
 
 /**
  * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
- * standard input and output, {@code load} is a load generator, {@code demo} a
- * site, proxies and load in one, {@code check} looks at an operator's file. What a command needs is loaded with it alone.
+ * standard input and output, {@code load} is a load generator, {@code demo} and
+ * {@code fleet} a site, proxies, load and faults in one, {@code check} looks at an operator's file. What a command needs is loaded with it alone.
  */
 public final class Main {
     private Main() { }
@@ -26,10 +26,11 @@
             case "serve" -> Proxy.main(null);
             case "drill" -> System.exit(Drill.main());
             case "load" -> System.exit(LoadCommand.run(rest));
-            case "demo" -> System.exit(Demo.run(rest));
+            case "demo" -> System.exit(FleetCommand.run(true, rest));
+            case "fleet" -> System.exit(FleetCommand.run(false, rest));
             case "check" -> System.exit(CheckCommand.run(rest));
             default -> {
-                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | check FILE");
+                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
                 System.exit(2);
             }
         }
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/ProxyProcess.java
@@ -0,0 +1,214 @@
+package damsonworks.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One real proxy: its folder, its configuration, its process and what is done to that. For one thread at a time. */
+final class ProxyProcess {
+    /** What the rig knows of it. */
+    enum Truth { DOWN, STARTING, SERVING, PAUSED, SLOWED, LEAVING }
+
+    private final int number;
+    private final Path folder;
+    private final Path config;
+    private final Path settings;
+    private final Path log;
+    private final InetSocketAddress listen;
+    private Process process;
+    private Thread duty;
+    private volatile Truth truth = Truth.DOWN;
+    private int starts;
+    private volatile boolean disturbed;
+    private volatile double disturbedMs = Double.NEGATIVE_INFINITY;
+
+    /** @param settings the operator's file as text; null: none */
+    ProxyProcess(int number, Path rig, InetSocketAddress listen, String config, String settings) throws IOException {
+        this.number = number;
+        this.listen = listen;
+        folder = Files.createDirectory(rig.resolve("n" + number));
+        this.config = rig.resolve("n" + number + ".json");
+        Files.writeString(this.config, config);
+        log = rig.resolve("n" + number + ".log");
+        this.settings = settings == null ? null : rig.resolve("n" + number + ".toml");
+        if (settings != null) {
+            Files.writeString(this.settings, settings);
+        }
+    }
+
+    int number() {
+        return number;
+    }
+
+    InetSocketAddress listen() {
+        return listen;
+    }
+
+    Truth truth() {
+        return truth;
+    }
+
+    boolean running() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it has ended though nobody ended it. */
+    boolean died() {
+        return truth != Truth.DOWN && truth != Truth.LEAVING && !running();
+    }
+
+    /** @param keep its folder as it was; false: empty */
+    void start(boolean keep) throws IOException {
+        if (running()) {
+            throw new IOException("proxy n" + number + " runs already");
+        }
+        if (!keep) {
+            Fleet.delete(folder);
+            Files.createDirectory(folder);
+        }
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Dio.netty.jfr.enabled=false", "-cp",
+                System.getProperty("java.class.path"), "damsonworks.Main", "serve"));
+        if (settings != null) {
+            command.addAll(List.of("--settings", settings.toString()));
+        }
+        ProcessBuilder serve = new ProcessBuilder(command);
+        serve.environment().put("BALANCER_CONFIG", config.toString());
+        serve.environment().put("TMPDIR", folder.toString());
+        process = serve.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        truth = Truth.STARTING;
+        starts++;
+    }
+
+    /** Whether it answers clients by then. */
+    boolean ready(double withinMs) throws InterruptedException {
+        long end = System.nanoTime() + (long) (withinMs * 1e6);
+        while (System.nanoTime() < end && running()) {
+            try (Socket socket = new Socket()) {
+                socket.connect(listen, 1000);
+                socket.setSoTimeout(1000);
+                socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (new String(socket.getInputStream().readNBytes(4), StandardCharsets.US_ASCII).equals("MN\r\n")) {
+                    if (truth == Truth.STARTING) {
+                        truth = Truth.SERVING;
+                    }
+                    return true;
+                }
+            } catch (IOException e) {
+                Thread.sleep(50);
+            }
+        }
+        return false;
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        if (!running() || new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor() != 0) {
+            throw new IOException("proxy n" + number + ": signal " + name + " could not be given");
+        }
+    }
+
+    /** It stands still until {@link #resume}. */
+    void pause() throws IOException, InterruptedException {
+        endDuty();
+        signal("STOP");
+        truth = Truth.PAUSED;
+    }
+
+    void resume() throws IOException, InterruptedException {
+        endDuty();
+        signal("CONT");
+        truth = Truth.SERVING;
+    }
+
+    /** It runs for this part of each second only, until {@link #resume}. */
+    void slow(double share) {
+        truth = Truth.SLOWED;
+        duty = new Thread(() -> {
+            try {
+                while (!Thread.currentThread().isInterrupted()) {
+                    signal("STOP");
+                    Thread.sleep((long) (1000 * (1 - share)));
+                    signal("CONT");
+                    Thread.sleep((long) (1000 * share));
+                }
+            } catch (IOException | InterruptedException e) {
+                // it has ended, or the rig has it run again
+            }
+        }, "duty n" + number);
+        duty.setDaemon(true);
+        duty.start();
+    }
+
+    private void endDuty() throws InterruptedException {
+        if (duty != null) {
+            duty.interrupt();
+            duty.join(2000);
+            duty = null;
+        }
+    }
+
+    /** Whether the system has it stopped: that a pause is one. */
+    boolean stopped() throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        return stat.charAt(stat.lastIndexOf(')') + 2) == 'T';
+    }
+
+    /** As a crash: its connections are reset. */
+    void kill() throws InterruptedException {
+        endDuty();
+        truth = Truth.DOWN;
+        if (process != null) {
+            process.destroyForcibly();
+            process.waitFor(5, TimeUnit.SECONDS);
+        }
+    }
+
+    /** SIGTERM: it leaves in its own time. */
+    void leave() throws InterruptedException {
+        endDuty();
+        truth = Truth.LEAVING;
+        process.destroy();
+    }
+
+    boolean ended(double withinMs) throws InterruptedException {
+        return process == null || process.waitFor((long) withinMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** CPU that it has used since its start. */
+    double cpuMs() {
+        return process == null ? 0 : process.info().totalCpuDuration().map(d -> d.toNanos() / 1e6).orElse(0.0);
+    }
+
+    /** From now on it can't do as it should, by the rig's doing. */
+    void disturbed(double nowMs) {
+        disturbed = true;
+        disturbedMs = nowMs;
+    }
+
+    /** It can again; what it had in hand until now is the rig's doing. */
+    void undisturbed(double nowMs) {
+        if (disturbed) {
+            disturbed = false;
+            disturbedMs = nowMs;
+        }
+    }
+
+    /** Whether it could not do as it should at some time from then on. */
+    boolean disturbedSince(double atMs) {
+        return disturbed || disturbedMs >= atMs;
+    }
+
+    int starts() {
+        return starts;
+    }
+
+    String log() throws IOException {
+        return Files.exists(log) ? Files.readString(log) : "";
+    }
+}
--- a/src/main/java/damsonworks/load/Lane.java
+++ b/src/main/java/damsonworks/load/Lane.java
@@ -226,7 +226,7 @@
         if (open.kind.write()) {
             text.append("x".repeat(open.ask.bytes())).append("\r\n");
         }
-        settings.witness().sent(open.id, open.kind, open.idempotency, left);
+        settings.witness().sent(open.id, open.ask.target(), open.kind, open.idempotency, left);
         Channel channel = line.channel();
         line.expect(open.id, (end, advice) -> answered(open, line, end, advice));
         channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), text));
--- a/src/main/java/damsonworks/load/Witness.java
+++ b/src/main/java/damsonworks/load/Witness.java
@@ -8,7 +8,7 @@
     /** Hears nothing. */
     Witness NONE = new Witness() {
         @Override
-        public void sent(String id, Kind kind, String idempotency, double waitsMs) { }
+        public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) { }
 
         @Override
         public void ended(String id, Patience.End end, boolean gaveUp) { }
@@ -20,10 +20,11 @@
     /**
      * A try is about to be written.
      *
+     * @param target the number of its target
      * @param idempotency null: it has none
      * @param waitsMs its client gives up after this
      */
-    void sent(String id, Kind kind, String idempotency, double waitsMs);
+    void sent(String id, int target, Kind kind, String idempotency, double waitsMs);
 
     /** It has ended; {@code gaveUp}: as the client closed the connection, not the target. */
     void ended(String id, Patience.End end, boolean gaveUp);
--- a/src/main/java/damsonworks/site/Scenario.java
+++ b/src/main/java/damsonworks/site/Scenario.java
@@ -18,27 +18,59 @@
 public final class Scenario {
     /** What may go wrong. */
     public enum What {
-        STALL, CRASH, RESTART, DRAIN, SILENT, SPEAK, SPOIL, JOIN, LISTS_OUT, LISTS_BACK;
+        STALL, CRASH, RESTART, DRAIN, SILENT, SPEAK, SPOIL, JOIN, LISTS_OUT, LISTS_BACK,
+        /** Of proxies: stand still, run for a part of each second, die, be told to end, start (again). */
+        PAUSE, SLOW, KILL, STOP, START,
+        /** Of ways from proxies: cut, all open again, worse for datagrams. */
+        CUT, HEAL, WIRE;
 
         /** Whether it is of a node that is there. */
         boolean ofNode() {
-            return this != JOIN && this != LISTS_OUT && this != LISTS_BACK;
+            return ordinal() <= SPOIL.ordinal();
+        }
+
+        /** Whether it is of proxies and what lies between them. */
+        public boolean ofProxies() {
+            return ordinal() >= PAUSE.ordinal();
         }
     }
 
+    /**
+     * What a fault of proxies says besides.
+     *
+     * @param proxies those it is of, by number; of a cut those that are not heard
+     * @param to of a cut between proxies those that do not hear them
+     * @param both a cut in both directions
+     * @param ways of a cut: peers, nodes, lists
+     * @param share part of each second that a slowed one runs
+     * @param keep a started one finds its folder as it was
+     * @param loss part of all datagrams that is lost
+     * @param delayMs of a datagram, on the mean
+     * @param twice part of all datagrams that comes twice
+     */
+    public record Between(List<Integer> proxies, List<Integer> to, boolean both, List<String> ways, double share, boolean keep,
+            double loss, double delayMs, double twice) {
+        static final Between NONE = new Between(List.of(), List.of(), false, List.of(), 0, true, 0, 0, 0);
+    }
+
     /**
      * One fault of one node.
      *
      * @param node its number from 0; -1: it is of none
-     * @param forMs how long a stall lasts
+     * @param forMs how long a stall lasts, or a fault of proxies; 0: until it is ended
+     * @param between what a fault of proxies says besides
      */
-    public record Event(double atMs, What what, int node, double forMs) { }
+    public record Event(double atMs, What what, int node, double forMs, Between between) {
+        Event(double atMs, What what, int node, double forMs) {
+            this(atMs, what, node, forMs, Between.NONE);
+        }
+    }
 
     /** One line: the file, the key, its value and what is allowed. */
     public static final class BadScenario extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BadScenario(String message) {
+        public BadScenario(String message) {
             super(message, null, false, false);
         }
     }
@@ -46,6 +78,9 @@
     /** Of one file. */
     static final int MOST_EVENTS = 100_000;
     private static final List<String> KEYS = List.of("at_s", "what", "node", "part", "for_ms", "every_s", "until_s");
+    private static final List<String> PROXY_KEYS = List.of("at_s", "what", "proxies", "part", "for_ms", "every_s", "until_s", "to",
+            "both", "ways", "share", "folder", "loss", "delay_ms", "twice");
+    private static final List<String> WAYS = List.of("peers", "nodes", "lists");
 
     private final List<Event> events;
 
@@ -70,8 +105,9 @@
      *
      * @param file its name, for errors
      * @param nodes of the site, from 1
+     * @param proxies in front of it; 0: none whose faults could be named
      */
-    public static Scenario parse(String file, String text, int nodes, long seed) throws BadScenario {
+    public static Scenario parse(String file, String text, int nodes, int proxies, long seed) throws BadScenario {
         Config all;
         try {
             all = new TomlParser().parse(text);
@@ -90,22 +126,26 @@
             if (!(faults.get(i) instanceof Config fault)) {
                 throw new BadScenario(file + ": fault " + (i + 1) + ": a table [[fault]] is wanted");
             }
-            read(file + ", fault " + (i + 1), fault.valueMap(), nodes, random.split(), events);
+            read(file + ", fault " + (i + 1), fault.valueMap(), nodes, proxies, random.split(), events);
         }
         events.sort(Comparator.comparingDouble(Event::atMs));
         return new Scenario(Collections.unmodifiableList(events));
     }
 
-    private static void read(String where, Map<String, Object> fault, int nodes, SplittableRandom random, List<Event> events)
-            throws BadScenario {
+    private static void read(String where, Map<String, Object> fault, int nodes, int proxies, SplittableRandom random,
+            List<Event> events) throws BadScenario {
+        What what = what(where, fault.get("what"));
+        List<String> keys = what.ofProxies() ? PROXY_KEYS : KEYS;
         for (String key : fault.keySet()) {
-            if (!KEYS.contains(key)) {
-                throw new BadScenario(where + ": '" + key + "': allowed are " + KEYS);
+            if (!keys.contains(key)) {
+                throw new BadScenario(where + ": '" + key + "': allowed are " + keys);
             }
         }
-        What what = what(where, fault.get("what"));
+        if (what.ofProxies() && proxies == 0) {
+            throw new BadScenario(where + ": 'what' " + fault.get("what") + ": there are no proxies here that it could be of");
+        }
         double at = number(where, fault, "at_s", Double.NaN, 0, 86_400);
-        double forMs = number(where, fault, "for_ms", 1000, 1, 600_000);
+        double forMs = number(where, fault, "for_ms", what.ofProxies() ? 0 : 1000, 1, 600_000);
         double every = number(where, fault, "every_s", 0, 0.01, 86_400);
         double until = number(where, fault, "until_s", at, at, 86_400);
         double part = number(where, fault, "part", 0, 0, 1);
@@ -114,10 +154,16 @@
             throw new BadScenario(where + ": 'node' and 'part': one of them is allowed");
         }
         for (double t = at; t <= until; t += every) {
-            for (int of : nodes(what, node, part, nodes, random)) {
-                if (events.size() == MOST_EVENTS) {
-                    throw new BadScenario(where + ": 'every_s' " + every + ": more than " + MOST_EVENTS + " faults");
+            if (what.ofProxies()) {
+                room(where, every, events);
+                events.add(new Event(t * 1000, what, -1, forMs, between(where, what, fault, part, proxies, random)));
+                if (every == 0) {
+                    break;
                 }
+                continue;
+            }
+            for (int of : nodes(what, node, part, nodes, random)) {
+                room(where, every, events);
                 events.add(new Event(t * 1000, what, of, forMs));
             }
             if (every == 0) {
@@ -126,21 +172,84 @@
         }
     }
 
+    private static void room(String where, double every, List<Event> events) throws BadScenario {
+        if (events.size() == MOST_EVENTS) {
+            throw new BadScenario(where + ": 'every_s' " + every + ": more than " + MOST_EVENTS + " faults");
+        }
+    }
+
+    private static Between between(String where, What what, Map<String, Object> fault, double part, int proxies,
+            SplittableRandom random) throws BadScenario {
+        List<Integer> named = numbers(where, fault, "proxies", proxies);
+        if (named != null && part > 0) {
+            throw new BadScenario(where + ": 'proxies' and 'part': one of them is allowed");
+        }
+        List<Integer> of = named != null ? named : what == What.HEAL || what == What.WIRE ? List.of() : byLot(part, proxies, random);
+        List<Integer> to = numbers(where, fault, "to", proxies);
+        if (to == null) { // from all the others
+            to = new ArrayList<>();
+            for (int p = 0; p < proxies; p++) {
+                if (!of.contains(p)) {
+                    to.add(p);
+                }
+            }
+        }
+        List<String> ways = new ArrayList<>();
+        Object said = fault.getOrDefault("ways", List.of("peers"));
+        for (Object way : said instanceof List<?> list ? list : List.of(said)) {
+            if (!WAYS.contains(way)) {
+                throw new BadScenario(where + ": 'ways' " + said + ": allowed are " + WAYS);
+            }
+            ways.add((String) way);
+        }
+        return new Between(of, to, flag(where, fault, "both", "true", "false", true), ways,
+                number(where, fault, "share", 0.1, 0.01, 1), flag(where, fault, "folder", "kept", "lost", true),
+                number(where, fault, "loss", 0, 0, 1), number(where, fault, "delay_ms", 0, 0, 60_000),
+                number(where, fault, "twice", 0, 0, 1));
+    }
+
+    /** Null: the key is not there. */
+    private static List<Integer> numbers(String where, Map<String, Object> fault, String key, int proxies) throws BadScenario {
+        Object value = fault.get(key);
+        if (value == null) {
+            return null;
+        }
+        List<Integer> all = new ArrayList<>();
+        for (Object one : value instanceof List<?> list ? list : List.of(value)) {
+            if (!(one instanceof Number n) || n.doubleValue() != n.intValue() || n.intValue() < 0 || n.intValue() >= proxies) {
+                throw new BadScenario(where + ": '" + key + "' " + value + ": allowed are whole numbers from 0 to " + (proxies - 1));
+            }
+            all.add(n.intValue());
+        }
+        return all;
+    }
+
+    private static boolean flag(String where, Map<String, Object> fault, String key, String yes, String no, boolean absent)
+            throws BadScenario {
+        Object value = fault.get(key);
+        if (value != null && !value.toString().equals(yes) && !value.toString().equals(no)) {
+            throw new BadScenario(where + ": '" + key + "' " + value + ": allowed are " + yes + " and " + no);
+        }
+        return value == null ? absent : value.toString().equals(yes);
+    }
+
     /** The node that is named, or so many by lot, each time others; one by lot where nothing is said. */
     private static List<Integer> nodes(What what, int node, double part, int nodes, SplittableRandom random) {
         if (!what.ofNode()) {
             return List.of(-1);
         }
-        if (node >= 0) {
-            return List.of(node);
-        }
+        return node >= 0 ? List.of(node) : byLot(part, nodes, random);
+    }
+
+    /** So many of them, one at least. */
+    private static List<Integer> byLot(double part, int of, SplittableRandom random) {
         List<Integer> all = new ArrayList<>();
-        for (int n = 0; n < nodes; n++) {
+        for (int n = 0; n < of; n++) {
             all.add(n);
         }
-        int wanted = Math.max(1, (int) Math.round(part * nodes));
+        int wanted = Math.max(1, (int) Math.round(part * of));
         for (int i = 0; i < wanted; i++) {
-            Collections.swap(all, i, i + random.nextInt(nodes - i));
+            Collections.swap(all, i, i + random.nextInt(of - i));
         }
         return all.subList(0, wanted);
     }
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -323,6 +323,7 @@
             case JOIN -> join();
             case LISTS_OUT -> lists(true);
             case LISTS_BACK -> lists(false);
+            default -> throw new IllegalArgumentException(e.what() + " is no fault of the site");
         }
     }
 
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -24,7 +24,7 @@
     /** Rules within a package that has sockets too. */
     private static final List<String> RULES = List.of("load.Arrivals", "load.Ask", "load.Keys", "load.Kind", "load.Patience",
             "load.Plan", "load.Shape", "load.Tally", "load.Wheel", "site.Breach", "site.ColdGuard", "site.Ledger", "site.Roster",
-            "site.Shelf", "site.Station");
+            "site.Scenario", "site.Shelf", "site.Station", "fleet.Wire", "fleet.Beliefs");
 
     private static DescribedPredicate<JavaClass> rules() {
         return DescribedPredicate.describe("rules", c -> {
@@ -58,10 +58,10 @@
 
     @Test
     void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
-        noClasses().that().resideInAnyPackage("damsonworks.load..", "damsonworks.site..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.fleet..").should().dependOnClassesThat()
                 .resideInAnyPackage("damsonworks.proxy..").check(ALL);
         noClasses().that().resideInAPackage("damsonworks.proxy..").should().dependOnClassesThat()
-                .resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.model..").check(ALL);
+                .resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.model..", "damsonworks.fleet..").check(ALL);
         noClasses().that().resideInAPackage("damsonworks.proxy..").should().dependOnClassesThat(
                 DescribedPredicate.describe("the simulator's wire, but for its parser of the settings", c ->
                         c.getPackageName().equals("damsonworks.wire") && !c.getSimpleName().matches("SettingsParser|WireException")))
@@ -84,7 +84,7 @@
         List<String> loaded = java.nio.file.Files.readAllLines(log);
         assertThat(loaded).anyMatch(l -> l.contains("damsonworks.proxy.Proxy")).noneMatch(l -> l.contains("picocli")
                 || l.contains("HdrHistogram") || l.contains("damsonworks.load") || l.contains("nightconfig")
-                || l.contains("damsonworks.site") || l.contains("damsonworks.model"));
+                || l.contains("damsonworks.site") || l.contains("damsonworks.fleet") || l.contains("damsonworks.membership") || l.contains("damsonworks.model"));
         java.nio.file.Files.delete(log);
     }
 }
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -187,7 +187,7 @@
         AtomicInteger ended = new AtomicInteger();
         Witness witness = new Witness() {
             @Override
-            public void sent(String id, Kind kind, String idempotency, double waitsMs) { }
+            public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) { }
 
             @Override
             public void ended(String id, Patience.End end, boolean gaveUp) {
--- a/src/test/java/damsonworks/site/SiteRulesTest.java
+++ b/src/test/java/damsonworks/site/SiteRulesTest.java
@@ -75,12 +75,12 @@
     void aScenarioIsTheSameWithTheSameSeedAndDrawsOthersEachTime() throws Exception {
         String text = "[[fault]]\nat_s = 2\nwhat = 'stall'\npart = 0.41\nfor_ms = 160\nevery_s = 3\nuntil_s = 8\n"
                 + "[[fault]]\nat_s = 1\nwhat = 'lists_out'\n[[fault]]\nat_s = 5\nwhat = 'crash'\nnode = 7\n";
-        List<Scenario.Event> events = Scenario.parse("f", text, 20, 1).events();
+        List<Scenario.Event> events = Scenario.parse("f", text, 20, 0, 1).events();
         assertThat(events).hasSize(3 * 8 + 2).isSortedAccordingTo(Comparator.comparingDouble(Scenario.Event::atMs));
         assertThat(events.get(0)).isEqualTo(new Scenario.Event(1000, Scenario.What.LISTS_OUT, -1, 1000));
         assertThat(events).contains(new Scenario.Event(5000, Scenario.What.CRASH, 7, 1000));
-        assertThat(Scenario.parse("f", text, 20, 1).events()).isEqualTo(events);
-        assertThat(Scenario.parse("f", text, 20, 2).events()).isNotEqualTo(events);
+        assertThat(Scenario.parse("f", text, 20, 0, 1).events()).isEqualTo(events);
+        assertThat(Scenario.parse("f", text, 20, 0, 2).events()).isNotEqualTo(events);
         List<Integer> first = events.stream().filter(e -> e.atMs() == 2000).map(Scenario.Event::node).toList();
         assertThat(first).doesNotHaveDuplicates().isNotEqualTo(events.stream().filter(e -> e.atMs() == 8000)
                 .map(Scenario.Event::node).toList());
@@ -98,7 +98,7 @@
         "[[fault]];at_s = 5;what = 'stall';until_s = 4 | f, fault 1: 'until_s' 4: allowed are 5.0",
         "[other];a = 1 | f: 'other': only tables [[fault]]", "at_s = | f: not TOML"})
     void aScenarioThatCantBeUsedIsOneLine(String text, String says) {
-        assertThatThrownBy(() -> Scenario.parse("f", text.replace(";", "\n"), 20, 1)).isInstanceOf(Scenario.BadScenario.class)
+        assertThatThrownBy(() -> Scenario.parse("f", text.replace(";", "\n"), 20, 0, 1)).isInstanceOf(Scenario.BadScenario.class)
                 .hasMessageStartingWith(says).hasMessageNotContaining("\n");
     }
 
--- a/src/test/java/damsonworks/site/SiteTest.java
+++ b/src/test/java/damsonworks/site/SiteTest.java
@@ -208,10 +208,10 @@
         Path file = Files.writeString(folder.resolve("s.toml"), "[[fault]]\nat_s = 0.5\nwhat = 'crash'\nnode = 1\n[[fault]]\nat_s = 1\n"
                 + "what = 'restart'\nnode = 1\n[[fault]]\nat_s = 0.2\nwhat = 'spoil'\n[[fault]]\nat_s = 1.5\nwhat = 'join'\n"
                 + "[[fault]]\nat_s = 2\nwhat = 'lists_out'\n[[fault]]\nat_s = 2\nwhat = 'drain'\nnode = 2\n");
-        assertThat(Demo.run("--nodes", "4", "--seconds", "3", "--rate", "50", "--scenario", file.toString())).isZero();
+        assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "4", "--seconds", "3", "--rate", "50", "--scenario", file.toString())).isZero();
         Files.writeString(file, "[[fault]]\nat_s = 'now'\n");
-        assertThat(Demo.run("--scenario", file.toString())).isEqualTo(2);
-        assertThat(Demo.run("--nodes", "0")).isEqualTo(2);
-        assertThat(Demo.run("--fault", "earthquake")).isEqualTo(2);
+        assertThat(damsonworks.fleet.FleetCommand.run(true, "--scenario", file.toString())).isEqualTo(2);
+        assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "0")).isEqualTo(2);
+        assertThat(damsonworks.fleet.FleetCommand.run(true, "--fault", "earthquake")).isEqualTo(2);
     }
 }
