Membership: what was told least goes first; two processes of a number judge nobody

Now what was told least often goes first, and rounds follow from what failed before. Two processes of one number each hear half of the answers: they accused others now and then. While control tells of both, neither does.

--- a/src/main/java/damsonworks/membership/Membership.java
+++ b/src/main/java/damsonworks/membership/Membership.java
@@ -79,13 +79,15 @@
     private int greeted;
 
     private final int[] tellings;
-    private final ArrayDeque<Integer> news = new ArrayDeque<>();
+    private int untold;
 
     private double lastMs;
     private double freshMs;
     /** Part of the questions to present members that had no answer on any way. */
     private double failing;
     private boolean doubtful;
+    /** Since when another process of this member runs beside this one; NaN: none does. */
+    private double besideMs = Double.NaN;
     private double doubtSinceMs;
     private int health;
     private double allowance;
@@ -174,6 +176,19 @@
         }
     }
 
+    /**
+     * Another process of this member runs at the same address, or no longer. What others send comes to either, so each
+     * hears half of the answers to its questions: until one is gone, neither accuses or judges.
+     */
+    public void beside(double now, boolean another) {
+        if (another == Double.isNaN(besideMs)) {
+            if (!another) {
+                members.missed(now - besideMs, now);
+            }
+            besideMs = another ? now : Double.NaN;
+        }
+    }
+
     /** Looks at the clock: asks, gives up, judges. */
     public void tick(double now) {
         awake(now);
@@ -404,7 +419,7 @@
 
     private void failed(double now, Probe probe) {
         int m = probe.member;
-        boolean ears = !doubtful && (!on(Part.DOUBT) || freshMs > probe.askedMs);
+        boolean ears = !doubtful && Double.isNaN(besideMs) && (!on(Part.DOUBT) || freshMs > probe.askedMs);
         if (members.heardMs(m) > probe.askedMs) {
             members.unanswered(m, members.state(m).present());
             return; // it is heard, whether or not it hears
@@ -413,8 +428,9 @@
             worse();
             return;
         }
+        boolean enough = probe.round >= rounds();
         tried(probe, true);
-        if (members.state(m).present() && probe.round < rounds()) {
+        if (members.state(m).present() && !enough) {
             ask(now, m, probe.round + 1);
             return;
         }
@@ -463,7 +479,7 @@
         if (members.state(m) == State.LEAVING && now - members.sinceMs(m) >= Timing.LEAVE_MS) {
             move(now, m, State.GONE, members.incarnation(m), "left as it said");
         }
-        if (members.state(m) != State.SUSPECT || doubtful) {
+        if (members.state(m) != State.SUSPECT || doubtful || !Double.isNaN(besideMs)) {
             return;
         }
         // Where few are left, no more can confirm than are there.
@@ -586,9 +602,7 @@
     // ---- telling
 
     private void spread(int m) {
-        if (tellings[m] == 0) {
-            news.addFirst(m);
-        }
+        untold += tellings[m] == 0 ? 1 : 0;
         tellings[m] = 3 * (33 - Integer.numberOfLeadingZeros(tier));
     }
 
@@ -605,11 +619,22 @@
         }
     }
 
-    /** The newest first; each so often as lets it reach all by far. */
+    /** What was told least often first, whatever else waits; each so often as lets it reach all by far. */
     private List<News> newest(int most) {
         List<News> told = new ArrayList<>();
-        for (int i = Math.min(most, news.size()); i > 0; i--) {
-            int m = news.poll();
+        int[] chosen = new int[Math.min(most, untold)];
+        int found = 0;
+        for (int i = 0, m = lots.nextInt(tier); i < tier && untold > 0; i++, m = m + 1 == tier ? 0 : m + 1) {
+            if (tellings[m] == 0 || found == chosen.length && tellings[chosen[found - 1]] >= tellings[m]) {
+                continue;
+            }
+            int at = found < chosen.length ? found++ : found - 1;
+            for (; at > 0 && tellings[chosen[at - 1]] < tellings[m]; at--) {
+                chosen[at] = chosen[at - 1];
+            }
+            chosen[at] = m;
+        }
+        for (int m : chosen) {
             int accuser = -1;
             for (int a = Members.CONFIRMATIONS; a >= 0 && accuser < 0; a--) { // the last to join, or this one itself
                 accuser = members.accuser(m, a);
@@ -618,9 +643,7 @@
                 accuser = members.accuser(m, a) == me ? me : accuser;
             }
             told.add(new News(m, members.entry(m), accuser));
-            if (--tellings[m] > 0) {
-                news.add(m);
-            }
+            untold -= --tellings[m] == 0 ? 1 : 0;
         }
         return told;
     }
@@ -632,7 +655,7 @@
         if (allowance < leave * most + (lean ? 64 : Message.MOST_BYTES)) {
             return;
         }
-        List<News> told = newest(lean ? Message.MOST_NEWS / 2 : Message.MOST_NEWS);
+        List<News> told = newest(lean ? Message.MOST_NEWS / 2 : Message.news(tier));
         int entries = lean || allowance < LEAN * most ? 0 : Math.min(Math.min(255, tier), Message.room(told.size()));
         cursor = cursor >= tier ? 0 : cursor;
         List<Entry> part = new ArrayList<>(entries);
--- a/src/main/java/damsonworks/membership/Message.java
+++ b/src/main/java/damsonworks/membership/Message.java
@@ -58,6 +58,11 @@
         return (MOST_BYTES - HEAD - 1 - news * NEWS_BYTES - 3) / 2;
     }
 
+    /** So many news as leave room for the whole view of a tier where it fits at all, as it says the same and more. */
+    static int news(int tier) {
+        return tier > room(2) ? MOST_NEWS : Math.min(MOST_NEWS, (MOST_BYTES - HEAD - 1 - 3 - 2 * tier) / NEWS_BYTES);
+    }
+
     /** Whether a datagram that begins as none of the module's may is one of these. */
     static boolean is(byte[] bytes) {
         return bytes.length >= 2 && bytes[0] == MARK && bytes[1] == TYPE;
--- a/src/main/java/damsonworks/model/MembershipModel.java
+++ b/src/main/java/damsonworks/model/MembershipModel.java
@@ -145,12 +145,15 @@
             }
         }, without);
         twins[m].serving(now);
+        twins[m].beside(now, true);
+        members[m].beside(now, true);
         ticks.add(new Arrival(now, order++, m, TWIN, null));
     }
 
     /** The first of two processes of a number ends, without a word as the second serves. */
     public void takeOver(int m) {
         members[m] = twins[m];
+        members[m].beside(now, false);
         twins[m] = null;
         lives[m] = TWIN;
     }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -58,7 +58,7 @@
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     /** Null where the operator's file does not make it a member. */
-    private MemberLink members;
+    private volatile MemberLink members;
     private final DiscoveryClient discovery;
     private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -94,6 +94,8 @@
                 loop.submit(() -> members = new MemberLink(loop, peers, config.peers().size(), config.settings().me(),
                         config.membership(), config.seed(), dispatcher::log)).syncUninterruptibly();
                 discovery.tierBy(members);
+                boolean another = !other.equals(Succession.Holds.NOTHING);
+                loop.execute(() -> members.beside(another));
             } else {
                 dispatcher.log("membership: the configuration names no peers, it stays off");
             }
@@ -188,6 +190,9 @@
         @Override
         public void beside(Succession.Holds holds) {
             other = holds;
+            if (members != null) {
+                loop.execute(() -> members.beside(!holds.equals(Succession.Holds.NOTHING)));
+            }
         }
     }
 
--- a/src/main/java/damsonworks/proxy/peers/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/peers/MemberLink.java
@@ -126,6 +126,11 @@
         membership.leaving(now());
     }
 
+    /** Another process of this proxy runs at the same address, or no longer does. */
+    public void beside(boolean another) {
+        membership.beside(now(), another);
+    }
+
     /** How many take clients by this view. */
     public int alive() {
         return membership.alive();
