--- a/src/test/java/damsonworks/gossip/ListVersionsTest.java
+++ b/src/test/java/damsonworks/gossip/ListVersionsTest.java
@@ -7,6 +7,8 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** One proxy's view in virtual time; the others are what it hears. */
 class ListVersionsTest {
@@ -130,6 +132,46 @@
         assertThat(told).as("seed %d", seed).isLessThan(3 * TIER);
     }
 
+    /** All watches bring the news at once: who tells it, in a tier that knows its size, and in one that goes by fourteen. */
+    @ParameterizedTest
+    @CsvSource({"14,6,6", "100,7,10", "400,9,25"})
+    void newsIsToldByFewHoweverManyThereAre(int n, int mostTold, int leastUnsized) {
+        for (long seed = 1; seed <= 5; seed++) {
+            assertThat(told(n, true, seed)).as("seed %d", seed).isBetween(1, mostTold);
+        }
+        assertThat(told(n, false, 1)).as("by the spread for fourteen").isGreaterThanOrEqualTo(n == 14 ? 1 : leastUnsized);
+    }
+
+    private static int told(int n, boolean sized, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ListVersions[] tier = new ListVersions[n];
+        PriorityQueue<Map.Entry<Double, Runnable>> due = new PriorityQueue<>(Map.Entry.comparingByKey());
+        for (int p = 0; p < n; p++) {
+            tier[p] = new ListVersions(n, p);
+            if (sized) {
+                tier[p].tier(n, 34);
+            }
+            tier[p].own(0, 2, random.nextDouble());
+        }
+        int told = 0;
+        for (double now = 0; now < 20_000; now++) {
+            while (!due.isEmpty() && due.peek().getKey() <= now) {
+                due.poll().getValue().run();
+            }
+            for (int p = 0; p < n; p++) {
+                long tells = tier[p].dueMs() <= now ? tier[p].tells(now) : 0;
+                for (int q = 0; q < n && tells > 0; q++) {
+                    int from = p;
+                    int to = q;
+                    double at = now + 4 + random.nextInt(26);
+                    due.add(Map.entry(at, () -> tier[to].heard(at, from, tells, random.nextDouble())));
+                }
+                told += tells > 0 ? 1 : 0;
+            }
+        }
+        return told;
+    }
+
     /** Spoilt numbers and versions, peers that are none: bounded in what is told and asked, and never stuck. */
     @Test
     void whateverIsHeardToldAndAskedStayBounded() {
--- a/src/test/java/damsonworks/proxy/ControlTest.java
+++ b/src/test/java/damsonworks/proxy/ControlTest.java
@@ -64,6 +64,7 @@
                     + "\"deferred\":{\"read\":0").contains("\"sends\":2,\"current\":0,\"cluster_size\":1,"
                     + "\"cluster_unhealthy\":0,\"conf_loaded\":1,\"conf_invalid\":0}");
             assertThat(call(port, "GET /ops/nothing", "")).startsWith("404");
+            assertThat(call(port, "GET /ops/members", "")).as("off").startsWith("404 membership is off");
             assertThat(call(port, "PUT /ops/stats", "")).startsWith("405");
             assertThat(call(port, "PUT /ops/cache-nodes/down", "s-9")).startsWith("404");
             assertThat(call(port, "PUT /ops/cache-nodes/down", "x-1")).as("another name of the same number").startsWith("404");
--- a/src/test/java/damsonworks/settings/OperatorFileTest.java
+++ b/src/test/java/damsonworks/settings/OperatorFileTest.java
@@ -50,7 +50,8 @@
     void theShippedFileIsGoodAndLeavesAllToTheProgram() throws Exception {
         OperatorFile shipped = OperatorFile.read(Path.of("deploy/clayhoist.toml"));
         for (String name : Table.KEYS.keySet()) {
-            Table table = name.equals(Table.LIMITS) ? shipped.limits() : shipped.budget();
+            Table table = name.equals(Table.LIMITS) ? shipped.limits() : name.equals(Table.BUDGET) ? shipped.budget()
+                    : shipped.membership();
             for (Key key : Table.KEYS.get(name)) {
                 assertThat(table.number(key.name())).as(key.name()).isEmpty();
                 assertThat(table.flag(key.name(), true) && !table.flag(key.name(), false)).as(key.name()).isTrue();
