A judge asks again rather than accuse once in fifty periods of the tier

In an hour of 20% loss with pauses of 5 s, 8 members gave 3 false verdicts and 1,033 accusations with one in four: where one was accused just before its pause, the pause ran into the end of its time.

--- a/src/main/java/damsonworks/membership/Membership.java
+++ b/src/main/java/damsonworks/membership/Membership.java
@@ -50,7 +50,7 @@
     private static final double LEAN = 0.5;
     private static final int DELAYS = 15;
     private static final double FAILING_WEIGHT = 1 / 16.0;
-    private static final double FALSE_A_PERIOD = 0.25;
+    private static final double FALSE_A_PERIOD = 0.02;
     private static final int MOST_ROUNDS = 4;
 
     private final int me;
