--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -179,189 +179,6 @@
         }
     }
 
-    /** Local counts of keys, halved every span, to tell a key hotter than a server's fair part. */
-    private static final class HotKeys {
-        /** Halving span: long enough for a hot key to show at a proxy with a few requests a second. */
-        static final double SPAN_MS = 4000;
-        /** Fewer sightings than this in two spans are chance. */
-        static final int MIN_COUNT = 6;
-        private final Map<Long, int[]> counts = new HashMap<>();
-        private double total;
-        private double halvedAt;
-
-        int seen(long key, double now) {
-            while (now - halvedAt > SPAN_MS) {
-                halvedAt = counts.isEmpty() ? now : halvedAt + SPAN_MS;
-                total /= 2;
-                counts.values().removeIf(c -> (c[0] /= 2) == 0);
-            }
-            total++;
-            return ++counts.computeIfAbsent(key, k -> new int[1])[0];
-        }
-    }
-
-    /**
-     * What the origin was asked and what it answered in time of that, both fading. Guards against the jam in
-     * which late and refused fetches are asked for again and the origin works for nobody.
-     */
-    private static final class Throttle {
-        /** Halves in this time: some ten fetches at a proxy with a few a second. */
-        static final double HALF_MS = 4000;
-        /** Asked for this multiple of what it answers, the origin stays busy and recovery is seen. */
-        static final double HEADROOM = 1.2;
-        private double asked;
-        private double answered;
-        private double wanted;
-        private double again;
-        private double at;
-
-        /** What is left of a count after this time. */
-        static double left(double ms) {
-            return Math.pow(0.5, ms / HALF_MS);
-        }
-
-        private void fade(double now) {
-            double f = left(now - at);
-            asked *= f;
-            answered *= f;
-            wanted *= f;
-            again *= f;
-            at = now;
-        }
-
-        /** The part of what is wanted that should not be sent. */
-        double excess(double now) {
-            fade(now);
-            return (asked - HEADROOM * answered - 1) / (asked + 1);
-        }
-
-        /**
-         * The part of such requests, first tries or repeats, to refuse so that in all the part {@code excess}
-         * is refused: repeats go first. Guards against the storm in which refused clients come back at once
-         * and take the room of first tries, which then come back too; a repeat has used up part of its aim.
-         * Should also guard against clients that never wait. Harm: whose first try was refused by chance is
-         * refused again, where a fair draw would have let some in late.
-         */
-        double refuse(double now, boolean repeat, double excess) {
-            fade(now);
-            wanted++;
-            again += repeat ? 1 : 0;
-            double part = again / wanted;
-            return repeat ? Math.min(1, excess / part) : Math.max(0, (excess - part) / (1 - part + 1e-9));
-        }
-
-        /** How many times too much is asked, 1 when all is well. */
-        double pressure(double now) {
-            fade(now);
-            return Math.max(1, (asked + 1) / (answered + 1));
-        }
-
-        void asked(double now) {
-            fade(now);
-            asked++;
-        }
-
-        void answered(double now) {
-            fade(now);
-            answered++;
-        }
-    }
-
-    /**
-     * What each tenant asks of this instance, fading. What must be refused comes off those that ask most over
-     * their quotas (max-min fair), as that is worth little. Clients' repeats swell all alike.
-     */
-    private final class Shares {
-        private final double[] asked = new double[cfg.tenants().size()];
-        private double at;
-
-        void asked(double now, int tenant) {
-            double f = Throttle.left(now - at);
-            at = now;
-            for (int t = 0; t < asked.length; t++) {
-                asked[t] *= f;
-            }
-            asked[tenant]++;
-        }
-
-        private double granted(int tenant, double multiple) {
-            return Math.min(asked[tenant], multiple * cfg.tenants().get(tenant).quotaPerSecond());
-        }
-
-        /** The part of this tenant's requests to refuse so that in all the part {@code excess} is refused. */
-        double refuse(int tenant, double excess) {
-            if (asked[tenant] <= 0) {
-                return excess;
-            }
-            double goal = 0;
-            double high = 0;
-            for (int t = 0; t < asked.length; t++) {
-                goal += asked[t] * (1 - excess);
-                high = Math.max(high, asked[t] / Math.max(1e-9, cfg.tenants().get(t).quotaPerSecond()));
-            }
-            double low = 0;
-            for (int step = 0; step < 24; step++) {
-                double middle = (low + high) / 2;
-                double sum = 0;
-                for (int t = 0; t < asked.length; t++) {
-                    sum += granted(t, middle);
-                }
-                if (sum < goal) {
-                    low = middle;
-                } else {
-                    high = middle;
-                }
-            }
-            return 1 - granted(tenant, high) / asked[tenant];
-        }
-    }
-
-    /**
-     * What comes, by what it is worth if it is served now, fading. What is too much for the processor comes
-     * off what is worth least; a request that is late already counts as such.
-     */
-    private final class Ranks {
-        /** Halves in this time: the mix of classes changes slowly, that of late ones within a round. */
-        static final double HALF_MS = 500;
-        private final double[] worth = new double[2 * cfg.classes().size()];
-        private final double[] asked = new double[worth.length];
-        private double at;
-
-        Ranks() {
-            for (int i = 0; i < worth.length; i++) {
-                ServiceClass c = cfg.classes().get(i / 2);
-                worth[i] = c.worth() * (i % 2 == 0 ? 1 : c.lateShare());
-            }
-        }
-
-        int of(Glance g) {
-            boolean late = g.waitedMs() + pace > cfg.classes().get(g.serviceClass()).aimMs();
-            return 2 * g.serviceClass() + (late ? 1 : 0);
-        }
-
-        void asked(double now, int rank) {
-            double f = Math.pow(0.5, (now - at) / HALF_MS);
-            at = now;
-            for (int i = 0; i < asked.length; i++) {
-                asked[i] *= f;
-            }
-            asked[rank]++;
-        }
-
-        /** The part of this rank to turn away so that in all the part {@code excess} is. */
-        double refuse(int rank, double excess) {
-            double all = 0;
-            double less = 0;
-            double alike = 0;
-            for (int i = 0; i < asked.length; i++) {
-                all += asked[i];
-                less += worth[i] < worth[rank] ? asked[i] : 0;
-                alike += worth[i] == worth[rank] ? asked[i] : 0;
-            }
-            return Math.max(0, Math.min(1, (all * excess - less) / alike));
-        }
-    }
-
     /** Whether to refuse this one where a part of all must be refused. */
     private boolean refused(double now, boolean repeat, int tenant, Throttle by, double excess) {
         double part = by.refuse(now, repeat, excess);
@@ -377,7 +194,7 @@
 
     @Override
     public double turnAway(double now, Glance g, double excess) {
-        int rank = ranks.of(g);
+        int rank = ranks.of(g, pace);
         ranks.asked(now, rank);
         // Who has no time left for a server's usual answer only takes the time of others.
         boolean hopeless = g.waitedMs() + pace > g.patienceMs();
@@ -400,8 +217,9 @@
         random = new SplittableRandom(seed);
         zones = new Zone[settings.zones()];
         Arrays.setAll(zones, z -> new Zone());
-        ranks = new Ranks();
-        shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
+        ranks = new Ranks(settings.classes());
+        boolean shared = settings.overShareWorth() < 1 && settings.tenants().size() > 1;
+        shares = shared ? new Shares(settings.tenants()) : null;
         double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min()
                 .orElseThrow(() -> new IllegalArgumentException("settings name no class"));
         fetchMs = shortestAim / 4;
@@ -570,7 +388,7 @@
      * spread over as many of its top ranks as bring each under that, wherever it is as hot.
      */
     private int spread(int seen) {
-        int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total * ranked.length);
+        int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total() * ranked.length);
         return Math.max(1, Math.min(n, ranked.length));
     }
 
@@ -878,7 +696,7 @@
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         double warm = warmRate(now, s);
         double ramp = warm > 0 ? Math.min(1, capacity) : capacity / COLD_MARGIN / crowd.pressure(now);
-        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
+        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total() * s.share;
         if (!fair || Carp.lot(f.keyHash, s.hash) >= ramp) {
             return false;
         }
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -52,7 +52,7 @@
     void theModuleKnowsNothingOfTheRest() {
         classes().that().haveFullyQualifiedName("damsonworks.Policy").or().haveFullyQualifiedName("damsonworks.Carp")
                 .should().onlyDependOnClassesThat(DescribedPredicate.describe("its own and the JDK's", c ->
-                        c.getName().startsWith("java.") || c.getName().matches("damsonworks\\.(Policy|Carp|RoutingApi).*")
+                        c.getName().startsWith("java.") || c.getName().matches("damsonworks\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
                         || c.isPrimitive() || c.isArray())).check(ALL);
     }
 
