One way to start a process of the program, for the rig and for the tests

The tests' Program and the rig each built a command line. ProxyProcess.launch is the one; the shell in front only sets the bound on descriptors where one is wanted.

--- a/src/main/java/damsonworks/fleet/ProxyProcess.java
+++ b/src/main/java/damsonworks/fleet/ProxyProcess.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One real proxy: its folder, its configuration, its process and what is done to that. For one thread at a time. */
-final class ProxyProcess {
+public final class ProxyProcess {
     /** What the rig knows of it. */
     enum Truth { DOWN, STARTING, SERVING, PAUSED, SLOWED, LEAVING }
 
@@ -72,20 +72,34 @@
             Fleet.delete(folder);
             Files.createDirectory(folder);
         }
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Dio.netty.jfr.enabled=false", "-cp",
-                System.getProperty("java.class.path"), "damsonworks.Main", "serve"));
+        List<String> command = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m",
+                "-Dio.netty.jfr.enabled=false", "damsonworks.Main", "serve"));
         if (settings != null) {
             command.addAll(List.of("--settings", settings.toString()));
         }
-        ProcessBuilder serve = new ProcessBuilder(command);
-        serve.environment().put("BALANCER_CONFIG", config.toString());
-        serve.environment().put("TMPDIR", folder.toString());
-        process = serve.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        process = launch(config, folder, log, 0, command);
         truth = Truth.STARTING;
         starts++;
     }
 
+    /**
+     * A process of this program as it runs here, with its own configuration and folder.
+     *
+     * @param descriptors that it may hold; 0: as many as this process
+     * @param arguments of the JVM, the class and its arguments
+     */
+    public static Process launch(Path config, Path folder, Path log, int descriptors, List<String> arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of("sh", "-c", (descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ")
+                + "exec \"$0\" \"$@\"", Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(descriptors == 0 ? List.of() : List.of("-XX:-MaxFDLimit")); // else the JVM raises what it may
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(arguments);
+        ProcessBuilder program = new ProcessBuilder(command);
+        program.environment().put("BALANCER_CONFIG", config.toString());
+        program.environment().put("TMPDIR", folder.toString());
+        return program.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+    }
+
     /** Whether it answers clients by then. */
     boolean ready(double withinMs) throws InterruptedException {
         long end = System.nanoTime() + (long) (withinMs * 1e6);
--- a/src/test/java/damsonworks/proxy/Program.java
+++ b/src/test/java/damsonworks/proxy/Program.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.fleet.ProxyProcess;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -38,14 +39,8 @@
         file = folder.resolve(name);
         configure(config);
         log = folder.resolve(name + ".log");
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        String bound = descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ";
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
-                bound + "exec '" + java + "' -XX:-MaxFDLimit -cp '" + System.getProperty("java.class.path") + "' "
-                        + String.join(" ", command));
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        builder.environment().put("TMPDIR", folder.toString());
-        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        Files.deleteIfExists(log);
+        process = ProxyProcess.launch(file, folder, log, descriptors, List.of(String.join(" ", command).split(" ")));
     }
 
     /** Writes the configuration, with the program's port in place of 0. */
