A late answer of a proxy that the rig itself had stopped is not held against the program

Cause, by a probe with 33 pauses of 0.7 s at four proxies: two such lines, each of a request in hand at a proxy as it was paused. A try that ends without an answer was excused there, one whose answer came in the millisecond between the slack and the client's timer was not (Fleet.witness, told without a look at who was disturbed). Ruled out: a proxy that is late by itself, none of the lines was of one that ran.

--- a/src/main/java/damsonworks/fleet/Fleet.java
+++ b/src/main/java/damsonworks/fleet/Fleet.java
@@ -165,7 +165,7 @@
         generator = new Generator(new Generator.Settings(targets, Kind.USUAL, () -> new damsonworks.load.Plan(Kind.USUAL,
                 new Arrivals(plan.rate(), new Shape.Steady(), true, plan.seed()), new Keys(KEYS, 0.95, 0, Keys.Hot.NONE,
                 plan.seed() + 1), targets.size(), damsonworks.load.Plan.Overtaken.NONE, 64, seconds * 1000, plan.seed() + 2),
-                Patience.USUAL, 1, 512, "t", plan.seed() + 3, witness()));
+                Patience.USUAL, 1, 512, "t", plan.seed() + 3, witness(), Site.LOST_MS));
         load = askers.submit(() -> generator.run());
     }
 
@@ -190,14 +190,15 @@
                             + " ms,") + (gaveUp ? " had no answer" : " lost its connection") + " by " + Math.round(site.nowMs()) + " ms");
                 }
                 synchronized (ledger) {
+                    if (ours) { // the machine that had it stood still or is gone: its lateness is no fault of the program's
+                        ledger.left(id);
+                    }
                     switch (end) {
                         case SERVED -> ledger.told(id, Ledger.Told.SERVED, site.nowMs());
                         case REFUSED -> ledger.told(id, Ledger.Told.REFUSED, site.nowMs());
                         case FAILED -> ledger.told(id, Ledger.Told.FAILED, site.nowMs());
                         case LOST, UNCONNECTED -> {
-                            if (ours) { // the machine that had it stood still or is gone: no fault of the program's
-                                ledger.left(id);
-                            } else if (!gaveUp) { // else its time and the slack on sockets are over with no answer: settled as such
+                            if (!gaveUp) { // else its time and the slack on sockets are over with no answer: settled as such
                                 ledger.cutOff(id, site.nowMs());
                             }
                         }
@@ -244,6 +245,13 @@
         return all;
     }
 
+    /** Answers that came more than the slack after their time and yet counted as answers. */
+    public long late() {
+        synchronized (site.ledger()) {
+            return site.ledger().late();
+        }
+    }
+
     public long judged() {
         synchronized (site.ledger()) {
             return site.ledger().judged();
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -22,12 +22,13 @@
      * @param connections at most to one address and from one thread; who finds none waits, and its time runs
      * @param tenant as requests name it
      * @param witness is told of each try
+     * @param listensMs so long after a try's time its answer is still read, though it comes too late for its client
      */
     public record Settings(List<InetSocketAddress> targets, List<Kind> kinds, Supplier<Iterator<Ask>> plan,
-            Patience patience, int threads, int connections, String tenant, long seed, Witness witness) {
+            Patience patience, int threads, int connections, String tenant, long seed, Witness witness, double listensMs) {
         public Settings(List<InetSocketAddress> targets, List<Kind> kinds, Supplier<Iterator<Ask>> plan, Patience patience,
                 int threads, int connections, String tenant, long seed) {
-            this(targets, kinds, plan, patience, threads, connections, tenant, seed, Witness.NONE);
+            this(targets, kinds, plan, patience, threads, connections, tenant, seed, Witness.NONE, Lane.SLACK_MS);
         }
     }
 
--- a/src/main/java/damsonworks/load/Line.java
+++ b/src/main/java/damsonworks/load/Line.java
@@ -61,6 +61,11 @@
         left = 0;
     }
 
+    /** What is still to come is another's to hear of. */
+    void instead(Answer to) {
+        answer = to;
+    }
+
     /** The client does not wait any more. */
     void forget() {
         answer = null;
--- a/src/main/java/damsonworks/site/Ledger.java
+++ b/src/main/java/damsonworks/site/Ledger.java
@@ -21,11 +21,12 @@
     /**
      * What the settings allow, in milliseconds.
      *
-     * @param answerMs so much after a client's patience an answer is still in time
+     * @param answerMs so much after a client's patience an answer is still in time, and so long copies may still be under way
+     * @param lostMs so much after it an answer that came late earns nothing and is counted; later, or never, it is lost
      * @param drainMs so long after a server is told to drain or gone it may still be sent new requests
      * @param keyedMs how long servers know an idempotency key
      */
-    public record Grace(double answerMs, double drainMs, double keyedMs) { }
+    public record Grace(double answerMs, double lostMs, double drainMs, double keyedMs) { }
 
     /** So many breaches are kept; more are counted. */
     static final int MOST_KEPT = 1000;
@@ -63,6 +64,7 @@
     private final List<Breach> breaches = new ArrayList<>();
     private long count;
     private long judged;
+    private long late;
 
     public Ledger(Grace grace) {
         this.grace = grace;
@@ -142,15 +144,19 @@
         }
         r.told = told;
         r.toldMs = nowMs;
-        if (nowMs > r.dueMs + grace.answerMs()) {
-            breach(1, nowMs, "request %s was answered %.0f ms after its client gave up", id, nowMs - r.dueMs);
-        }
         if (told == Told.SERVED && r.runs.isEmpty()) {
             breach(1, nowMs, "request %s was served and no server ran it", id);
         }
+        if (r.left) {
+            return; // whoever had it owes no answer in time; that there is one at most is judged all the same
+        }
+        late += nowMs > r.dueMs + grace.answerMs() ? 1 : 0;
+        if (nowMs > r.dueMs + grace.lostMs()) {
+            breach(1, nowMs, "request %s was answered %.0f ms after its client gave up", id, nowMs - r.dueMs);
+        }
     }
 
-    /** The client has closed its connection: no answer is owed. */
+    /** The client has closed its connection, or whoever had the request was kept from its work by the rig: no answer is owed. */
     public void left(String id) {
         Request r = open.get(id);
         if (r != null) {
@@ -188,7 +194,7 @@
     public void settle(double nowMs) {
         open.values().removeIf(r -> {
             // Late copies may still come for as long as an answer may, and what a client was told be proved wrong.
-            if (nowMs <= r.dueMs + 2 * grace.answerMs()) {
+            if (nowMs <= r.dueMs + grace.lostMs() + grace.answerMs()) {
                 return false;
             }
             if (r.told == null && !r.left) {
@@ -215,6 +221,11 @@
         return count;
     }
 
+    /** Answers that came late and yet before their requests counted as lost. */
+    public long late() {
+        return late;
+    }
+
     /** Requests that were judged. */
     public long judged() {
         return judged;
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -50,12 +50,14 @@
     static final double KEYED_MS = 1500;
     static final double DRAIN_GRACE_MS = 2000;
     static final double ANSWER_GRACE_MS = 50;
+    /** An answer that comes later than this after its time, or never, is lost; one before that only earns nothing. */
+    public static final double LOST_MS = 500;
 
     private final Plan plan;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final long startNanos = System.nanoTime();
-    private final Ledger ledger = new Ledger(new Ledger.Grace(ANSWER_GRACE_MS, DRAIN_GRACE_MS + ANSWER_GRACE_MS, KEYED_MS));
+    private final Ledger ledger = new Ledger(new Ledger.Grace(ANSWER_GRACE_MS, LOST_MS, DRAIN_GRACE_MS + ANSWER_GRACE_MS, KEYED_MS));
     private final SplittableRandom random;
     private final Loopback loopback;
     private final int views;
