What proxies share on cache nodes: judgements with witnesses, counts, rights to cold ones

Each of a hundred proxies learned alone that a node was gone. Now, where [shared] is on (off as shipped; nothing of it is loaded then), proxies tell each other by questions and answers of 256 bytes: two witnesses, not both from one other zone, keep a proxy from a node, never from more than 0.4 of them nor from a zone's last; one answer ends it; lots decide who tries. What a cold node may be sent is held as rights among eight keepers, lent on demand, by the tier's own rate of answers. The module asks through RoutingApi.Tier, and decides as before where there is none.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,6 +1,7 @@
 package damsonworks;
 
 import java.util.*;
+import java.util.function.Predicate;
 
 /**
  * The decisions of one balancer instance. Types, events and actions: RoutingApi.java; hashes and ranking:
@@ -78,6 +79,8 @@
     /** Taken out by hand, by id, with the time at which. */
     private final Map<Integer, Double> byHand = new HashMap<>();
     private final Zone[] zones;
+    /** Null: each instance is on its own. */
+    private Tier tier;
     private Server[] ranked = new Server[0];
     private Server[] top = new Server[RANKS];
     private double[] topScore = new double[RANKS];
@@ -87,6 +90,8 @@
     private double usualCost;
     private double pace;
     private double paceDeviation;
+    /** As {@link #warmRate} last found. */
+    private int warmOnes;
     private double doubts = DOUBT_SAVED;
     private double trials = 1;
     private int nextToken;
@@ -314,6 +319,37 @@
             ranked[i].multiplier = x[i];
             ranked[i].share = sum > 0 ? weights[i] / sum : 1.0 / ranked.length;
         }
+        if (tier != null) {
+            tier.listed(list.stream().mapToInt(s -> s.id).toArray(),
+                    list.stream().mapToInt(s -> s.member.zone()).toArray());
+        }
+    }
+
+    @Override
+    public void share(Tier with) {
+        tier = with;
+        rank();
+    }
+
+    @Override
+    public void onWord(double now, int server, boolean isOut, Actions orders) {
+        Server s = servers.get(server);
+        if (s != null && !isOut) {
+            s.failures = s.breaks = s.doubts = 0;
+            s.shunnedUntil = 0;
+        } else if (s != null && cfg.secondCopies()) {
+            elsewhere(now, at -> at == s, orders);
+        }
+    }
+
+    /** What waits there goes to its runner-up too: these copies are no waste, and each request has one. */
+    private void elsewhere(double now, Predicate<Server> where, Actions out) {
+        for (Flight f : List.copyOf(flights.values())) {
+            int a = f.attempts - 1;
+            if (a >= 0 && f.safe && !f.ended[a] && !f.at[a].ofOrigin && where.test(f.at[a])) {
+                advance(now, f, out);
+            }
+        }
     }
 
     @Override
@@ -477,7 +513,7 @@
             return;
         }
         if (cfg.secondCopies() || ++s.doubts > 1) {
-            suspect(now, s, cfg.secondCopies() ? f.kind.aimMs() : shunMs());
+            suspect(now, s, cfg.secondCopies() ? f.kind.aimMs() : shunMs(), f.sentAt[a]);
         }
         if (silent(now, s.member.zone(), s.id, 1, out)) {
             return;
@@ -495,8 +531,7 @@
     }
 
     /**
-     * A sign that a zone is silent. True: it is out of reach by that from now on, and all that waits for it
-     * goes to runners-up: these copies are no waste, and each request has one.
+     * A sign that a zone is silent. True: it is out of reach by that from now on.
      */
     private boolean silent(double now, int zone, int server, int weight, Actions out) {
         Zone z = zones[zone];
@@ -520,12 +555,7 @@
         if (z.failures++ == 0 && cfg.peers()) {
             out.tell(-1, new byte[] {ZONE_SILENT, (byte) cfg.zone(), (byte) zone});
         }
-        for (Flight f : List.copyOf(flights.values())) {
-            int a = f.attempts - 1;
-            if (a >= 0 && f.safe && !f.ended[a] && !f.at[a].ofOrigin && f.at[a].member.zone() == zone) {
-                advance(now, f, out);
-            }
-        }
+        elsewhere(now, at -> at.member.zone() == zone, out);
         return true;
     }
 
@@ -543,11 +573,14 @@
         return SHUN_CONNECTS * cfg.connectTimeoutMs();
     }
 
-    private void suspect(double now, Server s, double forMs) {
+    private void suspect(double now, Server s, double forMs, double sinceMs) {
         s.trial = false;
         s.probed = false;
         s.shunnedUntil = now + forMs * (1 << Math.min(s.failures, 3));
         s.failures++;
+        if (tier != null) {
+            tier.failed(now, s.id, sinceMs, s.shunnedUntil - now);
+        }
     }
 
     private boolean maySend(double now, Flight f, Server s) {
@@ -664,12 +697,17 @@
         if (now < s.noPlaceUntil || now < zones[s.member.zone()].outUntil) {
             return false; // the draft's member that cannot be contacted, though it may be well
         }
-        if (s.failures == 0 || s.probed && !s.trial) {
-            return warmEnough(now, f, s);
-        }
-        if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1) {
+        boolean clear = s.failures == 0 || s.probed && !s.trial;
+        boolean mayTry = f.safe && f.attempts == 0;
+        if (!clear && (now < s.shunnedUntil || s.trial || !mayTry || trials < 1)) {
             return false;
         }
+        if (tier != null && tier.passOver(now, s.id, mayTry)) {
+            return false; // as others of the tier have found
+        }
+        if (clear) {
+            return warmEnough(now, f, s);
+        }
         trials--;
         s.trial = true;
         if (cfg.mayProbe()) {
@@ -700,6 +738,12 @@
         if (!fair || Carp.lot(f.keyHash, s.hash) >= ramp) {
             return false;
         }
+        if (tier != null) {
+            Cold word = tier.spendCold(now, s.id, s.member.kind(), capacity, warmOnes);
+            if (word != Cold.UNKNOWN) {
+                return word == Cold.SPENT;
+            }
+        }
         if (warm > 0) {
             double more = capacity * warm * Math.max(0, now - Math.max(s.allowedAt, s.member.bornMs()));
             s.allowed = Math.min(COLD_SAVED, s.allowed + more);
@@ -722,6 +766,7 @@
                 n++;
             }
         }
+        warmOnes = n;
         return n == 0 ? 0 : sum / n / ANSWERS_MS;
     }
 
@@ -855,6 +900,10 @@
             case OK, MISS, FULL -> {
                 s.breaks = s.noPlace = 0;
                 heard(now, s);
+                if (tier != null && !s.ofOrigin) {
+                    boolean counts = end.outcome() != Outcome.FULL && !cold(now, s);
+                    tier.answered(now, s.id, now - end.elapsedMs(), counts ? s.member.kind() : -1);
+                }
                 if (!s.ofOrigin && end.outcome() != Outcome.FULL) {
                     s.answers = s.answers * Math.exp((s.answersAt - now) / ANSWERS_MS) + 1;
                     s.answersAt = now;
@@ -892,6 +941,9 @@
                     heard(now, s);
                     double wait = NO_PLACE_MS * (1 << Math.min(s.noPlace++, 2));
                     s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
+                    if (tier != null) {
+                        tier.noPlace(now, s.id, s.noPlaceUntil - now);
+                    }
                 } else if (!s.ofOrigin) {
                     // One already doubted is likely hung: no sign of crowding unless others are late too.
                     boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
@@ -902,7 +954,7 @@
                     boolean silent = end.outcome() == Outcome.TIMEOUT
                             || end.outcome() != Outcome.RESET && end.elapsedMs() >= cfg.connectTimeoutMs();
                     if (++s.breaks >= BREAKS || silent || s.failures > 0) {
-                        suspect(now, s, shunMs());
+                        suspect(now, s, shunMs(), silent ? now - end.elapsedMs() : now);
                     }
                     if (silent && end.outcome() == Outcome.CONNECT_FAILED) {
                         silent(now, s.member.zone(), s.id, 2, out);
@@ -1001,7 +1053,7 @@
             s.trial = false;
             s.probed = true;
         } else {
-            suspect(now, s, shunMs());
+            suspect(now, s, shunMs(), now - elapsedMs);
         }
     }
 
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -165,4 +165,51 @@
 
     /** A message of another instance. */
     void onPeer(double now, int peer, byte[] message, Actions out);
+
+    /** What {@link Tier#spendCold} says. */
+    enum Cold { SPENT, REFUSED, UNKNOWN }
+
+    /**
+     * What the instances of a tier share about servers. A subsystem of its own decides it; the module tells it what its
+     * own attempts have shown and asks it before it sends. Hearsay only ever keeps this instance from a server: it never
+     * says that an attempt did not run, makes no server known and undoes no drain.
+     */
+    interface Tier {
+        /** The servers of the list that may be sent to, with their zones; what is not among them is nobody's matter. */
+        void listed(int[] servers, int[] zones);
+
+        /**
+         * By an attempt begun at {@code sinceMs} the server is out of reach, and would be passed over for {@code forMs} by
+         * this instance alone.
+         */
+        void failed(double now, int server, double sinceMs, double forMs);
+
+        /** It had no place for a connection of this instance's, which does not ask again for so long. */
+        void noPlace(double now, int server, double forMs);
+
+        /** It has answered an attempt that began then. Kind: of a warm one, whose answers the tier counts; negative: it is cold. */
+        void answered(double now, int server, double sinceMs, int kind);
+
+        /**
+         * Whether others' word keeps this instance from it now.
+         *
+         * @param mayTry this request may be the one by which an instance tries a server that is out of reach
+         */
+        boolean passOver(double now, int server, boolean mayTry);
+
+        /**
+         * Spends this instance's right to send a cold server one more request.
+         *
+         * @param capacity the part of a warm one's load that it may have now
+         * @param warm how many warm ones of its kind this instance knows
+         * @return {@code UNKNOWN}: nothing is shared of this, the instance decides by what it sees itself
+         */
+        Cold spendCold(double now, int server, int kind, double capacity, int warm);
+    }
+
+    /** From now on this is asked and told. */
+    void share(Tier tier);
+
+    /** By others' word a server is out of reach, or has answered one of them since. */
+    void onWord(double now, int server, boolean out, Actions orders);
 }
--- a/src/main/java/damsonworks/membership/Membership.java
+++ b/src/main/java/damsonworks/membership/Membership.java
@@ -678,6 +678,11 @@
         return members.count(State.ALIVE, State.SUSPECT) + (own == State.ALIVE ? 1 : 0);
     }
 
+    /** Whether that one is believed to be there, with or without doubt. */
+    public boolean present(int m) {
+        return m != me && m >= 0 && m < tier && members.state(m).present();
+    }
+
     /** Whether another takes clients. */
     public boolean anotherServes() {
         return members.count(State.ALIVE) > 0;
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -9,6 +9,7 @@
 import damsonworks.limits.Limits;
 import damsonworks.membership.Timing;
 import damsonworks.proxy.peers.PeerSocket;
+import damsonworks.shared.SharedState;
 import damsonworks.wire.SettingsParser;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
@@ -29,7 +30,7 @@
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
         double idleCloseMs, int streamsPerConnection, Limits limits, InetSocketAddress control, Path shared,
-        double waitMs, Timing membership) {
+        double waitMs, Timing membership, SharedState.Terms tier) {
 
     /** With less the proxy has no room for what it must hold; a limit that small is a slip. */
     private static final int MIN_MEMORY_MB = 16;
@@ -79,31 +80,37 @@
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
                 Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), Limits.of(memoryMb, sockets),
                 optionalAddress(json, "control"), null,
-                BY_AIM, null);
+                BY_AIM, null, null);
     }
 
     /** The same with other bounds. */
     Config with(Limits other) {
         return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
-                settings, zones, kinds, idleCloseMs, streamsPerConnection, other, control, shared, waitMs, membership);
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, other, control, shared, waitMs, membership, tier);
     }
 
     /** The same with this folder, which another process of this proxy may use too; null: none. */
     Config sharing(Path folder) {
         return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
-                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, folder, waitMs, membership);
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, folder, waitMs, membership, tier);
     }
 
     /** The same with this wait for the loop aimed at where the processor is not enough; 0: whatever comes is taken. */
     Config waiting(double ms) {
         return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
-                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, shared, ms, membership);
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, shared, ms, membership, tier);
     }
 
     /** The same as a member of its tier; null: it is none, and nothing of that is loaded. */
     Config member(Timing timing) {
         return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
-                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, shared, waitMs, timing);
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, shared, waitMs, timing, tier);
+    }
+
+    /** The same with this shared with its tier; null: nothing is, and nothing of that is loaded. */
+    Config tier(SharedState.Terms terms) {
+        return new Config(name, listen, discovery, seed, cores, memoryMb, sockets, peerListen, peers, peersAll, known,
+                settings, zones, kinds, idleCloseMs, streamsPerConnection, limits, control, shared, waitMs, membership, terms);
     }
 
     /** Where messages between the proxies go, as far as the settings allow any. */
--- a/src/main/java/damsonworks/proxy/ControlFront.java
+++ b/src/main/java/damsonworks/proxy/ControlFront.java
@@ -48,6 +48,9 @@
         /** Has this proxy's view of its tier as one JSON text; called back on any thread. False: it is no member. */
         boolean members(Consumer<String> then);
 
+        /** Has what this proxy shares with its tier as one JSON text; called back on any thread. False: nothing is shared. */
+        boolean shared(Consumer<String> then);
+
         /** Whether a node of this name was ever on the list. */
         boolean listed(String node);
 
@@ -177,7 +180,7 @@
             path = query < 0 ? path : path.substring(0, query);
             String body = request.content().toString(StandardCharsets.ISO_8859_1).strip();
             HttpMethod method = switch (path) {
-                case "/ops/readiness", "/ops/stats", "/ops/members" -> HttpMethod.GET;
+                case "/ops/readiness", "/ops/stats", "/ops/members", "/ops/shared" -> HttpMethod.GET;
                 case "/ops/cache-nodes/down", "/ops/cache-nodes/up" -> HttpMethod.PUT;
                 default -> null;
             };
@@ -195,6 +198,10 @@
                 if (!desk.members(json -> thread.execute(() -> answer(ctx, HttpResponseStatus.OK, json)))) {
                     answer(ctx, HttpResponseStatus.NOT_FOUND, "membership is off\n");
                 }
+            } else if (path.equals("/ops/shared")) {
+                if (!desk.shared(json -> thread.execute(() -> answer(ctx, HttpResponseStatus.OK, json)))) {
+                    answer(ctx, HttpResponseStatus.NOT_FOUND, "nothing is shared\n");
+                }
             } else {
                 hand(ctx, body, path.endsWith("/down"));
             }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -159,6 +159,16 @@
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** From now on the module asks and tells what its tier shares. */
+    void share(RoutingApi.Tier tier) {
+        tell(() -> module.share(tier));
+    }
+
+    /** Others' word on a server, once the module has returned from its present call. */
+    void word(int server, boolean out) {
+        tell(() -> module.onWord(now(), server, out, this));
+    }
+
     /** Nothing more is done for anyone; for one that was only a rehearsal. */
     void stop() {
         stopped = true;
--- a/src/main/java/damsonworks/proxy/OperatorSettings.java
+++ b/src/main/java/damsonworks/proxy/OperatorSettings.java
@@ -3,6 +3,7 @@
 import damsonworks.limits.LeastRate;
 import damsonworks.limits.Limits;
 import damsonworks.membership.Timing;
+import damsonworks.shared.SharedState;
 import damsonworks.settings.Table;
 import damsonworks.settings.OperatorFile;
 import damsonworks.settings.SettingsException;
@@ -18,6 +19,7 @@
             OperatorFile of = OperatorFile.read(Path.of(file));
             boolean turnAway = of.budget().flag("turn_away", true);
             config = config.member(membership(of.membership()));
+            config = config.tier(shared(of.shared(), config));
             return config.with(over(config.limits(), of.limits())).waiting(turnAway
                     ? of.budget().number("wait_ms", (long) Config.BY_AIM) : 0);
         } catch (SettingsException e) {
@@ -37,6 +39,21 @@
                 usual.lateMs(), t.number("bytes_per_s", (long) usual.bytesPerS()));
     }
 
+    /** Null: off, or there is nobody to share with. */
+    private static SharedState.Terms shared(Table t, Config config) throws SettingsException {
+        if (!t.flag("on", false)) {
+            return null;
+        }
+        if (config.membership() == null) {
+            throw t.bad("on", "true only where [membership] is on too");
+        }
+        int me = config.settings().me();
+        return config.peers().size() < 2 || me >= config.peers().size() ? null
+                : new SharedState.Terms(config.peers().size(), me, config.settings().zone(), config.settings().tipMultiple(),
+                        config.settings().fallMs(), t.number("bytes_per_s", (long) SharedState.Terms.USUAL_BYTES_PER_S),
+                        t.flag("judgements", true), t.flag("cold_rights", true));
+    }
+
     private static Limits over(Limits l, Table t) throws SettingsException {
         long places = t.number("places", l.places());
         if (places > l.places()) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -4,6 +4,7 @@
 import damsonworks.control.Succession;
 import damsonworks.proxy.peers.MemberLink;
 import damsonworks.proxy.peers.PeerSocket;
+import damsonworks.proxy.peers.SharedLink;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -59,6 +60,8 @@
     private final PeerSocket peers;
     /** Null where the operator's file does not make it a member. */
     private volatile MemberLink members;
+    /** Null where the operator's file has nothing shared. */
+    private volatile SharedLink sharing;
     private final DiscoveryClient discovery;
     private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -108,6 +111,11 @@
                 io.watch(new LoopWatch(dispatcher));
             }
             dispatcher.start(discovery, peers, door::left);
+            if (members != null && config.tier() != null) {
+                sharing = new SharedLink(loop, peers, members, config.tier(), config.seed(), new Sharer());
+                dispatcher.share(sharing.tier());
+                sharing.beside(!other.equals(Succession.Holds.NOTHING));
+            }
             discovery.listenTo(peers);
             discovery.start();
             if (control != null) {
@@ -148,6 +156,24 @@
         ready = true;
     }
 
+    /** The one that calls the module, for what its tier shares. */
+    private final class Sharer implements SharedLink.Caller {
+        @Override
+        public double now() {
+            return dispatcher.now();
+        }
+
+        @Override
+        public void word(int server, boolean out) {
+            dispatcher.word(server, out);
+        }
+
+        @Override
+        public void log(String line) {
+            dispatcher.log(line);
+        }
+    }
+
     /** What operators' calls come to. */
     private final class Desk implements ControlFront.Desk {
         @Override
@@ -169,6 +195,15 @@
             return true;
         }
 
+        @Override
+        public boolean shared(Consumer<String> then) {
+            if (sharing == null) {
+                return false;
+            }
+            loop.execute(() -> then.accept(sharing.json()));
+            return true;
+        }
+
         @Override
         public boolean listed(String node) {
             return names.contains(node);
@@ -193,6 +228,9 @@
             if (members != null) {
                 loop.execute(() -> members.beside(!holds.equals(Succession.Holds.NOTHING)));
             }
+            if (sharing != null) {
+                loop.execute(() -> sharing.beside(!holds.equals(Succession.Holds.NOTHING)));
+            }
         }
     }
 
--- a/src/main/java/damsonworks/proxy/peers/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/peers/MemberLink.java
@@ -136,6 +136,11 @@
         return membership.alive();
     }
 
+    /** Whether that one is there by this view. */
+    public boolean present(int member) {
+        return membership.present(member);
+    }
+
     /** There and back on the median; 0: not known. */
     public double delayMs() {
         return membership.delayMs();
--- a/src/main/java/damsonworks/proxy/peers/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/peers/PeerSocket.java
@@ -54,6 +54,11 @@
         void serving();
     }
 
+    /** Is told of datagrams about what the tier shares. */
+    interface SharedListener {
+        void heard(int peer, byte[] message);
+    }
+
     private static final int MAX_MESSAGE = 256;
     private static final byte OWN = (byte) 0xC1;
     private static final byte[] WHO_SERVES = {OWN, '?'};
@@ -62,6 +67,7 @@
     private static final byte LIST_VERSION = 'v';
     private static final int VERSION_MESSAGE = 2 + Long.BYTES;
     private static final byte MEMBERS = 'm';
+    private static final byte SHARED = 's';
 
     private final Addresses addresses;
     private final Receiver receiver;
@@ -71,6 +77,7 @@
     private Runnable whenOneServes = () -> { };
     private VersionListener versions;
     private MemberListener members;
+    private SharedListener shared;
 
     public PeerSocket(EventLoop loop, Addresses addresses, Receiver receiver) {
         this.addresses = addresses;
@@ -129,6 +136,10 @@
         members = listener;
     }
 
+    void onShared(SharedListener listener) {
+        shared = listener;
+    }
+
     /** Tells all of the tier at which version this one's list is. */
     public void tellVersion(long version) {
         if (addresses.all() != null) {
@@ -175,6 +186,8 @@
                 versions.version(peer, ByteBuffer.wrap(message).getLong(2));
             } else if (members != null && bytes > 2 && message[1] == MEMBERS) {
                 members.heard(peer, message);
+            } else if (shared != null && bytes > 2 && message[1] == SHARED) {
+                shared.heard(peer, message);
             }
         }
 
--- a/src/main/java/damsonworks/settings/OperatorFile.java
+++ b/src/main/java/damsonworks/settings/OperatorFile.java
@@ -40,6 +40,10 @@
         return tables.get(Table.MEMBERSHIP);
     }
 
+    public Table shared() {
+        return tables.get(Table.SHARED);
+    }
+
     /** All there are, in the order of their names. */
     Collection<Table> tables() {
         return new TreeMap<>(tables).values();
--- a/src/main/java/damsonworks/settings/Table.java
+++ b/src/main/java/damsonworks/settings/Table.java
@@ -13,6 +13,7 @@
     static final String LIMITS = "limits";
     static final String BUDGET = "budget";
     static final String MEMBERSHIP = "membership";
+    static final String SHARED = "shared";
     private static final long GIB = 1L << 30;
 
     static final Map<String, List<Key>> KEYS = Map.of(LIMITS, List.of(
@@ -37,6 +38,10 @@
             Key.flag("on"),
             Key.number("period_ms", 100, 60_000),
             Key.number("suspect_ms", 500, 600_000),
+            Key.number("bytes_per_s", 300, 1_000_000)), SHARED, List.of(
+            Key.flag("on"),
+            Key.flag("judgements"),
+            Key.flag("cold_rights"),
             Key.number("bytes_per_s", 300, 1_000_000)));
 
     private final String file;
--- a/src/main/java/damsonworks/shared/Rights.java
+++ b/src/main/java/damsonworks/shared/Rights.java
@@ -104,6 +104,8 @@
     private int nonces;
     private double quietUntil;
     private boolean beside;
+    private double perMs;
+    private double burst;
     private double tokens;
     private double lastMs;
     private double used;
@@ -115,13 +117,20 @@
      * @param nonce drawn anew at each start: answers to a former life's questions are not taken
      */
     public Rights(Terms terms, int nonce, double now, Part... without) {
+        this(terms, nonce, now, now, without);
+    }
+
+    /** The same of a process that has run since then: its former life may have lent what it does not know of. */
+    public Rights(Terms terms, int nonce, double now, double startedMs, Part... without) {
         this.terms = terms;
+        perMs = terms.perMs();
+        burst = terms.burst();
         this.without = without.length == 0 ? EnumSet.noneOf(Part.class) : EnumSet.of(without[0], without);
         floor = (int) (WHOLE * terms.floor()) / terms.tier();
         own = (int) (WHOLE * (1 - terms.floor())) / terms.tier();
         nonces = nonce;
         lastMs = now;
-        quietUntil = on(Part.QUIET) ? now + terms.quietMs() : now;
+        quietUntil = on(Part.QUIET) ? startedMs + terms.quietMs() : now;
     }
 
     private boolean on(Part part) {
@@ -138,6 +147,14 @@
         quietUntil = Math.max(quietUntil, now + terms.quietMs());
     }
 
+    /** The budget is another from now on: what the tier may spend in a millisecond, and have saved up. */
+    public void pace(double now, double spendPerMs, double saved) {
+        advance(now);
+        perMs = spendPerMs;
+        burst = saved;
+        tokens = on(Part.CAP) ? Math.min(tokens, burst * held(now) / WHOLE) : tokens;
+    }
+
     /** Spends so much of the budget, if this one's right allows it now. */
     public boolean spend(double now, double amount) {
         advance(now);
@@ -186,13 +203,13 @@
         for (Loan l : borrowed) {
             unitMs += l.units * l.within(lastMs, now);
         }
-        tokens += Math.max(0, unitMs) * terms.perMs() / WHOLE;
+        tokens += Math.max(0, unitMs) * perMs / WHOLE;
         lastMs = now;
         lent.removeIf(l -> now >= l.endMs);
         borrowed.removeIf(l -> now >= l.endMs);
         asked.removeIf(q -> now >= q.atMs + terms.useMs());
         if (on(Part.CAP)) {
-            tokens = Math.min(tokens, terms.burst() * held(now) / WHOLE);
+            tokens = Math.min(tokens, burst * held(now) / WHOLE);
         }
         double fade = Math.pow(0.5, dt / USE_MS);
         used *= fade;
@@ -201,7 +218,27 @@
 
     /** What a count that halves in {@link #USE_MS} stands for, in units of the budget. */
     private double unitsOf(double count) {
-        return count * Math.log(2) / USE_MS / terms.perMs() * WHOLE;
+        return perMs <= 0 ? 0 : Math.min(WHOLE, count * Math.log(2) / USE_MS / perMs * WHOLE);
+    }
+
+    /** Whether more is wanted of this one than its right allows. */
+    public boolean lacks(double now) {
+        advance(now);
+        return unitsOf(wanted) > 0.9 * held(now);
+    }
+
+    /** Units lent to others now. */
+    public int lent(double now) {
+        return sum(lent, now);
+    }
+
+    /** Units that others have lent to this one, of those that it may spend now. */
+    public int borrowed(double now) {
+        return sum(borrowed, now);
+    }
+
+    private static int sum(List<Loan> loans, double now) {
+        return loans.stream().filter(l -> l.fromMs <= now && now < l.endMs).mapToInt(l -> l.units).sum();
     }
 
     // ---- lending
@@ -215,7 +252,7 @@
         if (asked.size() >= MOST_LOANS) {
             return null;
         }
-        boolean lacking = unitsOf(wanted) > 0.9 * held(now);
+        boolean lacking = lacks(now);
         for (Loan l : borrowed) {
             boolean under = asked.stream().anyMatch(q -> q.renews() == l.nonce);
             if (l.with == whom && l.endMs - now < terms.useMs() / 2 && !under && lacking) {
@@ -273,7 +310,7 @@
         }
         double from0 = on(Part.GIVEN_UP_FIRST) ? now : now + terms.lendMs() / 4;
         lent.add(new Loan(from, m.nonce(), units, from0, now + terms.lendMs()));
-        tokens = on(Part.CAP) ? Math.min(tokens, terms.burst() * held(now) / WHOLE) : tokens;
+        tokens = on(Part.CAP) ? Math.min(tokens, burst * held(now) / WHOLE) : tokens;
         return new Message(true, m.nonce(), units, 0);
     }
 
