--- a/src/main/java/damsonworks/fleet/Fleet.java
+++ b/src/main/java/damsonworks/fleet/Fleet.java
@@ -37,7 +37,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -52,13 +54,29 @@
      * @param rate requests a second of the whole load
      * @param settings the proxies' operator's file as text; null: none
      * @param peers whether the proxies may speak to one another
+     * @param workMs of a read at a cache node at a speed of 1, on the mean
+     * @param fallsAt a cold node falls at so many times what it can do
+     * @param main the class that the proxies' processes run
      */
-    public record Plan(int proxies, int nodes, double rate, long seed, String settings, boolean peers) {
+    public record Plan(int proxies, int nodes, double rate, long seed, String settings, boolean peers, double workMs,
+            double fallsAt, String main) {
         public static final int MOST_PROXIES = 32;
+        static final String PROGRAM = "damsonworks.Main";
+        static final String MEMBERSHIP = "[membership]\non = true\n";
+        static final String SHARED = MEMBERSHIP + "[shared]\non = true\n";
+
+        public Plan(int proxies, int nodes, double rate, long seed, String settings, boolean peers) {
+            this(proxies, nodes, rate, seed, settings, peers, 20, 3, PROGRAM);
+        }
+
+        /** Members of one tier that share what they know. */
+        public static Plan sharing(int proxies, int nodes, double rate, long seed) {
+            return new Plan(proxies, nodes, rate, seed, SHARED, true);
+        }
 
         /** Members of one tier. */
         public static Plan members(int proxies, int nodes, double rate, long seed) {
-            return new Plan(proxies, nodes, rate, seed, "[membership]\non = true\n", true);
+            return new Plan(proxies, nodes, rate, seed, MEMBERSHIP, true);
         }
     }
 
@@ -102,13 +120,18 @@
     private final Map<String, Hand> hands = new ConcurrentHashMap<>();
     /** The load is ended by the rig: what is open then has nobody who waits for it. */
     private volatile boolean stopping;
+    /** Tries by the proxy that had them. */
+    private final AtomicLongArray served;
+    private final AtomicLongArray ended;
     private Generator generator;
     private Future<Tally> load;
 
     public Fleet(Plan plan) throws Exception {
         this.plan = plan;
         loopback = new Loopback();
-        site = new Site(Site.Plan.of(plan.nodes(), plan.seed()), loopback, plan.proxies());
+        site = new Site(Site.Plan.of(plan.nodes(), plan.seed()).working(plan.workMs(), plan.fallsAt()), loopback, plan.proxies());
+        served = new AtomicLongArray(plan.proxies());
+        ended = new AtomicLongArray(plan.proxies());
         beliefs = new Beliefs(plan.proxies());
         List<InetSocketAddress> stands = new ArrayList<>();
         List<InetSocketAddress> own = new ArrayList<>();
@@ -122,7 +145,8 @@
         for (int p = 0; p < plan.proxies(); p++) {
             InetSocketAddress listen = new InetSocketAddress(loopback.host(), loopback.port());
             controls.add(new InetSocketAddress(loopback.host(), loopback.port()));
-            proxies.add(new ProxyProcess(p, folder, listen, config(p, listen, own.get(p), stands), plan.settings()));
+            proxies.add(new ProxyProcess(p, folder, listen, config(p, listen, own.get(p), stands), plan.settings(),
+                    plan.main()));
             beliefs.truth(0, p, "down");
         }
     }
@@ -184,6 +208,10 @@
             @Override
             public void ended(String id, Patience.End end, boolean gaveUp) {
                 Hand hand = hands.remove(id);
+                if (hand != null) {
+                    Fleet.this.ended.incrementAndGet(hand.target());
+                    served.addAndGet(hand.target(), end == Patience.End.SERVED ? 1 : 0);
+                }
                 boolean ours = stopping || hand != null && proxies.get(hand.target()).disturbedSince(hand.atMs());
                 if (end == Patience.End.LOST && !ours && lost.size() < MOST_LOST) {
                     lost.add("try " + id + (hand == null ? "" : ", in hand at n" + hand.target() + " since " + Math.round(hand.atMs())
@@ -422,6 +450,24 @@
         });
     }
 
+    /** Has what a proxy tells others be something else; null: as it is. */
+    public void liar(int proxy, UnaryOperator<byte[]> by) throws Exception {
+        relay.with(() -> {
+            relay.liar(proxy, by);
+            return null;
+        });
+    }
+
+    /** The site, for its own faults and for what came to its nodes. */
+    public Site site() {
+        return site;
+    }
+
+    /** Tries that this proxy has served so far, and those that have ended at it. */
+    public long[] tries(int proxy) {
+        return new long[] {served.get(proxy), ended.get(proxy)};
+    }
+
     /** Cuts a proxy off from cache nodes and origin, from discovery, or opens these ways. */
     public void cutOff(int p, boolean nodes, boolean lists, boolean is) throws Exception {
         site.cut(p, nodes, lists, is);
@@ -515,7 +561,16 @@
 
     /** What a proxy answers at its control address. */
     static JsonObject view(InetSocketAddress control) throws IOException {
-        String answer = call(control, "/ops/members");
+        return json(control, "/ops/members");
+    }
+
+    /** What a proxy holds of what its tier shares. */
+    public JsonObject shared(int p) throws IOException {
+        return json(controls.get(p), "/ops/shared");
+    }
+
+    static JsonObject json(InetSocketAddress control, String path) throws IOException {
+        String answer = call(control, path);
         int body = answer.indexOf("\r\n\r\n");
         if (!answer.startsWith("HTTP/1.1 200") || body < 0) {
             throw new IOException(answer.lines().findFirst().orElse("no answer"));
--- a/src/main/java/damsonworks/fleet/FleetWatch.java
+++ b/src/main/java/damsonworks/fleet/FleetWatch.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -16,7 +17,7 @@
 @Command(name = "watch", mixinStandardHelpOptions = true, description = {
     "Asks running proxies at their control addresses what they believe of their tier, and prints the views side by side",
     "each time one has changed: A alive, ~ not heard by the one who believes, ? suspect, X dead, l leaving, g gone, s starting,",
-    ". unknown; ! behind a name: it doubts its own ears. Exit code 0, or 1 where none could be asked at all."})
+    ". unknown; ! behind a name: it doubts its own ears; then the cache nodes that others' word keeps it from. Exit code 0, or 1 where none could be asked at all."})
 final class FleetWatch implements Callable<Integer> {
     @Parameters(arity = "1..*", paramLabel = "HOST:PORT", description = "Control addresses.")
     private List<String> addresses;
@@ -43,6 +44,7 @@
                         boolean direct = m.getAsJsonObject().get("direct").getAsBoolean();
                         table.append(Beliefs.mark(s)).append(s.equals("alive") && !direct ? "~" : " ");
                     }
+                    table.append(outByOthers(all.get(i)));
                     heard = true;
                 } catch (IOException | RuntimeException e) {
                     table.append(addresses.get(i)).append(" no answer");
@@ -57,4 +59,19 @@
         } while (System.nanoTime() - began < seconds * 1e9);
         return heard ? 0 : 1;
     }
+
+    /** Nodes that others' word keeps a proxy from, where it shares such; else nothing. */
+    private static String outByOthers(InetSocketAddress control) {
+        TreeSet<String> nodes = new TreeSet<>();
+        try {
+            for (JsonElement e : Fleet.json(control, "/ops/shared").getAsJsonArray("evidence")) {
+                if (e.getAsJsonObject().get("out").getAsBoolean()) {
+                    nodes.add(e.getAsJsonObject().get("node").getAsString());
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            return ""; // nothing is shared there
+        }
+        return nodes.isEmpty() ? "" : "  out: " + String.join(" ", nodes);
+    }
 }
--- a/src/main/java/damsonworks/fleet/ProxyProcess.java
+++ b/src/main/java/damsonworks/fleet/ProxyProcess.java
@@ -19,6 +19,7 @@
     private final Path folder;
     private final Path config;
     private final Path settings;
+    private final String main;
     private final Path log;
     private final InetSocketAddress listen;
     private Process process;
@@ -26,12 +27,15 @@
     private Process beside;
     private Thread duty;
     private volatile Truth truth = Truth.DOWN;
-    private int starts;
     private volatile boolean disturbed;
     private volatile double disturbedMs = Double.NEGATIVE_INFINITY;
 
-    /** @param settings the operator's file as text; null: none */
-    ProxyProcess(int number, Path rig, InetSocketAddress listen, String config, String settings) throws IOException {
+    /**
+     * @param settings the operator's file as text; null: none
+     * @param main the class that is run: the program, or a test's own around it
+     */
+    ProxyProcess(int number, Path rig, InetSocketAddress listen, String config, String settings, String main) throws IOException {
+        this.main = main;
         this.number = number;
         this.listen = listen;
         folder = Files.createDirectory(rig.resolve("n" + number));
@@ -76,12 +80,11 @@
         }
         process = launch(config, folder, log, 0, command());
         truth = Truth.STARTING;
-        starts++;
     }
 
     private List<String> command() {
         List<String> command = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m",
-                "-Dio.netty.jfr.enabled=false", "damsonworks.Main", "serve"));
+                "-Dio.netty.jfr.enabled=false", main, "serve"));
         if (settings != null) {
             command.addAll(List.of("--settings", settings.toString()));
         }
@@ -130,7 +133,6 @@
     /** Another process of this proxy beside it, in the same folder: a new version, or the same. */
     void startBeside(Path itsConfig) throws IOException {
         beside = launch(itsConfig, folder, log, 0, command());
-        starts++;
     }
 
     /** SIGTERM to the old one; the new one is the proxy from here on. Whether the old one has ended by then. */
@@ -242,10 +244,6 @@
         return disturbed || disturbedMs >= atMs;
     }
 
-    int starts() {
-        return starts;
-    }
-
     String log() throws IOException {
         return Files.exists(log) ? Files.readString(log) : "";
     }
--- a/src/main/java/damsonworks/fleet/Relay.java
+++ b/src/main/java/damsonworks/fleet/Relay.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -16,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * Between the proxies: each one's address in {@code peers} is a socket here, so that a datagram to it comes from the sender's
@@ -32,6 +35,8 @@
     private final List<InetSocketAddress> proxies;
     private final Channel[] stands;
     private int underWay;
+    /** What arrives in place of a proxy's datagrams, by its number; null: itself. */
+    private final UnaryOperator<byte[]>[] liars;
 
     /**
      * @param stands one for each proxy, by number, and one for all behind them
@@ -41,6 +46,7 @@
         this.wire = wire;
         this.proxies = proxies;
         this.stands = new Channel[stands.size()];
+        liars = newLiars(proxies.size());
         for (int p = 0; p < proxies.size(); p++) {
             senders.put(proxies.get(p), p);
         }
@@ -54,9 +60,11 @@
                             if (from == null) {
                                 return;
                             }
+                            ByteBuf content = liars[from] == null ? packet.content()
+                                    : Unpooled.wrappedBuffer(liars[from].apply(ByteBufUtil.getBytes(packet.content())));
                             for (int p = 0; p < proxies.size(); p++) {
                                 if (to == p || to == proxies.size()) {
-                                    carry(from, p, packet.content());
+                                    carry(from, p, content);
                                 }
                             }
                         }
@@ -69,6 +77,16 @@
         }
     }
 
+    @SuppressWarnings("unchecked") // there are no arrays of generic types
+    private static UnaryOperator<byte[]>[] newLiars(int n) {
+        return new UnaryOperator[n];
+    }
+
+    /** Has a proxy's datagrams say something else; null: what they say. On the loop. */
+    void liar(int proxy, UnaryOperator<byte[]> by) {
+        liars[proxy] = by;
+    }
+
     private void carry(int from, int to, ByteBuf content) {
         for (double at : from == to ? new double[] {0} : wire.arrivals(from, to, content.readableBytes())) {
             if (at < 0.05) {
--- a/src/main/java/damsonworks/proxy/peers/SharedLink.java
+++ b/src/main/java/damsonworks/proxy/peers/SharedLink.java
@@ -34,6 +34,9 @@
     private static final int MOST_LINES = 30;
     private static final double LINES_MS = 10_000;
 
+    /** Left out in tests that show what a part is for. */
+    static Set<SharedState.Part> without = Set.of();
+
     private record Event(double atMs, int node, boolean out, String cause) { }
 
     private final EventLoop loop;
@@ -82,7 +85,7 @@
             public void changed(double now, int node, boolean out, String cause) {
                 told(new Event(now, node, out, cause));
             }
-        }, Set.of());
+        }, without);
         socket.onShared((peer, message) -> {
             state.heard(caller.now(), peer, message);
             wakeAt(state.dueMs());
--- a/src/main/java/damsonworks/shared/SharedState.java
+++ b/src/main/java/damsonworks/shared/SharedState.java
@@ -237,6 +237,9 @@
         if (perMs <= 0) { // no warm one of its kind has answered anybody lately, or this one has not heard of it yet
             return now - startedMs < WINDOW_MS ? refuse() : RoutingApi.Cold.UNKNOWN;
         }
+        if (!on(Part.RIGHTS)) {
+            return RoutingApi.Cold.SPENT;
+        }
         ColdNode node = cold.get(server);
         if (node == null) {
             if (cold.size() >= MOST_COLD) {
@@ -266,8 +269,7 @@
     }
 
     private Rights.Terms rightsOf() {
-        int keepers = on(Part.RIGHTS) ? Math.min(terms.tier(), KEEPERS) : 1; // as if the whole were this one's own
-        return new Rights.Terms(keepers, 0.3, 1e-6, 1, 2000, 0.001);
+        return new Rights.Terms(Math.min(terms.tier(), KEEPERS), 0.3, 1e-6, 1, 2000, 0.001);
     }
 
     /**
@@ -284,9 +286,6 @@
 
     /** Whether this proxy is among those who may send to that node while it is cold: the same answer at all of the tier. */
     private boolean keeper(int node, int proxy) {
-        if (!on(Part.RIGHTS)) {
-            return true;
-        }
         long mine = lot(node, proxy);
         int before = 0;
         for (int p = 0; p < terms.tier(); p++) {
--- a/src/main/java/damsonworks/site/CacheFront.java
+++ b/src/main/java/damsonworks/site/CacheFront.java
@@ -7,9 +7,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -40,21 +42,24 @@
     private final String name;
     private final Station<Job> station;
     private final Shelf shelf;
-    private final ColdGuard guard = new ColdGuard(Site.TIP_MULTIPLE, Site.FALL_MS);
+    private final ColdGuard guard;
     private final Set<Connection> connections = new HashSet<>();
     private List<Channel> listeners = List.of();
+    private final List<Hole> holes = new ArrayList<>();
     private int port;
     private boolean draining;
     private boolean silent;
     private boolean spoils;
     private boolean down;
     private int life;
+    private long came;
 
     CacheFront(Site site, String name, Station<Job> station, Shelf shelf) {
         this.site = site;
         this.name = name;
         this.station = station;
         this.shelf = shelf;
+        guard = new ColdGuard(site.plan().tipMultiple(), Site.FALL_MS);
     }
 
     void bound(List<Channel> at) {
@@ -95,6 +100,26 @@
         shelf.clear();
     }
 
+    /** Nobody takes its connections from now on. */
+    void unbind() {
+        listeners.forEach(l -> l.close().syncUninterruptibly());
+    }
+
+    void hole(Hole in) {
+        holes.add(in);
+    }
+
+    void fillHoles() throws IOException {
+        for (Hole h : holes) {
+            h.close();
+        }
+        holes.clear();
+    }
+
+    long came() {
+        return came;
+    }
+
     void drain() {
         draining = true;
     }
@@ -224,6 +249,7 @@
                 answer(job, "EN O" + id + "\r\n"); // writes are the origin's
             } else if (words.length > 2 && words[0].equals("mg") && !id.isEmpty()) {
                 Job job = new Job(this, words[1], id, site.draw(site.plan().workMs()));
+                came++;
                 jobs.add(job);
                 take(job);
             } else {
--- a/src/main/java/damsonworks/site/Roster.java
+++ b/src/main/java/damsonworks/site/Roster.java
@@ -10,16 +10,23 @@
     /** How a host stands. */
     public enum Health { UP, DRAINING, REMOVED }
 
-    /** @param bornMs Unix time of its last start in milliseconds; 0: long ago */
-    public record Host(String name, String dial, String zone, String kind, Health health, long bornMs) {
+    /**
+     * @param share of the keys, against others
+     * @param bornMs Unix time of its last start in milliseconds; 0: long ago
+     */
+    public record Host(String name, String dial, String zone, String kind, Health health, int share, long bornMs) {
+        public Host(String name, String dial, String zone, String kind, Health health, long bornMs) {
+            this(name, dial, zone, kind, health, 1, bornMs);
+        }
+
         Host with(Health other) {
-            return new Host(name, dial, zone, kind, other, bornMs);
+            return new Host(name, dial, zone, kind, other, share, bornMs);
         }
 
         String json() {
             return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"" + zone + "\",\"class\":\"" + kind
                     + "\",\"block\":0,\"health\":\"" + health.name().toLowerCase(java.util.Locale.ROOT)
-                    + "\",\"share\":1,\"born_ms\":" + bornMs + "}";
+                    + "\",\"share\":" + share + ",\"born_ms\":" + bornMs + "}";
         }
     }
 
--- a/src/main/java/damsonworks/site/Scenario.java
+++ b/src/main/java/damsonworks/site/Scenario.java
@@ -18,7 +18,7 @@
 public final class Scenario {
     /** What may go wrong. */
     public enum What {
-        STALL, CRASH, RESTART, DRAIN, SILENT, SPEAK, SPOIL, JOIN, LISTS_OUT, LISTS_BACK,
+        STALL, CRASH, RESTART, DRAIN, SILENT, SPEAK, VANISH, APPEAR, SPOIL, JOIN, LISTS_OUT, LISTS_BACK,
         /** Of proxies: stand still, run for a part of each second, die, be told to end, start (again). */
         PAUSE, SLOW, KILL, STOP, START,
         /** Of ways from proxies: cut, all open again, worse for datagrams. */
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -9,6 +9,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -34,18 +35,23 @@
      * @param places connections that a node takes
      * @param noticeMs after which discovery tells of a change
      * @param linesPerS that discovery sends in all
+     * @param tipMultiple a cold node falls at so many times what it can do
      * @param seed of all that is drawn
      */
     public record Plan(int nodes, double slowPart, int zones, int keys, double workMs, double fetchMs, int places,
-            int originSlots, double noticeMs, double linesPerS, long seed) {
+            int originSlots, double noticeMs, double linesPerS, double tipMultiple, long seed) {
         public static Plan of(int nodes, long seed) {
-            return new Plan(nodes, 0.41, 4, 4000, 20, 40, 40, 16, 500, 200, seed);
+            return new Plan(nodes, 0.41, 4, 4000, 20, 40, 40, 16, 500, 200, 3, seed);
+        }
+
+        /** The same with reads that take so much work, and cold nodes that fall at so many times what they can do. */
+        public Plan working(double ms, double fallsAt) {
+            return new Plan(nodes, slowPart, zones, keys, ms, fetchMs, places, originSlots, noticeMs, linesPerS, fallsAt, seed);
         }
     }
 
     static final double START_CAPACITY = 0.3;
     static final double WARM_UP_MS = 9000;
-    static final double TIP_MULTIPLE = 3;
     static final double FALL_MS = 1500;
     static final double KEYED_MS = 1500;
     static final double DRAIN_GRACE_MS = 2000;
@@ -53,6 +59,9 @@
     /** An answer that comes later than this after its time, or never, is lost; one before that only earns nothing. */
     public static final double LOST_MS = 500;
 
+    private static final int MOST_BINDS = 100;
+    private static final long BIND_AGAIN_MS = 20;
+
     private final Plan plan;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -87,7 +96,7 @@
         List<Channel> at = bind(origin::connection, loopback.port());
         roster.put(new Roster.Host("s-origin", dial(at), zone(0), "origin", Roster.Health.UP, 0));
         for (int n = 0; n < plan.nodes(); n++) {
-            add(false);
+            add(false, 1);
         }
         discovery = new DiscoveryFront(this, roster);
         discovery.bound(bind(discovery::connection, loopback.port()));
@@ -143,14 +152,38 @@
         return all;
     }
 
+    /**
+     * Binds an address that was bound until just now: the JDK lets go of a closed listener's port only when the selector has
+     * let go of its key, in its next round.
+     */
+    static <T> T bound(Callable<T> binding) throws InterruptedException {
+        for (int tries = 0;; tries++) {
+            try {
+                return binding.call();
+            } catch (InterruptedException e) {
+                throw e;
+            } catch (Exception e) {
+                if (!(e instanceof BindException) || tries >= MOST_BINDS) {
+                    throw new IllegalStateException(e);
+                }
+                Thread.sleep(BIND_AGAIN_MS);
+            }
+        }
+    }
+
     private Channel bind(Supplier<ChannelHandler[]> handlers, InetSocketAddress at) throws InterruptedException {
+        ServerBootstrap server = server(handlers);
+        return bound(() -> server.bind(at).sync().channel());
+    }
+
+    private ServerBootstrap server(Supplier<ChannelHandler[]> handlers) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handlers.get());
                     }
-                }).bind(at).sync().channel();
+                });
     }
 
     private String dial(List<Channel> at) {
@@ -183,7 +216,7 @@
         return String.valueOf((char) ('a' + n % plan.zones()));
     }
 
-    private String add(boolean cold) throws InterruptedException, java.io.IOException {
+    private String add(boolean cold, int share) throws InterruptedException, java.io.IOException {
         int n = named++;
         boolean slow = n % 100 < plan.slowPart() * 100 || n * plan.slowPart() % 1 + plan.slowPart() >= 1;
         Station<CacheFront.Job> station = new Station<>(new Station.Traits(4, 32, slow ? 0.9 : 1.8, START_CAPACITY, WARM_UP_MS));
@@ -195,7 +228,7 @@
         if (cold) {
             station.born(nowMs());
         }
-        roster.put(new Roster.Host(name, dial(at), zone(n), slow ? "node-slow" : "node-fast", Roster.Health.UP,
+        roster.put(new Roster.Host(name, dial(at), zone(n), slow ? "node-slow" : "node-fast", Roster.Health.UP, share,
                 cold ? System.currentTimeMillis() : 0));
         return name;
     }
@@ -257,7 +290,7 @@
             node.shelf().clear();
             Roster.Host host = roster.host(name);
             later(plan.noticeMs(), () -> {
-                roster.put(new Roster.Host(name, host.dial(), host.zone(), host.kind(), Roster.Health.UP,
+                roster.put(new Roster.Host(name, host.dial(), host.zone(), host.kind(), Roster.Health.UP, host.share(),
                         System.currentTimeMillis()));
                 synchronized (ledger) {
                     ledger.returns(name);
@@ -268,6 +301,36 @@
         });
     }
 
+    /** Its machine is gone from the net, and no list says so: open connections are silent, and new ones never come up. */
+    public void vanish(String name) throws Exception {
+        CacheFront node = on(() -> {
+            node(name).silent(true);
+            node(name).unbind();
+            return node(name);
+        });
+        for (int view = -1; view < views; view++) {
+            InetSocketAddress at = new InetSocketAddress(view < 0 ? loopback.host() : loopback.view(view), node.port());
+            node.hole(bound(() -> new Hole(at)));
+        }
+    }
+
+    /** It is back as it was, with all that it has in hand. */
+    public void appear(String name) throws Exception {
+        CacheFront node = on(() -> node(name));
+        node.fillHoles();
+        List<Channel> at = bind(node::connection, node.port());
+        on(() -> {
+            node.bound(at);
+            node.silent(false);
+            return null;
+        });
+    }
+
+    /** Requests that have come to a node so far. */
+    public long cameTo(String name) throws Exception {
+        return on(() -> node(name).came());
+    }
+
     /** It finishes what it has and wants nothing new. */
     public void drain(String name) throws Exception {
         on(() -> {
@@ -287,7 +350,12 @@
 
     /** One more node, cold. Its name. */
     public String join() throws Exception {
-        String name = add(true);
+        return join(1);
+    }
+
+    /** One more node, cold, with so many times the keys of another. Its name. */
+    public String join(int share) throws Exception {
+        String name = add(true, share);
         on(() -> {
             discovery.changed();
             return null;
@@ -322,6 +390,8 @@
             case SILENT -> silent(name, true);
             case SPEAK -> silent(name, false);
             case SPOIL -> spoil(name);
+            case VANISH -> vanish(name);
+            case APPEAR -> appear(name);
             case JOIN -> join();
             case LISTS_OUT -> lists(true);
             case LISTS_BACK -> lists(false);
@@ -372,7 +442,7 @@
                    "tip-multiple":%s,"fall":%.0f,"ask-within":10000},
                   "classes":[%s],"tenants":[]}}
                 """, me, listen, view < 0 ? loopback.host() : loopback.view(view), discovery().getPort(), plan.seed() + me, known, me, proxies, me % plan.zones(),
-                String.join(",", zones), DRAIN_GRACE_MS, START_CAPACITY, WARM_UP_MS, TIP_MULTIPLE, FALL_MS,
+                String.join(",", zones), DRAIN_GRACE_MS, START_CAPACITY, WARM_UP_MS, plan.tipMultiple(), FALL_MS,
                 String.join(",", classes));
     }
 
