--- a/src/main/java/damsonworks/fleet/Fleet.java
+++ b/src/main/java/damsonworks/fleet/Fleet.java
@@ -123,6 +123,7 @@
     /** Tries by the proxy that had them. */
     private final AtomicLongArray served;
     private final AtomicLongArray ended;
+    private boolean asks = true;
     private Generator generator;
     private Future<Tally> load;
 
@@ -172,11 +173,16 @@
 
     // ---- from start to end
 
+    /** Nobody asks the proxies for their views, which costs each of them more than what they do for them. Before the start. */
+    public void unasked() {
+        asks = false;
+    }
+
     /** Starts all proxies and waits until they serve. */
     public void start() throws Exception {
         site.stock(IntStream.range(0, STOCKED).mapToObj(Keys::ofRank).toList());
         start(true, IntStream.range(0, plan.proxies()).toArray());
-        for (int p = 0; p < plan.proxies() && plan.settings() != null; p++) {
+        for (int p = 0; p < plan.proxies() && plan.settings() != null && asks; p++) {
             int proxy = p;
             askers.submit(() -> askOn(proxy));
         }
--- a/src/main/java/damsonworks/fleet/FleetCommand.java
+++ b/src/main/java/damsonworks/fleet/FleetCommand.java
@@ -57,6 +57,8 @@
     Path scenario;
     @Option(names = "--settings", paramLabel = "FILE", description = "The proxies' operator's file; without it fleet has [membership] on, demo none.")
     Path operators;
+    @Option(names = "--no-views", description = "Proxies are not asked for their views: what they cost by themselves.")
+    boolean noViews;
     @Option(names = "--json", paramLabel = "FILE", description = "The report as JSON.")
     Path json;
     @Option(names = "--html", paramLabel = "FILE", description = "The report as one page with plots.")
@@ -125,6 +127,9 @@
     }
 
     private int play(Fleet fleet, Scenario plan) throws Exception {
+        if (noViews) {
+            fleet.unasked();
+        }
         fleet.start();
         System.out.println(nodes + " cache nodes, an origin, " + proxies + " proxies at " + fleet.targets());
         if (settings.contains("[membership]")) {
--- a/src/main/java/damsonworks/shared/Datagram.java
+++ b/src/main/java/damsonworks/shared/Datagram.java
@@ -41,13 +41,17 @@
     /** Ages travel in hundredths of a second. */
     private static final double STEP_MS = 10;
     static final int MOST_RIGHTS = 4;
-    static final int MOST_TOTALS = 6;
 
     /** Pieces of evidence that fit beside the rest. */
     static int room(int rights, int totals) {
         return (MOST_BYTES - HEAD - 3 - rights * RIGHT_BYTES - totals * TOTAL_BYTES) / EVIDENCE_BYTES;
     }
 
+    /** Totals that fit beside the rest. */
+    static int totals(int evidence, int rights) {
+        return (MOST_BYTES - HEAD - 3 - rights * RIGHT_BYTES - evidence * EVIDENCE_BYTES) / TOTAL_BYTES;
+    }
+
     static boolean is(byte[] bytes) {
         return bytes.length >= 2 && bytes[0] == MARK && bytes[1] == TYPE;
     }
--- a/src/main/java/damsonworks/shared/SharedState.java
+++ b/src/main/java/damsonworks/shared/SharedState.java
@@ -101,6 +101,8 @@
     private static final int KINDS = 4;
     /** Readings of what the tier serves are over this. */
     static final double WINDOW_MS = 5000;
+    /** What is older is not passed on. */
+    private static final double FRESH_MS = 2500;
 
     private record Question(int nonce, int to, double atMs, boolean all) { }
 
@@ -136,6 +138,7 @@
     private double filledMs;
     private boolean beside;
     private int turn;
+    private int asks;
     private long sentMessages;
     private long sentBytes;
     private long unsent;
@@ -230,7 +233,7 @@
 
     @Override
     public RoutingApi.Cold spendCold(double now, int server, int kind, double capacity, int warm) {
-        if (!terms.coldRights() || terms.tier() > MOST_TIER_OF_RIGHTS || kind < 0 || kind >= KINDS || warm == 0) {
+        if (!sharesCold() || kind < 0 || kind >= KINDS || warm == 0) {
             return RoutingApi.Cold.UNKNOWN;
         }
         double perMs = answers[kind].perMs(now, WINDOW_MS) / warm * capacity;
@@ -263,6 +266,10 @@
         return RoutingApi.Cold.SPENT;
     }
 
+    private boolean sharesCold() {
+        return terms.coldRights() && terms.tier() <= MOST_TIER_OF_RIGHTS;
+    }
+
     private RoutingApi.Cold refuse() {
         refused++;
         return RoutingApi.Cold.REFUSED;
@@ -335,7 +342,8 @@
         }
         if (now >= askMs) {
             askMs = now + PERIOD_MS * (0.9 + 0.2 * lots.nextDouble()) / (cold.isEmpty() ? 1 : 2);
-            int whom = wanted(now);
+            // Every other one by lot: keepers that ask keepers alone hear nothing new of the rest.
+            int whom = ++asks % 2 == 0 ? wanted(now) : -1;
             ask(now, whom >= 0 ? whom : partner(), NEWEST);
         }
     }
@@ -448,11 +456,10 @@
                 rights.add(new Right(r.node(), grant));
             }
         }
-        List<Total> totals = totals(now, to);
         List<Evidence> pieces = new ArrayList<>();
         int next = NEWEST;
         if (question.digest() != judgements.digest()) {
-            int room = Datagram.room(rights.size(), totals.size());
+            int room = Datagram.room(rights.size(), KINDS);
             List<Evidence> held = judgements.held(now);
             if (question.cursor() == NEWEST) {
                 List<Evidence> by = new ArrayList<>(held);
@@ -471,23 +478,24 @@
         }
         List<Evidence> aged = pieces.stream().map(e -> new Evidence(e.node(), e.kind(), e.witness(), e.zone(), e.serial(),
                 e.atMs() - now, e.untilMs() - now)).toList();
+        List<Total> totals = totals(now, to, Datagram.totals(aged.size(), rights.size()));
         send(now, to, new Datagram(Type.TELL, life, question.nonce(), judgements.digest(), next, aged, rights, totals), ANSWERS_LEAVE);
     }
 
-    /** Own totals, and in turn those of others of whom there has been word lately. */
-    private List<Total> totals(double now, int asker) {
+    /** Own totals, and in turn those of others of whom there has been word lately, as far as there is room. */
+    private List<Total> totals(double now, int asker, int room) {
         List<Total> all = new ArrayList<>();
-        for (int k = 0; k < KINDS; k++) {
+        for (int k = 0; k < KINDS && sharesCold(); k++) {
             Counts.Total own = answers[k].latest(terms.me());
             if (own.count() > 0) {
                 all.add(new Total(k, own, 0));
             }
         }
-        for (int i = 0; i < terms.tier() && all.size() < Datagram.MOST_TOTALS; i++) {
+        for (int i = 0; i < terms.tier() && all.size() < room && sharesCold(); i++) {
             turn = (turn + 1) % terms.tier();
             for (int k = 0; k < KINDS && turn != asker && turn != terms.me(); k++) {
                 double age = now - answers[k].heardOf(turn);
-                if (age < WINDOW_MS && all.size() < Datagram.MOST_TOTALS) {
+                if (age < FRESH_MS && all.size() < room) {
                     all.add(new Total(k, answers[k].latest(turn), age));
                 }
             }
--- a/src/test/java/damsonworks/shared/SharedStateTest.java
+++ b/src/test/java/damsonworks/shared/SharedStateTest.java
@@ -489,7 +489,7 @@
     @Test
     void theLargestFitsIntoADatagram() {
         List<Evidence> all = new ArrayList<>();
-        for (int i = 0; i < Datagram.room(Datagram.MOST_RIGHTS, Datagram.MOST_TOTALS); i++) {
+        for (int i = 0; i < Datagram.room(Datagram.MOST_RIGHTS, 4); i++) {
             all.add(new Evidence(i, Kind.OUT, 1, 1, i, -1e9, 1e9));
         }
         List<Datagram.Right> rights = new ArrayList<>();
@@ -497,7 +497,7 @@
         for (int i = 0; i < Datagram.MOST_RIGHTS; i++) {
             rights.add(new Datagram.Right(i, new Rights.Message(false, i, 1, 0)));
         }
-        for (int i = 0; i < Datagram.MOST_TOTALS; i++) {
+        for (int i = 0; i < Datagram.totals(all.size(), rights.size()); i++) {
             totals.add(new Datagram.Total(0, new Counts.Total(i, 1, 1), 1e9));
         }
         assertThat(new Datagram(Datagram.Type.TELL, 1, 1, 1, 0, all, rights, totals).bytes().length)
