--- a/src/test/java/damsonworks/settings/OperatorFileTest.java
+++ b/src/test/java/damsonworks/settings/OperatorFileTest.java
@@ -51,7 +51,7 @@
         OperatorFile shipped = OperatorFile.read(Path.of("deploy/clayhoist.toml"));
         for (String name : Table.KEYS.keySet()) {
             Table table = name.equals(Table.LIMITS) ? shipped.limits() : name.equals(Table.BUDGET) ? shipped.budget()
-                    : shipped.membership();
+                    : name.equals(Table.SHARED) ? shipped.shared() : shipped.membership();
             for (Key key : Table.KEYS.get(name)) {
                 assertThat(table.number(key.name())).as(key.name()).isEmpty();
                 assertThat(table.flag(key.name(), true) && !table.flag(key.name(), false)).as(key.name()).isTrue();
