--- a/src/main/java/damsonworks/membership/Membership.java
+++ b/src/main/java/damsonworks/membership/Membership.java
@@ -35,7 +35,7 @@
     public record Event(double atMs, int member, State from, State to, int incarnation, String cause) { }
 
     /** Parts that can be left out to see what each is for; all are on in use. */
-    public enum Part { INDIRECT, CONFIRMATIONS, WITNESSES, DOUBT, DEAD_ASKED, HEALTH, LIVES }
+    public enum Part { INDIRECT, CONFIRMATIONS, WITNESSES, DOUBT, DEAD_ASKED, HEALTH, LIVES, TIERS }
 
     /** How many are asked to ask in one's place, and told at once of a refutation, a leave or a start. */
     static final int HELPERS = 3;
@@ -243,10 +243,12 @@
         if (m.held().state() != State.UNKNOWN) {
             saidOfMe(now, from, m.held(), m.doubtful());
         }
-        for (News n : m.news()) {
+        // One whose configuration names another number of members numbers others otherwise; it is heard itself all the same.
+        boolean same = m.tier() == tier || !on(Part.TIERS);
+        for (News n : same ? m.news() : List.<News>of()) {
             merge(now, n.member(), n.entry(), n.accuser() >= 0 ? n.accuser() : -1, from, m.doubtful());
         }
-        for (int i = 0; i < m.part().size() && m.from() + i < tier; i++) {
+        for (int i = 0; same && i < m.part().size() && m.from() + i < tier; i++) {
             merge(now, m.from() + i, m.part().get(i), -1, from, m.doubtful());
         }
         switch (m.kind()) {
--- a/src/main/java/damsonworks/model/MembershipModel.java
+++ b/src/main/java/damsonworks/model/MembershipModel.java
@@ -49,7 +49,6 @@
     private int worstFalse;
     private final int[] falseBy;
     private long events;
-    private long deliveries;
     private double loss;
     private double twice;
     private Cut cut = (now, from, to) -> false;
@@ -227,7 +226,6 @@
                 tick(next);
             } else {
                 wire.poll();
-                deliveries++;
                 if (members[next.to] != null) {
                     if (now < pausedUntil[next.to]) {
                         mailboxes.get(next.to).add(next);
@@ -336,16 +334,7 @@
         return knownMs[m] - killedMs[m];
     }
 
-    public long deliveries() {
-        return deliveries;
-    }
-
     public long events() {
         return events;
     }
-
-    /** Datagrams that are on their way, for who wants them to come again much later. */
-    public List<byte[]> underWay(int from) {
-        return wire.stream().filter(a -> a.from == from).map(Arrival::message).toList();
-    }
 }
--- a/src/test/java/damsonworks/membership/MembershipTest.java
+++ b/src/test/java/damsonworks/membership/MembershipTest.java
@@ -281,6 +281,27 @@
         }
     }
 
+    /** After a change of the tier's size some run by the old configuration until their next start: their numbers are others'. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void oneOfAnotherTierSizeIsHeardAndItsWordOnOthersIsNot(boolean guarded) {
+        Membership one = new Membership(8, 0, Timing.USUAL, 1, 0, new Membership.Outlet() {
+            @Override
+            public void send(int to, byte[] message) { }
+
+            @Override
+            public void changed(Membership.Event event) { }
+        }, guarded ? new Membership.Part[0] : new Membership.Part[] {Membership.Part.TIERS});
+        one.serving(0);
+        for (int s = 1; s <= 3; s++) {
+            one.heard(s, 1, new Message(Message.Kind.WORD, 7, s, new Message.Entry(State.ALIVE, 3), Message.Entry.NOTHING, false, 0,
+                    -1, 12, List.of(new Message.News(5, new Message.Entry(State.ALIVE, 9), -1)), 2,
+                    List.of(new Message.Entry(State.ALIVE, 4))).bytes());
+        }
+        assertThat(one.state(1)).isEqualTo(State.ALIVE);
+        assertThat(List.of(one.state(5), one.state(2))).containsOnly(guarded ? State.UNKNOWN : State.ALIVE);
+    }
+
     @Test
     void aLeaveIsToldAndNobodyWaitsForIt() {
         MembershipModel m = tier(14, 2);
