The crowd's test asks from an address of its own: the crowd's is held off, by design

Cause, by the program's own counters and the 30 waits: held off 565, each wait 2 to 11 or 802 to 825 ms, and 800 is HoldOff.MOST_MS. Crowd and usual clients shared 127.0.0.1, which was turned away about as often as it was served: which of the two was more hung on the machine's speed, and each wait made it slower. Ruled out: the loop (late by 1 ms), the places (94 of 107).

--- a/src/test/java/damsonworks/proxy/CrowdTest.java
+++ b/src/test/java/damsonworks/proxy/CrowdTest.java
@@ -61,7 +61,8 @@
         try (Stage stage = new Stage()) {
             String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
             Program program = stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
-            Peer.Line usual = stage.keep(program.connect());
+            // From an address of their own: the crowd's is held off for up to 0.8 s, the slower this machine the more often.
+            Peer.Line usual = stage.keep(program.connect("127.0.0.7"));
             Stage.serves(usual, "u");
             int most = 0;
             List<Double> waits = new ArrayList<>();
@@ -73,12 +74,12 @@
                 }
                 if (i % 100 == 99) {
                     long asked = System.nanoTime();
-                    Stage.serves(stage.keep(program.connect()), "new" + i);
+                    Stage.serves(stage.keep(program.connect("127.0.0.7")), "new" + i);
                     waits.add((System.nanoTime() - asked) / 1e6);
                     most = Math.max(most, program.descriptors());
                 }
             }
-            Stage.serves(stage.keep(program.connect()), "last");
+            Stage.serves(stage.keep(program.connect("127.0.0.7")), "last");
             assertThat(waits.stream().sorted().toList().get(waits.size() / 2)).isLessThan(500); // silent ones wait longer
             assertThat(most).isLessThan(256);
             assertThat(program.log()).noneMatch(l -> l.contains("fault") || l.contains("could not be taken"));
--- a/src/test/java/damsonworks/proxy/Program.java
+++ b/src/test/java/damsonworks/proxy/Program.java
@@ -3,6 +3,7 @@
 import damsonworks.fleet.ProxyProcess;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -76,10 +77,15 @@
 
     /** A connection; waits for the proxy to come up. */
     Peer.Line connect() throws Exception {
+        return connect("127.0.0.1");
+    }
+
+    /** A connection that comes from this loopback address. */
+    Peer.Line connect(String from) throws Exception {
         long end = System.nanoTime() + Stage.PATIENCE.toNanos();
         while (true) {
             try {
-                return new Peer.Line(new Socket("127.0.0.1", port), new ConcurrentLinkedQueue<>());
+                return new Peer.Line(new Socket("127.0.0.1", port, InetAddress.getByName(from), 0), new ConcurrentLinkedQueue<>());
             } catch (IOException e) {
                 if (System.nanoTime() > end || !process.isAlive()) {
                     throw e;
