--- a/src/main/java/damsonworks/store/durable/Committer.java
+++ b/src/main/java/damsonworks/store/durable/Committer.java
@@ -34,6 +34,9 @@
         }
     }
 
+    /** A disk that has not taken what was accepted by then is left alone at the end. */
+    private static final long CLOSE_MS = 5000;
+
     private final Journal journal;
     private final Terms terms;
     private final Listener listener;
@@ -158,7 +161,7 @@
         listener.failed(cause);
     }
 
-    /** Writes what was accepted, and lets go of the journal; waits for it as long as the disk takes. */
+    /** Writes what was accepted, and lets go of the journal; what a disk does not take within {@link #CLOSE_MS} is given up. */
     @Override
     public void close() {
         lock.lock();
@@ -169,7 +172,8 @@
             lock.unlock();
         }
         try {
-            thread.join();
+            thread.join(CLOSE_MS);
+            thread.interrupt();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/damsonworks/store/durable/Journal.java
+++ b/src/main/java/damsonworks/store/durable/Journal.java
@@ -38,7 +38,7 @@
         public static final Terms USUAL = new Terms(4 << 20, 1 << 16);
 
         public Terms {
-            if (segmentBytes < 64 || mostBytes < 1 || mostBytes > 1 << 24) {
+            if (segmentBytes < 64 || segmentBytes > MOST_FILE / 2 || mostBytes < 1 || mostBytes > 1 << 24) {
                 throw new IllegalArgumentException("segments of " + segmentBytes + " bytes, records of " + mostBytes);
             }
         }
@@ -69,6 +69,8 @@
     private static final int SNAPSHOT_MAGIC = 0x434C4853;
     private static final int VERSION = 1;
     private static final int HEAD = 24;
+    /** A file that is longer is none of these; each is read as a whole. */
+    static final int MOST_FILE = 64 << 20;
     /** Length, number, forced up to, sum. */
     private static final int RECORD_HEAD = 24;
     private static final int SUM_AT = 20;
@@ -285,7 +287,10 @@
     }
 
     private static ByteBuffer whole(Disk.File f) throws IOException {
-        ByteBuffer all = ByteBuffer.allocate((int) Math.min(Integer.MAX_VALUE - 64, f.size()));
+        if (f.size() > MOST_FILE) {
+            throw new IOException("a file of " + f.size() + " bytes, at most " + MOST_FILE + " are a journal's");
+        }
+        ByteBuffer all = ByteBuffer.allocate((int) f.size());
         f.read(0, all);
         all.flip();
         return all;
@@ -373,8 +378,8 @@
      * Has this state stand for all records up to a number, which need not be the last: what it stands for goes once it is there.
      */
     public void snapshot(long upTo, byte[] state) throws IOException {
-        if (upTo < 1 || upTo > last) {
-            throw new IllegalArgumentException("a snapshot up to " + upTo + " of " + last);
+        if (upTo < 1 || upTo > last || state.length > MOST_FILE / 2) {
+            throw new IllegalArgumentException("a snapshot of " + state.length + " bytes up to " + upTo + " of " + last);
         }
         trusted(() -> {
             forceFile();
--- a/src/main/java/damsonworks/store/durable/WriteBackDisk.java
+++ b/src/main/java/damsonworks/store/durable/WriteBackDisk.java
@@ -12,11 +12,12 @@
 
 /**
  * A disk in memory that holds back what was not forced, as a real one's caches do: at a loss of power any part of it is
- * there, in any order, torn at any byte. Can lose power at any operation, and err or be full from one on.
+ * there, in any order, torn at any byte. Can lose power at any operation, stand still at a force, and err or be full from one
+ * on. A kill of a process is no loss of power, as the system keeps what was written: only a disk like this shows the difference.
  */
-final class WriteBackDisk implements Disk {
+public final class WriteBackDisk implements Disk {
     /** The power is gone: whatever runs on this disk is over. */
-    static final class PowerLost extends IOException {
+    public static final class PowerLost extends IOException {
         private static final long serialVersionUID = 1L;
     }
 
@@ -49,23 +50,32 @@
     private long operations;
     private long powerAt = Long.MAX_VALUE;
     private long errorAt = Long.MAX_VALUE;
+    private Runnable beforeForce = () -> { };
+    private long forces;
     private boolean locked;
     private boolean dead;
 
     /** Power goes at this operation from now, counted from 1. */
-    WriteBackDisk powerAt(long operation) {
+    public WriteBackDisk powerAt(long operation) {
         powerAt = operations + operation;
         return this;
     }
 
     /** Each operation that writes or forces errs from this one on. */
-    WriteBackDisk errorAt(long operation) {
+    public WriteBackDisk errorAt(long operation) {
         errorAt = operations + operation;
         return this;
     }
 
-    long operations() {
-        return operations;
+    /** Each force of a file waits for this. */
+    public WriteBackDisk beforeForce(Runnable waits) {
+        beforeForce = waits;
+        return this;
+    }
+
+    /** Forces of files so far. */
+    public long forces() {
+        return forces;
     }
 
     private void operation() throws IOException {
@@ -79,7 +89,7 @@
     }
 
     /** The disk as it is found when the power is back. */
-    WriteBackDisk after(SplittableRandom lots) {
+    public WriteBackDisk after(SplittableRandom lots) {
         WriteBackDisk found = new WriteBackDisk();
         int kept = lots.nextInt(namesSince.size() + 1); // changes of names keep their order, as file systems log them
         Map<String, Inode> there = kept == 0 ? forcedNames : namesSince.get(kept - 1);
@@ -171,7 +181,9 @@
 
             @Override
             public void force() throws IOException {
+                beforeForce.run();
                 operation();
+                forces++;
                 inode.forced = inode.now;
                 inode.pending.clear();
             }
