A peer's word does not put a watch that was just begun at the end of discovery's line

Ruled out: a send on a connection that came up late; an answer without news that is late (2 ms).

Change: a call that has been out for under 2 s has its turn first; a silent watch is given up 0.5 s after its wait, so that the line is no longer than the time that is left.

Price to discovery: none; a watch that is silent is followed by the one call that followed before.

--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -53,11 +53,14 @@
     private static final int PUSHED_WAIT_MS = 3000;
     /** How long a call without a wait may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
-    /** What a silent watch should have told counts as told so long after its wait. */
-    private static final double TOLD_AFTER_WAIT_MS = 2000;
-    /** A watch is never given less than this beyond its wait, nor more than that: its answer has only the way to come. */
-    private static final int LEAST_PATIENCE_MS = 300;
-    private static final int MOST_PATIENCE_MS = 1000;
+    /**
+     * How much longer than its wait a watch may take. Its news counts as told 2 s after the wait, and an overbooked
+     * discovery takes a second and more for the next call; an answer without news comes at the wait's end, within some
+     * ms. Harm: news of the wait's last moment that stands in line for longer is asked for once more.
+     */
+    private static final int WATCH_PATIENCE_MS = 500;
+    /** A call that has been out for less has its turn to come, and one in its place would stand in line behind it. */
+    private static final double YOUNG_MS = 2000;
     private static final int CONNECT_MS = 500;
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
@@ -134,15 +137,28 @@
             if (tell > 0) {
                 peers.tellVersion(tell);
             }
-            if (versions.asks(dispatcher.now()) && watching) {
-                dispatcher.log("discovery: others know of a newer list, the watch is begun again");
-                watchLine.close();
-                watch(true);
+            if (versions.asks(dispatcher.now())) {
+                beginAgain(version);
             }
             lookAtVersions();
         });
     }
 
+    /** Others know of a newer list than this one: the watch is begun again, once a call that is young has had its turn. */
+    private void beginAgain(long behind) {
+        double left = YOUNG_MS - watchLine.outMs();
+        if (!watching || version != behind) {
+            return;
+        }
+        if (left > 0) {
+            dispatcher.after(left, () -> beginAgain(behind));
+            return;
+        }
+        dispatcher.log("discovery: others know of a newer list, the watch is begun again");
+        watchLine.close();
+        watch(true);
+    }
+
     /** The names on the list in the configuration, before it is used. */
     void nameKnown() {
         try {
@@ -199,19 +215,10 @@
         } else if (watchLine.waiting == null) {
             int most = config.settings().askForList() ? WAIT_MS : PUSHED_WAIT_MS;
             int wait = most / 2 + lots.nextInt(most / 2);
-            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait, wait + patienceMs(), this::watched);
+            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait, wait + WATCH_PATIENCE_MS, this::watched);
         }
     }
 
-    /**
-     * How much longer than its wait a watch may take: a third of the time until a change that it should have told must
-     * be in use. The call that follows at once may fail as well, and the one after that still comes in time.
-     */
-    private int patienceMs() {
-        double room = TOLD_AFTER_WAIT_MS + config.settings().drainGraceMs();
-        return (int) Math.max(LEAST_PATIENCE_MS, Math.min(room / 3, MOST_PATIENCE_MS));
-    }
-
     void fetch() {
         listLine.call("/discovery/hosts", PATIENCE_MS, this::fetched);
     }
@@ -345,6 +352,7 @@
         private Channel channel;
         private Consumer<JsonObject> waiting;
         private Future<?> timer;
+        private double calledMs;
         /** The last call ended because nothing came, neither an answer nor the connection's end. */
         private boolean silent;
 
@@ -355,6 +363,7 @@
             }
             waiting = then;
             silent = false;
+            calledMs = dispatcher.now();
             timer = loop.schedule(() -> {
                 silent = true;
                 done(null);
@@ -389,6 +398,11 @@
             to.writeAndFlush(request);
         }
 
+        /** How long the present call has been out, in milliseconds; 0: none is. */
+        double outMs() {
+            return waiting == null ? 0 : dispatcher.now() - calledMs;
+        }
+
         boolean wasSilent() {
             return silent;
         }
--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/damsonworks/proxy/CrossingsTest.java
@@ -4,6 +4,8 @@
 
 import damsonworks.Carp;
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -417,6 +419,35 @@
         }
     }
 
+    /**
+     * 13. A peer's word on a newer list crosses a call that has just been made and stands in discovery's line: it was given
+     * up for one more at the line's end, and the list came too late by that. What counts is that one call has the news.
+     */
+    @Test
+    void aPeersWordDoesNotPutACallThatWasJustMadeAtTheLinesEnd() throws Exception {
+        try (stage; DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            stage.peers = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:%1$d\"],\"peers_all\":\"127.0.0.1:%1$d\","
+                    .formatted(peer.getLocalPort());
+            Peer cache = stage.fullCache();
+            AtomicInteger calls = new AtomicInteger();
+            Peer discovery = stage.peer(line -> {
+                while (line.head() != null) {
+                    if (calls.incrementAndGet() == 1) {
+                        byte[] hint = {(byte) 0xC1, 'v', 0, 0, 0, 0, 0, 0, 0, 5};
+                        Stage.await(() -> stage.proxy != null);
+                        peer.send(new DatagramPacket(hint, hint.length, stage.proxy.peerAddress()));
+                        Thread.sleep(1500); // in line
+                        line.http("200 OK", "", Stage.list(5, Stage.cache("s-2", cache)));
+                    }
+                }
+            });
+            stage.start(discovery, Stage.cache("s-1", cache));
+            Stage.await(() -> calls.get() == 2);
+            assertThat(discovery.heard.stream().filter(l -> l.startsWith("GET"))).hasSize(2)
+                    .last().asString().contains("since=5&");
+        }
+    }
+
     // ---- an end with requests in hand
 
     /** 9. It is killed 3.7 s after it is told to end where deadlines are longer; who waits longer was never answered. */
