At a planned end a request of a client that was not read yet is answered, not closed upon

It looks the same way as who shows idle connections out does. LastLookTest forces it, and failed without the change.

--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -374,7 +374,7 @@
         }
         if (now >= idleEndsMs) {
             for (ClientConnection c : new ArrayList<>(door.clients())) {
-                if (c.idle() && !c.readNow()) { // what it has asked meanwhile is answered first
+                if (c.idle() && !c.lastLook()) { // what it has asked meanwhile is answered first
                     c.finish();
                 }
             }
--- a/src/test/java/damsonworks/proxy/LastLookTest.java
+++ b/src/test/java/damsonworks/proxy/LastLookTest.java
@@ -82,6 +82,20 @@
         }
     }
 
+    /** From then on who comes from this address waits for the longest time. */
+    private void badName() throws Exception {
+        List<Peer.Line> bad = new ArrayList<>();
+        for (int i = 0; i < 8; i++) { // from then on who comes from there waits for the longest time
+            bad.add(stage.clientFrom("127.0.0.9"));
+            bad.get(i).write("hello\r\n");
+        }
+        for (Peer.Line line : bad) {
+            assertThat(line.read()).isEqualTo("ERROR");
+            line.close();
+        }
+        Stage.await(() -> clients() == 0);
+    }
+
     /** Its request waits unread, as its address has a bad name; the places run out meanwhile. Nor do newcomers go for it. */
     @Test
     void aRequestOfOneThatIsHeldOffIsReadBeforeItHasToMakeRoom() throws Exception {
@@ -89,16 +103,7 @@
             stage.sockets = 128;
             begin();
             int spare = stage.proxy.door().places() / 8;
-            List<Peer.Line> bad = new ArrayList<>();
-            for (int i = 0; i < 8; i++) { // from then on who comes from there waits for the longest time
-                bad.add(stage.clientFrom("127.0.0.9"));
-                bad.get(i).write("hello\r\n");
-            }
-            for (Peer.Line line : bad) {
-                assertThat(line.read()).isEqualTo("ERROR");
-                line.close();
-            }
-            Stage.await(() -> clients() == 0);
+            badName();
             Peer.Line late = stage.clientFrom("127.0.0.9");
             late.write(Stage.read("a", "l1"));
             for (int i = 0; i < stage.proxy.door().places() - spare; i++) {
@@ -109,6 +114,24 @@
         }
     }
 
+    /** It was ended as idle, with a request that nobody had read since its address was to wait. */
+    @Test
+    void inADrainARequestOfOneThatIsHeldOffIsAnsweredBeforeItsConnectionEnds() throws Exception {
+        try (stage) {
+            begin();
+            badName();
+            Peer.Line late = stage.clientFrom("127.0.0.9");
+            late.write(Stage.read("a", "l1"));
+            Stage.await(() -> clients() == 1);
+            Thread end = new Thread(stage.proxy::drain);
+            end.start();
+            assertThat(late.read()).isEqualTo("VA 2 Ol1");
+            assertThat(late.read()).isEqualTo("hi");
+            assertThat(late.read()).isNull();
+            end.join();
+        }
+    }
+
     @Test
     void inADrainTheNextRequestOnAConnectionIsAnsweredBeforeItEnds() throws Exception {
         try (stage) {
