--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/damsonworks/proxy/CrossingsTest.java
@@ -248,6 +248,28 @@
         }
     }
 
+    /** 14. The loop stands still while a client asks and leaves: what it asked was read first, and sent on. */
+    @Test
+    void nothingIsSentForWhoLeftWhileTheLoopStoodStill() throws Exception {
+        HeldLoop hold = new HeldLoop();
+        try (stage) {
+            stage.allocator = hold;
+            Peer cache = stage.fullCache();
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin()));
+            Peer.Line other = stage.client();
+            Peer.Line client = stage.client();
+            Stage.await(() -> clients() == 2);
+            hold.during(() -> other.write("mn\r\n"), () -> {
+                client.write(Stage.read("a", "1"));
+                client.close();
+                Thread.sleep(500); // left for longer than 0.3 s
+            });
+            Stage.await(() -> clients() == 1);
+            Stage.serves(other.read().equals("MN") ? other : null, "2");
+            assertThat(cache.heard).hasSize(1);
+        }
+    }
+
     // ---- one attempt at a time
 
     /**
@@ -384,6 +406,76 @@
         }
     }
 
+    /**
+     * 15. The copy comes some milliseconds later, here once the next write is heard on that connection within that time.
+     * Only what was over within the rest that a connection takes says something: a slow machine has several goes.
+     */
+    @Test
+    void anOriginsConnectionRestsForLongerThanASecondAnswerTakes() throws Exception {
+        try (stage) {
+            AtomicInteger puts = new AtomicInteger();
+            Peer origin = stage.peer(line -> {
+                String before = null;
+                long at = 0;
+                while (line.head() != null) {
+                    line.bytes(3);
+                    boolean late = before != null && System.nanoTime() - at < 15_000_000L;
+                    String answer = "r" + puts.incrementAndGet();
+                    line.http("200 OK", "", late ? before : answer);
+                    before = answer;
+                    at = System.nanoTime();
+                }
+            });
+            stage.start(stage.quietDiscovery(), Stage.origin(origin));
+            Peer.Line client = stage.client();
+            int within = 0;
+            for (int i = 0; i < 400 && within < 5; i += 2) {
+                long began = System.nanoTime();
+                client.write(Stage.write("a", "w" + i, "pay", "xyz"));
+                client.read();
+                Thread.sleep(4); // longer than a second answer was ever seen to take
+                int due = puts.get() + 1;
+                client.write(Stage.write("a", "w" + (i + 1), "pay", "xyz"));
+                String second = client.read();
+                if (System.nanoTime() - began < 19_000_000L) {
+                    assertThat(second).isEqualTo("HD Ow" + (i + 1) + " cr" + due);
+                    within++;
+                }
+                Thread.sleep(30);
+            }
+            assertThat(within).isEqualTo(5);
+        }
+    }
+
+    /** 16. Part of a line behind an answer stayed in the decoder, and the next answer was read behind it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void partOfALineBehindAnAnswerEndsTheConnection(boolean fromOrigin) throws Exception {
+        try (stage) {
+            CountDownLatch answered = new CountDownLatch(1);
+            CountDownLatch ended = new CountDownLatch(1);
+            Peer origin = stage.peer(line -> {
+                line.head();
+                line.http("200 OK", "", "hi");
+                answered.await();
+                line.write("HT");
+                line.read();
+                ended.countDown();
+            });
+            Peer cache = stage.peer(line -> {
+                Stage.answer(line, line.read());
+                answered.await();
+                line.write("VA");
+                line.read();
+                ended.countDown();
+            });
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", fromOrigin ? stage.emptyCache() : cache), Stage.origin(origin));
+            Stage.serves(stage.client(), "1");
+            answered.countDown();
+            ended.await();
+        }
+    }
+
     // ---- a list that goes quiet
 
     /**
@@ -391,8 +483,8 @@
      * pause: the list was in use over a second too late. What counts is the beginning of the next call.
      */
     @ParameterizedTest
-    @CsvSource({"ask, 500", "ask, 2000", "push, 500"})
-    void aSilentWatchIsBegunAgainInTime(String discovery, int graceMs) throws Exception {
+    @CsvSource({"ask, 500, ''", "ask, 2000, ''", "push, 500, ''", "push, 500, HTTP/1.1 200 OK"})
+    void aSilentWatchIsBegunAgainInTime(String discovery, int graceMs, String says) throws Exception {
         try (stage) {
             AtomicLong first = new AtomicLong();
             AtomicInteger calls = new AtomicInteger();
@@ -403,6 +495,7 @@
                         line.http("200 OK", "", Stage.list(2, Stage.cache("s-2", cache)));
                     } else {
                         first.set(System.nanoTime());
+                        line.write(says);
                         line.read();
                     }
                 }
@@ -469,6 +562,20 @@
         }
     }
 
+    /** 17. What comes when no answer could be in time any more is refused, and not sent on first. */
+    @Test
+    void whatComesInTheProcessLastMomentIsRefusedUnsent() throws Exception {
+        try (stage) {
+            Peer cache = stage.fullCache();
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+            Peer.Line client = stage.client();
+            stage.proxy.loop().submit(() -> stage.proxy.dispatcher().answerBy(stage.proxy.dispatcher().now())).sync();
+            client.write(Stage.read("a", "1"));
+            assertThat(client.read()).isEqualTo("SERVER_ERROR busy");
+            assertThat(cache.heard).isEmpty();
+        }
+    }
+
     /** 10. Told to end before it listens, it never does; told so while it begins to, it waits for who is to answer. */
     @Test
     void anEndWithinTheStartIsNeitherLostNorListenedThrough() throws Exception {
