--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -49,8 +49,8 @@
      * silent is seen as such only once its wait is over, and the list is old until then.
      */
     private static final int WAIT_MS = 12_000;
-    /** Where lists are pushed a call costs nothing, and what a silent watch misses counts as told after 6 s. */
-    private static final int PUSHED_WAIT_MS = 3000;
+    /** Where lists are pushed a call costs nothing; what silent watches miss counts as told after 6 s, two in a row too. */
+    private static final int PUSHED_WAIT_MS = 2000;
     /** How long a call without a wait may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
     /**
