A peer's message within the start is dropped; room made by closing the chosen connection is forced

Seen: a tier's messages that come while a proxy starts threw in Dispatcher.heard, as the module is made only in Dispatcher.start: one line "fault at ..." for each, which fills the forty lines a minute that the log has, and says of a sound program that it failed. Nothing else followed from it (read through: tell() catches, no request is there yet). Change: dropped until there is a module. CrossingsTest 18 has a peer speak each ms through a whole start; without the change the log was full of faults.

CrossingsTest 19 forces what was mended without a test: all descriptors in use, the one connection that can make room is the one that was just chosen. The loop is held so that the answer and the next request are read in one round.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -507,6 +507,9 @@
 
     @Override
     public void heard(int peer, byte[] message) {
+        if (module == null) {
+            return; // within the start; a datagram may be lost, and what it says is said again
+        }
         tell(() -> module.onPeer(now(), peer, message, this));
     }
 
--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/damsonworks/proxy/CrossingsTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import damsonworks.Carp;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -542,6 +544,91 @@
         }
     }
 
+    /**
+     * 19. All descriptors for servers are in use, and the one connection that could make room is the one that was just
+     * chosen, as it rests after its answer: it was closed for room, and written on. Its attempt was silent until its time was up.
+     */
+    @Test
+    void whatIsClosedToMakeRoomIsNotWrittenOn() throws Exception {
+        HeldLoop hold = new HeldLoop();
+        try (stage) {
+            CountDownLatch answers = new CountDownLatch(1);
+            CountDownLatch answered = new CountDownLatch(1);
+            Peer cache = stage.peer(line -> {
+                for (String text; (text = line.read()) != null;) {
+                    answers.await();
+                    Stage.answer(line, text);
+                    answered.countDown();
+                }
+            });
+            stage.allocator = hold;
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+            Peer.Line other = stage.client();
+            Peer.Line first = stage.client();
+            Peer.Line second = stage.client();
+            Stage.await(() -> clients() == 3);
+            first.write(Stage.read("a", "1"));
+            Stage.await(() -> !cache.heard.isEmpty());
+            // In use up to the bound and by as many more as may be closing in one round.
+            stage.proxy.loop().submit(() -> {
+                Dispatcher dispatcher = stage.proxy.dispatcher();
+                while (dispatcher.roomUpstream()) {
+                    dispatcher.openedUpstream();
+                }
+            }).sync();
+            hold.during(() -> other.write("mn\r\n"), () -> {
+                answers.countDown();
+                answered.await();
+                second.write(Stage.read("b", "2")); // read right behind the answer, in the same round
+            });
+            assertThat(first.read()).isEqualTo("VA 2 O1");
+            int out = stage.proxy.loop().submit(() -> stage.proxy.dispatcher().attemptsOut()).sync().getNow();
+            if (out > 0) { // the machine stood still for as long as the connection rests, so that it could be used
+                Stage.await(() -> cache.heard.stream().anyMatch(l -> l.contains(" O2 ")));
+            } else {
+                assertThat(second.read()).startsWith("SERVER_ERROR");
+            }
+        }
+    }
+
+    // ---- a start
+
+    /** 18. A peer's message came before there was a module to hear it, which was a fault in the log, one for each. */
+    @Test
+    void aPeersMessageWithinTheStartIsDropped() throws Exception {
+        PrintStream err = System.err;
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        AtomicInteger sent = new AtomicInteger();
+        try (stage; DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                DatagramSocket free = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress at = (InetSocketAddress) free.getLocalSocketAddress();
+            free.close();
+            stage.peers = "\"peer_listen\":\"127.0.0.1:%d\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:%2$d\"],\"peers_all\":\"127.0.0.1:%2$d\","
+                    .formatted(at.getPort(), peer.getLocalPort());
+            System.setErr(new PrintStream(log, true));
+            Thread speaks = new Thread(() -> {
+                byte[] message = {1, 2, 3};
+                while (stage.proxy == null) {
+                    try {
+                        peer.send(new DatagramPacket(message, message.length, at));
+                        sent.incrementAndGet();
+                    } catch (IOException e) {
+                        // nobody listens there yet
+                    }
+                    LockSupport.parkNanos(1_000_000);
+                }
+            });
+            speaks.start();
+            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+            speaks.join();
+            Stage.serves(stage.client(), "1");
+        } finally {
+            System.setErr(err);
+        }
+        assertThat(sent.get()).isGreaterThan(10);
+        assertThat(log.toString()).contains("warm-up").doesNotContain("fault");
+    }
+
     // ---- an end with requests in hand
 
     /** 9. It is killed 3.7 s after it is told to end where deadlines are longer; who waits longer was never answered. */
