Where no read is safe a server that was out of reach is tried again

Beside it, one fault that is: a trial of a server that is out of reach was a safe request's alone (Policy.open, mayTry), with a probe allowed too. Reads of this deployment are never safe and its safe class is a write, which goes to the origin, so no server ever came back.

Change: where probes are allowed any first attempt may have one sent; where they are not, and no safe read has come for as long as a server is passed over, another request is the trial, at the bounded rate of all trials. Where safe reads come nothing changes. PolicyTest: with probes and without, keyed and unsafe, seen to fail without; an unsafe read is no trial while safe ones come.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -94,6 +94,8 @@
     private int warmOnes;
     private double doubts = DOUBT_SAVED;
     private double trials = 1;
+    /** When a safe read last looked for a server. */
+    private double safeReadMs = Double.NEGATIVE_INFINITY;
     private int nextToken;
     private boolean watching;
     private boolean asking;
@@ -643,6 +645,7 @@
     // ---- choice of a server
 
     private Server choose(double now, Flight f, Actions out) {
+        safeReadMs = f.safe ? now : safeReadMs;
         int want = Math.min(ranked.length, Math.max(RANKS, f.spread + RANKS));
         Server stay = f.stayAt;
         f.stayAt = null;
@@ -692,7 +695,8 @@
 
     /**
      * The draft routes past a member that cannot be contacted but not when to come back. A suspect is passed
-     * over until a trial answers: a probe where allowed, else one safe request. Trials are a set part of the
+     * over until a trial answers: a probe where allowed, else one safe request; where no safe one has come for a
+     * while, another: nothing else would ever bring a server back. Trials are a set part of the
      * traffic: a proxy that meets a server once in many seconds cannot spend a request on each meeting.
      */
     private boolean open(double now, Flight f, Server s, Actions out) {
@@ -700,8 +704,9 @@
             return false; // the draft's member that cannot be contacted, though it may be well
         }
         boolean clear = s.failures == 0 || s.probed && !s.trial;
-        boolean mayTry = f.safe && f.attempts == 0;
-        if (!clear && (now < s.shunnedUntil || s.trial || !mayTry || trials < 1)) {
+        boolean mayTry = f.attempts == 0 && (f.safe || now - safeReadMs > shunMs());
+        boolean probes = f.attempts == 0 && cfg.mayProbe();
+        if (!clear && (now < s.shunnedUntil || s.trial || !mayTry && !probes || trials < 1)) {
             return false;
         }
         if (tier != null && tier.passOver(now, s.id, mayTry)) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -655,6 +655,74 @@
         assertThat(rig.last().server()).isEqualTo(2);
     }
 
+    /**
+     * Where no read is safe, a server that was out of reach for a while was never tried again, by a probe neither, and its
+     * keys stayed with their runner-ups for good.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 2", "true, 1", "false, 2", "false, 1"})
+    void aServerComesBackWhereNoReadIsSafe(boolean probes, int serviceClass) {
+        Rig rig = probes ? Rig.aside().fleet(12) : Rig.unprobed(true).fleet(12);
+        long key = 1;
+        while (topRank(key, 12) != 2) {
+            key++;
+        }
+        int id = 100;
+        for (int i = 0; i < 3; i++) {
+            rig.read(++id, serviceClass, key);
+            rig.end(rig.last(), Outcome.CONNECT_FAILED);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        rig.read(++id, serviceClass, key);
+        assertThat(rig.last().server()).as("out of reach").isNotEqualTo(2);
+        rig.end(rig.last(), Outcome.OK);
+        rig.now += 5000;
+        for (int i = 0; i < 50; i++) {
+            rig.now += 20;
+            rig.read(++id, serviceClass, key);
+            rig.end(rig.last(), Outcome.OK);
+            if (!rig.probed.isEmpty()) {
+                rig.policy.onProbed(rig.now, 2, Outcome.OK, 3, null, rig);
+            }
+        }
+        assertThat(rig.probed.size()).isEqualTo(probes ? 1 : 0);
+        assertThat(rig.last().server()).isEqualTo(2);
+    }
+
+    /** While safe reads come, one that must not run twice is no trial. */
+    @Test
+    void anUnsafeReadIsNoTrialWhileSafeOnesCome() {
+        Rig rig = Rig.unprobed(true).fleet(12);
+        long key = 1;
+        while (topRank(key, 12) != 2) {
+            key++;
+        }
+        int id = 100;
+        for (int i = 0; i < 3; i++) {
+            rig.read(++id, key);
+            rig.end(rig.last(), Outcome.CONNECT_FAILED);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        rig.now += 5000;
+        long other = key;
+        for (int i = 0; i < 50; i++) {
+            rig.now += 20;
+            do {
+                other++;
+            } while (topRank(other, 12) == 2);
+            rig.read(++id, other);
+            rig.end(rig.last(), Outcome.OK);
+            rig.read(++id, Rig.UNSAFE, key);
+            assertThat(rig.last().server()).isNotEqualTo(2);
+            rig.end(rig.last(), Outcome.OK);
+        }
+        do {
+            other++;
+        } while (topRank(other, 12) != 2);
+        rig.read(++id, other);
+        assertThat(rig.last().server()).isEqualTo(2);
+    }
+
     /** A suspect's trial was marked and its request then refused for crowding: none was ever sent again. */
     @Test
     void crowdingDoesNotUseUpTrials() {
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -112,6 +112,10 @@
         policy.onRequest(now, new Request(id, SAFE, 0, key, now + 1000, Double.NaN, 0, false, false), this);
     }
 
+    void read(int id, int serviceClass, long key) {
+        policy.onRequest(now, new Request(id, serviceClass, 0, key, now + 1000, Double.NaN, 0, false, false), this);
+    }
+
     void write(int id, int serviceClass) {
         policy.onRequest(now, new Request(id, serviceClass, 0, 7, now + 1000, Double.NaN, 0, true, false), this);
     }
