A client that left behind up to 128 KiB is noticed; sixteen before

Needed: what waits for its first attempt and whose client has left is not sent on 0.3 s later. Where a connection is not read (full hand, an error that waits, an address held off) its end was looked for behind 16 KiB of what it had sent; one that had sent more with sixteen commands in hand was not noticed at all until they ended (CrossingsTest 4 with 100 KiB behind: its attempts were still out after 20 s). Measured: the system takes 86 KiB of a loopback connection that nobody reads, so that with more than that the end does not come.

Change: it reads ahead up to 128 KiB while the input of all clients together takes less than a quarter of its bound (memory / 16), else 16 KiB as before. ClientConnection.lookForEnd.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -60,12 +60,16 @@
     /** The longest gap between two requests counts for less with each further one. */
     private static final double GAP_FADES = 0.9;
     /**
-     * So much that it has sent is read ahead of its turn to see whether it has left: its end lies behind that. Guards
-     * memory against one that goes on sending; whether such a one has left shows only once it is read again.
+     * So much that it has sent is read ahead of its turn to see whether it has left: its end lies behind that. Half as
+     * much again as the system takes for a connection that nobody reads (86 KiB, measured on loopback): the end of one that
+     * had sent more does not come before it is read. Guards memory against one that goes on sending.
      */
-    private static final int LOOK_BYTES = 16 << 10;
+    private static final int LOOK_BYTES = 128 << 10;
+    /** The same while all clients' input takes {@link #LOOK_SHARE} of its bound. */
+    private static final int SHORT_LOOK_BYTES = 16 << 10;
+    private static final double LOOK_SHARE = 0.25;
     /** In so many reads at most: what one that is closing sends is dropped, and fills nothing. */
-    private static final int LOOKS = 4;
+    private static final int LOOKS = 16;
     /** What was read later than this after it came is not taken before the client's end has been looked for. */
     private static final double STALE_MS = 150;
     /** A connection with more errors than this is closed, though its commands could be told apart. */
@@ -200,7 +204,9 @@
         }
         looking = true;
         readSomething = true;
-        for (int i = 0; i < LOOKS && readSomething && nio.isActive() && actualReadableBytes() < LOOK_BYTES; i++) {
+        boolean room = dispatcher.accounts().held(Holding.INPUT) < LOOK_SHARE * dispatcher.limits().valueBytes();
+        int most = room ? LOOK_BYTES : SHORT_LOOK_BYTES;
+        for (int i = 0; i < LOOKS && readSomething && nio.isActive() && actualReadableBytes() < most; i++) {
             readSomething = false;
             nio.unsafe().read();
         }
--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/damsonworks/proxy/CrossingsTest.java
@@ -219,17 +219,19 @@
     // ---- a client that has left unseen
 
     /** 4. Sixteen commands in hand, nothing more is read: its end lay behind the next one, and was not seen. */
-    @Test
-    void aClientThatLeavesWithAFullHandIsNoticed() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {4, 2000})
+    void aClientThatLeavesWithAFullHandIsNoticed(int behind) throws Exception {
         try (stage) {
             stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.peer(Peer.Line::read)), Stage.origin(origin()));
             Peer.Line client = stage.client();
             StringBuilder text = new StringBuilder();
-            for (int i = 0; i < 20; i++) {
+            for (int i = 0; i < 16; i++) {
                 text.append(Stage.read("a", "" + i).replace("d=8000", "d=600000"));
             }
             client.write(text.toString());
             awaitAttempts(16);
+            client.write(Stage.read("a", "x").repeat(behind));
             client.close();
             Stage.await(() -> clients() == 0);
             awaitAttempts(0);
