--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -696,8 +696,8 @@
     /**
      * The draft routes past a member that cannot be contacted but not when to come back. A suspect is passed
      * over until a trial answers: a probe where allowed, else one safe request; where no safe one has come
-     * for a while, another, or it would never be back. Trials are a set part of the traffic: a proxy that meets
-     * a server once in many seconds cannot spend a request on each meeting.
+     * for a while, another, or it would never be back. Trials are a set part of the traffic: a proxy that
+     * meets a server once in many seconds cannot spend a request on each meeting.
      */
     private boolean open(double now, Flight f, Server s, Actions out) {
         if (now < s.noPlaceUntil || now < zones[s.member.zone()].outUntil) {
