What is given up on after its aim is answered at once where late answers are worth nothing

Rule: what is given up on is answered at once, with advice. Change: it is. PolicyTest.whatIsGivenUpOnAfterItsAimIsAnsweredAtOnce, seen to fail without the change; PolicyTest, RandomRulesTest, PolicyTierTest and ModuleSizeTest pass.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -433,7 +433,11 @@
     private void advance(double now, Flight f, Actions out) {
         f.waiting = false;
         boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
-        if (f.done || f.streaming || worthless) {
+        if (f.done || f.streaming) {
+            return;
+        }
+        if (worthless) {
+            giveUp(now, f, out);
             return;
         }
         // Before a server is chosen: a choice may be a suspect's one trial, which must then be sent.
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -633,6 +633,20 @@
         assertThat(rig.denied.stream().filter(id -> hung.stream().noneMatch(p -> p.request() == id))).isEmpty();
     }
 
+    /** Where a late answer is worth nothing a request was given up on after its aim and answered only as its time was over. */
+    @Test
+    void whatIsGivenUpOnAfterItsAimIsAnsweredAtOnce() {
+        Rig rig = Rig.worthlessLate().fleet(3);
+        rig.read(1, 77);
+        assertThat(rig.last().timeoutMs()).isEqualTo(300);
+        rig.now += 301;
+        rig.end(rig.last(), Outcome.TIMEOUT);
+        assertThat(rig.placed).hasSize(1);
+        assertThat(rig.denied).containsExactly(1);
+        rig.pass(1000);
+        assertThat(rig.answers()).isEqualTo(1);
+    }
+
     /** A suspect comes back by a trial: the probe's answer, not a client's request, finds out. */
     @Test
     void aShunnedServerIsProbedBeforeItGetsRequests() {
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -89,6 +89,18 @@
         return new Rig(settings(true, false, false, Group.ALL));
     }
 
+    /** As {@link #aside()}, where answers after the aim are worth nothing. */
+    static Rig worthlessLate() {
+        Settings s = settings(true, false, false, Group.ALL);
+        List<ServiceClass> classes = s.classes().stream().map(c -> new ServiceClass(c.name(), c.effect(), c.group(), c.windowMs(),
+                c.aimMs(), c.deadlineMs(), c.worth(), 0, c.stream())).toList();
+        return new Rig(new Settings(s.me(), s.instances(), s.zone(), s.zones(), s.kinds(), s.askForList(), s.aside(), s.originKind(),
+                s.reports(), s.reportNames(), s.worthByWork(), s.overShareWorth(), s.mayCancel(), s.mayProbe(), s.peers(),
+                s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(), s.connectTimeoutMs(), s.drainGraceMs(),
+                s.answerGraceMs(), s.startCapacity(), s.warmUpMs(), s.tipMultiple(), s.fallMs(), s.askWithinMs(),
+                s.originFallMultiple(), s.originFallMs(), classes, s.tenants()));
+    }
+
     static Member member(int id, State state, double born) {
         return new Member(id, id % 2, id == ORIGIN ? 1 : 0, id / 4, state, 1, born);
     }
