A death of a proxy's last life is no false one in the rig's judgement

Seen: clean run of the tests, 1 of 635 failed: MembershipFleetTest, "nobody that ran was held for dead by most": proxy 5, held so by 6 of 8 at 45.9 s. Only one step of that test has more than four of eight hold one for dead: the kill of 5, after which all know of the death and it is started again. It served clients, which is what the rig waits for, before six of the others had been asked again (every 200 ms) and had said that they knew; the judge (Beliefs.judge) took their "dead", which was of the life that had been killed, for a false one of the new. Ruled out: the split (four of eight at most), the pause (proxy 2).

Change: who has held it for dead without a break since before it was started is not counted; who finds it dead again, or first after its start, is, as before. That the old word comes to an end is asked as before, by the next step ("all know that it is back"). RigTest has both, seen to fail without the change.

--- a/src/main/java/damsonworks/fleet/Beliefs.java
+++ b/src/main/java/damsonworks/fleet/Beliefs.java
@@ -11,7 +11,10 @@
     /** @param by -1: the truth */
     public record Change(double atMs, int by, int of, String state) { }
 
-    /** A proxy that ran and that most of those who judge held for dead. */
+    /**
+     * A proxy that ran and that most of those who judge held for dead. Who has held it so since before it was started has
+     * a death of its last life in mind, which was one; that this comes to an end is not judged here ({@link #agreed}).
+     */
     public record FalseMajority(double atMs, int of, int say, int judges) { }
 
     private static final int MOST_CHANGES = 200_000;
@@ -21,6 +24,10 @@
     private final String[][] now;
     private final boolean[][] direct;
     private final double[] saidMs;
+    /** Since when one has held another for dead without a break; of use only where it does. */
+    private final double[][] deadSinceMs;
+    /** Since when each has run. */
+    private final double[] runsSinceMs;
     private final List<Change> changes = new ArrayList<>();
     private final List<FalseMajority> falseMajorities = new ArrayList<>();
     private final boolean[] held;
@@ -30,10 +37,15 @@
         now = new String[proxies + 1][proxies];
         direct = new boolean[proxies][proxies];
         saidMs = new double[proxies];
+        deadSinceMs = new double[proxies + 1][proxies];
+        runsSinceMs = new double[proxies];
         held = new boolean[proxies];
     }
 
     public synchronized void truth(double atMs, int of, String state) {
+        if (!lives(of)) {
+            runsSinceMs[of] = atMs;
+        }
         change(atMs, proxies, of, state);
         for (int p = 0; p < proxies && state.equals("down"); p++) { // it believes nothing any more
             now[of][p] = null;
@@ -55,6 +67,7 @@
     private void change(double atMs, int by, int of, String state) {
         if (!state.equals(now[by][of])) {
             now[by][of] = state;
+            deadSinceMs[by][of] = atMs;
             if (changes.size() < MOST_CHANGES) {
                 changes.add(new Change(atMs, by == proxies ? -1 : by, of, state));
             }
@@ -71,7 +84,7 @@
         for (int by = 0; by < proxies; by++) {
             if (by != of && lives(by)) {
                 judges++;
-                say += "dead".equals(now[by][of]) ? 1 : 0;
+                say += "dead".equals(now[by][of]) && deadSinceMs[by][of] >= runsSinceMs[of] ? 1 : 0;
             }
         }
         boolean most = lives(of) && "serving paused slowed".contains(now[proxies][of]) && 2 * say > judges;
--- a/src/test/java/damsonworks/fleet/RigTest.java
+++ b/src/test/java/damsonworks/fleet/RigTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.concurrent.TimeUnit;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,24 @@
         assertThat(wire.arrivals(0, 1, 1)).containsExactly(0);
     }
 
+    /** One comes back and serves before others have heard of it: they hold its last life for dead, which it is. */
+    @Test
+    void aDeathOfALastLifeIsNoFalseOneUntilItIsFoundAgain() {
+        Beliefs b = new Beliefs(4);
+        List<Boolean> hears = List.of(true, true, true, true);
+        IntStream.range(0, 4).forEach(p -> b.truth(0, p, "serving"));
+        b.truth(10, 0, "down");
+        IntStream.range(1, 4).forEach(p -> b.said(20, p, List.of("dead", "alive", "alive", "alive"), hears));
+        b.truth(30, 0, "starting");
+        b.truth(40, 0, "serving");
+        IntStream.range(1, 4).forEach(p -> b.said(50, p, List.of("dead", "alive", "alive", "alive"), hears));
+        assertThat(b.falseMajorities()).isEmpty();
+        assertThat(b.agreed()).isFalse();
+        IntStream.range(1, 4).forEach(p -> b.said(60, p, List.of("alive", "alive", "alive", "alive"), hears));
+        IntStream.range(1, 4).forEach(p -> b.said(70, p, List.of("dead", "alive", "alive", "alive"), hears));
+        assertThat(b.falseMajorities()).hasSize(1);
+    }
+
     @Test
     void mostWhoRunDecideAFalseMajorityAndTheDownAreNotAsked() {
         Beliefs b = new Beliefs(4);
