--- a/src/main/java/damsonworks/fleet/Beliefs.java
+++ b/src/main/java/damsonworks/fleet/Beliefs.java
@@ -24,8 +24,8 @@
     private final String[][] now;
     private final boolean[][] direct;
     private final double[] saidMs;
-    /** Since when one has held another for dead without a break; of use only where it does. */
-    private final double[][] deadSinceMs;
+    /** Since when one has believed what it does of another. */
+    private final double[][] sinceMs;
     /** Since when each has run. */
     private final double[] runsSinceMs;
     private final List<Change> changes = new ArrayList<>();
@@ -37,7 +37,7 @@
         now = new String[proxies + 1][proxies];
         direct = new boolean[proxies][proxies];
         saidMs = new double[proxies];
-        deadSinceMs = new double[proxies + 1][proxies];
+        sinceMs = new double[proxies + 1][proxies];
         runsSinceMs = new double[proxies];
         held = new boolean[proxies];
     }
@@ -67,7 +67,7 @@
     private void change(double atMs, int by, int of, String state) {
         if (!state.equals(now[by][of])) {
             now[by][of] = state;
-            deadSinceMs[by][of] = atMs;
+            sinceMs[by][of] = atMs;
             if (changes.size() < MOST_CHANGES) {
                 changes.add(new Change(atMs, by == proxies ? -1 : by, of, state));
             }
@@ -84,7 +84,7 @@
         for (int by = 0; by < proxies; by++) {
             if (by != of && lives(by)) {
                 judges++;
-                say += "dead".equals(now[by][of]) && deadSinceMs[by][of] >= runsSinceMs[of] ? 1 : 0;
+                say += "dead".equals(now[by][of]) && sinceMs[by][of] >= runsSinceMs[of] ? 1 : 0;
             }
         }
         boolean most = lives(of) && "serving paused slowed".contains(now[proxies][of]) && 2 * say > judges;
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/damsonworks/site/Site.java
@@ -7,9 +7,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -65,8 +67,9 @@
     /** The loop looks at its sockets this often at least, so that when something came is known that closely. */
     private static final long LOOK_MS = 5;
 
-    private final Looks.Factory looks = new Looks.Factory();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, looks);
+    private final Looks looks = new Looks();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory(SelectorProvider.provider(), () -> looks));
     private final EventLoop loop = group.next();
     private final long startNanos = System.nanoTime();
     private final Ledger ledger = new Ledger(new Ledger.Grace(ANSWER_GRACE_MS, LOST_MS, DRAIN_GRACE_MS + ANSWER_GRACE_MS, KEYED_MS));
