--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -8,31 +8,33 @@
 import java.util.Arrays;
 
 /**
- * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
- * standard input and output, {@code load} is a load generator, {@code demo} and
- * {@code fleet} a site, proxies, load and faults in one, {@code check} looks at an operator's file. What a command needs is loaded with it alone.
+ * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's
+ * wire on standard input and output, {@code load} is a load generator, {@code demo} and {@code
+ * fleet} a site, proxies, load and faults in one, {@code check} looks at an operator's file. What a
+ * command needs is loaded with it alone.
  */
 public final class Main {
-    private Main() { }
+  private Main() {}
 
-    /** Runs until the input ends ({@code drill}) or the process is told to end ({@code serve}). */
-    public static void main(String[] args) {
-        if (args.length == 3 && args[0].equals("serve") && args[1].equals("--settings")) {
-            Proxy.main(args[2]);
-            return;
-        }
-        String[] rest = args.length > 0 ? Arrays.copyOfRange(args, 1, args.length) : args;
-        switch (args.length == 1 || args.length > 1 && !args[0].matches("serve|drill") ? args[0] : "") {
-            case "serve" -> Proxy.main(null);
-            case "drill" -> System.exit(Drill.main());
-            case "load" -> System.exit(LoadCommand.run(rest));
-            case "demo" -> System.exit(FleetCommand.run(true, rest));
-            case "fleet" -> System.exit(FleetCommand.run(false, rest));
-            case "check" -> System.exit(CheckCommand.run(rest));
-            default -> {
-                System.err.println("usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
-                System.exit(2);
-            }
-        }
+  /** Runs until the input ends ({@code drill}) or the process is told to end ({@code serve}). */
+  public static void main(String[] args) {
+    if (args.length == 3 && args[0].equals("serve") && args[1].equals("--settings")) {
+      Proxy.main(args[2]);
+      return;
     }
+    String[] rest = args.length > 0 ? Arrays.copyOfRange(args, 1, args.length) : args;
+    switch (args.length == 1 || args.length > 1 && !args[0].matches("serve|drill") ? args[0] : "") {
+      case "serve" -> Proxy.main(null);
+      case "drill" -> System.exit(Drill.main());
+      case "load" -> System.exit(LoadCommand.run(rest));
+      case "demo" -> System.exit(FleetCommand.run(true, rest));
+      case "fleet" -> System.exit(FleetCommand.run(false, rest));
+      case "check" -> System.exit(CheckCommand.run(rest));
+      default -> {
+        System.err.println(
+            "usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
+        System.exit(2);
+      }
+    }
+  }
 }
--- a/src/main/java/damsonworks/budget/package-info.java
+++ b/src/main/java/damsonworks/budget/package-info.java
@@ -1,5 +1,6 @@
 /**
- * What fits on the proxy's own part of a processor: rules alone, told of the loop's rounds and of what is read. Who is
- * turned away where not all fit is the decision module's word; docs/design-overload.md says why these rules.
+ * What fits on the proxy's own part of a processor: rules alone, told of the loop's rounds and of
+ * what is read. Who is turned away where not all fit is the decision module's word;
+ * docs/design-overload.md says why these rules.
  */
 package damsonworks.budget;
--- a/src/main/java/damsonworks/control/package-info.java
+++ b/src/main/java/damsonworks/control/package-info.java
@@ -1,2 +1,5 @@
-/** What operators ask of a running proxy and may tell it: figures, nodes out by hand, two versions at once. No I/O. */
+/**
+ * What operators ask of a running proxy and may tell it: figures, nodes out by hand, two versions
+ * at once. No I/O.
+ */
 package damsonworks.control;
--- a/src/main/java/damsonworks/fleet/FleetReport.java
+++ b/src/main/java/damsonworks/fleet/FleetReport.java
@@ -9,169 +9,227 @@
 import java.util.List;
 import java.util.Locale;
 
-/** What a fleet's run came to: faults, views and the truth by time, what the proxies sent, beside the load's own report. */
+/**
+ * What a fleet's run came to: faults, views and the truth by time, what the proxies sent, beside
+ * the load's own report.
+ */
 final class FleetReport {
-    private record Fault(double atMs, String text) { }
-
-    private static final int WIDE = 900;
-    private static final int ROW = 14;
-
-    private final int proxies;
-    private final double seconds;
-    private final double beganMs;
-    private final List<Fault> faults = new ArrayList<>();
-    private final double[][] used;
-
-    FleetReport(int proxies, double seconds, double beganMs) {
-        this.proxies = proxies;
-        this.seconds = seconds;
-        this.beganMs = beganMs;
-        used = new double[proxies][3];
-    }
-
-    synchronized void fault(double atMs, Scenario.Event e) {
-        Scenario.Between b = e.between();
-        String what = e.what().name().toLowerCase(Locale.ROOT);
-        faults.add(new Fault(atMs, e.what().ofProxies() ? what + " " + (e.what() == Scenario.What.WIRE
-                ? "loss " + b.loss() + " delay " + b.delayMs() + " ms twice " + b.twice()
-                : b.proxies() + (e.what() == Scenario.What.CUT ? (b.both() ? " <-> " : " -> ") + b.to() + " " + b.ways() : ""))
+  private record Fault(double atMs, String text) {}
+
+  private static final int WIDE = 900;
+  private static final int ROW = 14;
+
+  private final int proxies;
+  private final double seconds;
+  private final double beganMs;
+  private final List<Fault> faults = new ArrayList<>();
+  private final double[][] used;
+
+  FleetReport(int proxies, double seconds, double beganMs) {
+    this.proxies = proxies;
+    this.seconds = seconds;
+    this.beganMs = beganMs;
+    used = new double[proxies][3];
+  }
+
+  synchronized void fault(double atMs, Scenario.Event e) {
+    Scenario.Between b = e.between();
+    String what = e.what().name().toLowerCase(Locale.ROOT);
+    faults.add(
+        new Fault(
+            atMs,
+            e.what().ofProxies()
+                ? what
+                    + " "
+                    + (e.what() == Scenario.What.WIRE
+                        ? "loss " + b.loss() + " delay " + b.delayMs() + " ms twice " + b.twice()
+                        : b.proxies()
+                            + (e.what() == Scenario.What.CUT
+                                ? (b.both() ? " <-> " : " -> ") + b.to() + " " + b.ways()
+                                : ""))
                 : what + (e.node() >= 0 ? " node " + e.node() : "")));
+  }
+
+  synchronized void ended(double atMs, Scenario.Event e) {
+    faults.add(
+        new Fault(
+            atMs,
+            "end of " + e.what().name().toLowerCase(Locale.ROOT) + " " + e.between().proxies()));
+  }
+
+  synchronized int faults() {
+    return faults.size();
+  }
+
+  void used(int p, long messages, long bytes, double cpuMs) {
+    used[p] = new double[] {messages / seconds, bytes / seconds, cpuMs / seconds / 10};
+  }
+
+  private double mean(int of) {
+    double sum = 0;
+    for (double[] u : used) {
+      sum += u[of];
     }
+    return sum / proxies;
+  }
 
-    synchronized void ended(double atMs, Scenario.Event e) {
-        faults.add(new Fault(atMs, "end of " + e.what().name().toLowerCase(Locale.ROOT) + " " + e.between().proxies()));
+  synchronized String text(Beliefs beliefs) {
+    StringBuilder b = new StringBuilder();
+    for (Fault f : faults) {
+      b.append(String.format(Locale.ROOT, "%7.1f s  %s%n", (f.atMs - beganMs) / 1000, f.text));
     }
-
-    synchronized int faults() {
-        return faults.size();
+    b.append(
+            String.format(
+                "views at the end (A alive, ~ not heard by the one who believes, ? suspect, X dead or down, l leaving, "
+                    + "g gone)%n"))
+        .append(beliefs.table());
+    b.append(
+        String.format(
+            Locale.ROOT,
+            "a proxy a second: %.1f datagrams, %.0f bytes to others; %.1f%% of a core for all it does%n",
+            mean(0),
+            mean(1),
+            mean(2)));
+    for (Beliefs.FalseMajority f : beliefs.falseMajorities()) {
+      b.append(
+          String.format(
+              Locale.ROOT,
+              "%7.1f s  n%d ran and %d of %d held it for dead%n",
+              (f.atMs() - beganMs) / 1000,
+              f.of(),
+              f.say(),
+              f.judges()));
     }
-
-    void used(int p, long messages, long bytes, double cpuMs) {
-        used[p] = new double[] {messages / seconds, bytes / seconds, cpuMs / seconds / 10};
+    return b.toString();
+  }
+
+  synchronized String json(String load, Beliefs beliefs, List<String> broken, long judged) {
+    JsonObject all = new JsonObject();
+    all.addProperty("proxies", proxies);
+    all.addProperty("judged", judged);
+    JsonArray breaches = new JsonArray();
+    broken.forEach(breaches::add);
+    all.add("broken", breaches);
+    JsonArray events = new JsonArray();
+    for (Fault f : faults) {
+      JsonObject one = new JsonObject();
+      one.addProperty("at_s", (f.atMs - beganMs) / 1000);
+      one.addProperty("fault", f.text);
+      events.add(one);
     }
-
-    private double mean(int of) {
-        double sum = 0;
-        for (double[] u : used) {
-            sum += u[of];
-        }
-        return sum / proxies;
+    all.add("faults", events);
+    JsonArray changes = new JsonArray();
+    for (Beliefs.Change c : beliefs.changes()) {
+      JsonObject one = new JsonObject();
+      one.addProperty("at_s", (c.atMs() - beganMs) / 1000);
+      one.addProperty("by", c.by() < 0 ? "truth" : "n" + c.by());
+      one.addProperty("of", "n" + c.of());
+      one.addProperty("state", c.state());
+      changes.add(one);
     }
-
-    synchronized String text(Beliefs beliefs) {
-        StringBuilder b = new StringBuilder();
-        for (Fault f : faults) {
-            b.append(String.format(Locale.ROOT, "%7.1f s  %s%n", (f.atMs - beganMs) / 1000, f.text));
-        }
-        b.append(String.format("views at the end (A alive, ~ not heard by the one who believes, ? suspect, X dead or down, l leaving, "
-                + "g gone)%n")).append(beliefs.table());
-        b.append(String.format(Locale.ROOT, "a proxy a second: %.1f datagrams, %.0f bytes to others; %.1f%% of a core for all it does%n",
-                mean(0), mean(1), mean(2)));
-        for (Beliefs.FalseMajority f : beliefs.falseMajorities()) {
-            b.append(String.format(Locale.ROOT, "%7.1f s  n%d ran and %d of %d held it for dead%n", (f.atMs() - beganMs) / 1000, f.of(),
-                    f.say(), f.judges()));
-        }
-        return b.toString();
-    }
-
-    synchronized String json(String load, Beliefs beliefs, List<String> broken, long judged) {
-        JsonObject all = new JsonObject();
-        all.addProperty("proxies", proxies);
-        all.addProperty("judged", judged);
-        JsonArray breaches = new JsonArray();
-        broken.forEach(breaches::add);
-        all.add("broken", breaches);
-        JsonArray events = new JsonArray();
-        for (Fault f : faults) {
-            JsonObject one = new JsonObject();
-            one.addProperty("at_s", (f.atMs - beganMs) / 1000);
-            one.addProperty("fault", f.text);
-            events.add(one);
-        }
-        all.add("faults", events);
-        JsonArray changes = new JsonArray();
-        for (Beliefs.Change c : beliefs.changes()) {
-            JsonObject one = new JsonObject();
-            one.addProperty("at_s", (c.atMs() - beganMs) / 1000);
-            one.addProperty("by", c.by() < 0 ? "truth" : "n" + c.by());
-            one.addProperty("of", "n" + c.of());
-            one.addProperty("state", c.state());
-            changes.add(one);
-        }
-        all.add("views", changes);
-        JsonArray cost = new JsonArray();
-        for (double[] u : used) {
-            JsonObject one = new JsonObject();
-            one.addProperty("datagrams_per_s", u[0]);
-            one.addProperty("bytes_per_s", u[1]);
-            one.addProperty("cpu_percent", u[2]);
-            cost.add(one);
-        }
-        all.add("used", cost);
-        all.add("load", JsonParser.parseString(load));
-        return new GsonBuilder().setPrettyPrinting().create().toJson(all) + "\n";
+    all.add("views", changes);
+    JsonArray cost = new JsonArray();
+    for (double[] u : used) {
+      JsonObject one = new JsonObject();
+      one.addProperty("datagrams_per_s", u[0]);
+      one.addProperty("bytes_per_s", u[1]);
+      one.addProperty("cpu_percent", u[2]);
+      cost.add(one);
     }
-
-    /** The load's page with a timeline in front: a row for each pair of who believes and whom it is about. */
-    synchronized String html(String load, Beliefs beliefs, String verdict) {
-        List<Beliefs.Change> changes = beliefs.changes();
-        double end = beganMs + seconds * 1000 + 2000;
-        StringBuilder b = new StringBuilder("<h1>Fleet</h1><p>" + verdict + "</p><p>One block for each proxy: the truth in its first row, "
+    all.add("used", cost);
+    all.add("load", JsonParser.parseString(load));
+    return new GsonBuilder().setPrettyPrinting().create().toJson(all) + "\n";
+  }
+
+  /**
+   * The load's page with a timeline in front: a row for each pair of who believes and whom it is
+   * about.
+   */
+  synchronized String html(String load, Beliefs beliefs, String verdict) {
+    List<Beliefs.Change> changes = beliefs.changes();
+    double end = beganMs + seconds * 1000 + 2000;
+    StringBuilder b =
+        new StringBuilder(
+            "<h1>Fleet</h1><p>"
+                + verdict
+                + "</p><p>One block for each proxy: the truth in its first row, "
                 + "then what each other believed of it. <span style=\"color:#2b8a3e\">&#9632;</span> alive "
                 + "<span style=\"color:#f59f00\">&#9632;</span> suspect, paused or slowed <span style=\"color:#c92a2a\">&#9632;</span> dead "
                 + "<span style=\"color:#868e96\">&#9632;</span> leaving, gone, starting, unknown; lines: faults.</p>");
-        int rows = proxies * (proxies + 1);
-        b.append("<svg width=\"" + (WIDE + 60) + "\" height=\"" + (rows * ROW / 2 + proxies * 6 + 20) + "\">");
-        int y = 0;
-        for (int of = 0; of < proxies; of++) {
-            b.append("<text font-size=\"11\" x=\"0\" y=\"" + (y + 10) + "\">n" + of + "</text>");
-            for (int by = -1; by < proxies; by++) {
-                if (by != of) {
-                    row(b, changes, by, of, y, end);
-                    y += ROW / 2;
-                }
-            }
-            y += 6;
-        }
-        for (Fault f : faults) {
-            double x = x(f.atMs, end);
-            b.append(String.format(Locale.ROOT, "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%d\" stroke=\"#1864ab\" stroke-width=\"0.7\">"
-                    + "<title>%.1f s %s</title></line>", x, x, y, (f.atMs - beganMs) / 1000,
-                    f.text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;")));
+    int rows = proxies * (proxies + 1);
+    b.append(
+        "<svg width=\""
+            + (WIDE + 60)
+            + "\" height=\""
+            + (rows * ROW / 2 + proxies * 6 + 20)
+            + "\">");
+    int y = 0;
+    for (int of = 0; of < proxies; of++) {
+      b.append("<text font-size=\"11\" x=\"0\" y=\"" + (y + 10) + "\">n" + of + "</text>");
+      for (int by = -1; by < proxies; by++) {
+        if (by != of) {
+          row(b, changes, by, of, y, end);
+          y += ROW / 2;
         }
-        b.append("</svg>");
-        int at = load.indexOf("<h1>");
-        return load.substring(0, at) + b + load.substring(at);
+      }
+      y += 6;
     }
-
-    private double x(double atMs, double end) {
-        return 40 + Math.max(0, Math.min(1, (atMs - beganMs) / (end - beganMs))) * WIDE;
+    for (Fault f : faults) {
+      double x = x(f.atMs, end);
+      b.append(
+          String.format(
+              Locale.ROOT,
+              "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%d\" stroke=\"#1864ab\" stroke-width=\"0.7\">"
+                  + "<title>%.1f s %s</title></line>",
+              x,
+              x,
+              y,
+              (f.atMs - beganMs) / 1000,
+              f.text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;")));
     }
-
-    private void row(StringBuilder b, List<Beliefs.Change> changes, int by, int of, int y, double end) {
-        String state = null;
-        double from = beganMs;
-        for (Beliefs.Change c : changes) {
-            if (c.by() == by && c.of() == of) {
-                bar(b, state, from, c.atMs(), y, by < 0, end);
-                state = c.state();
-                from = c.atMs();
-            }
-        }
-        bar(b, state, from, end, y, by < 0, end);
+    b.append("</svg>");
+    int at = load.indexOf("<h1>");
+    return load.substring(0, at) + b + load.substring(at);
+  }
+
+  private double x(double atMs, double end) {
+    return 40 + Math.max(0, Math.min(1, (atMs - beganMs) / (end - beganMs))) * WIDE;
+  }
+
+  private void row(
+      StringBuilder b, List<Beliefs.Change> changes, int by, int of, int y, double end) {
+    String state = null;
+    double from = beganMs;
+    for (Beliefs.Change c : changes) {
+      if (c.by() == by && c.of() == of) {
+        bar(b, state, from, c.atMs(), y, by < 0, end);
+        state = c.state();
+        from = c.atMs();
+      }
     }
+    bar(b, state, from, end, y, by < 0, end);
+  }
 
-    private void bar(StringBuilder b, String state, double from, double to, int y, boolean truth, double end) {
-        if (state == null || to <= beganMs) {
-            return;
-        }
-        String colour = switch (state) {
-            case "alive", "serving" -> truth ? "#2b8a3e" : "#8ce99a";
-            case "suspect", "paused", "slowed" -> "#f59f00";
-            case "dead", "down" -> "#c92a2a";
-            default -> "#868e96";
-        };
-        b.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>", x(from, end), y,
-                Math.max(0.3, x(to, end) - x(from, end)), ROW / 2 - 1, colour));
+  private void bar(
+      StringBuilder b, String state, double from, double to, int y, boolean truth, double end) {
+    if (state == null || to <= beganMs) {
+      return;
     }
+    String colour =
+        switch (state) {
+          case "alive", "serving" -> truth ? "#2b8a3e" : "#8ce99a";
+          case "suspect", "paused", "slowed" -> "#f59f00";
+          case "dead", "down" -> "#c92a2a";
+          default -> "#868e96";
+        };
+    b.append(
+        String.format(
+            Locale.ROOT,
+            "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>",
+            x(from, end),
+            y,
+            Math.max(0.3, x(to, end) - x(from, end)),
+            ROW / 2 - 1,
+            colour));
+  }
 }
--- a/src/main/java/damsonworks/fleet/ProxyProcess.java
+++ b/src/main/java/damsonworks/fleet/ProxyProcess.java
@@ -10,241 +10,288 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** One real proxy: its folder, its configuration, its process and what is done to that. For one thread at a time. */
+/**
+ * One real proxy: its folder, its configuration, its process and what is done to that. For one
+ * thread at a time.
+ */
 public final class ProxyProcess {
-    /** What the rig knows of it. */
-    enum Truth { DOWN, STARTING, SERVING, PAUSED, SLOWED, LEAVING }
-
-    private final int number;
-    private final Path folder;
-    private final Path config;
-    private final Path settings;
-    private final String main;
-    private final Path log;
-    private final InetSocketAddress listen;
-    private Process process;
-    /** A new one beside it at the same addresses, until it takes over; null: none. */
-    private Process beside;
-    private Thread duty;
-    private volatile Truth truth = Truth.DOWN;
-    private volatile boolean disturbed;
-    private volatile double disturbedMs = Double.NEGATIVE_INFINITY;
-
-    /**
-     * @param settings the operator's file as text; null: none
-     * @param main the class that is run: the program, or a test's own around it
-     */
-    ProxyProcess(int number, Path rig, InetSocketAddress listen, String config, String settings, String main) throws IOException {
-        this.main = main;
-        this.number = number;
-        this.listen = listen;
-        folder = Files.createDirectory(rig.resolve("n" + number));
-        this.config = rig.resolve("n" + number + ".json");
-        Files.writeString(this.config, config);
-        log = rig.resolve("n" + number + ".log");
-        this.settings = settings == null ? null : rig.resolve("n" + number + ".toml");
-        if (settings != null) {
-            Files.writeString(this.settings, settings);
-        }
-    }
+  /** What the rig knows of it. */
+  enum Truth {
+    DOWN,
+    STARTING,
+    SERVING,
+    PAUSED,
+    SLOWED,
+    LEAVING
+  }
 
-    int number() {
-        return number;
-    }
+  private final int number;
+  private final Path folder;
+  private final Path config;
+  private final Path settings;
+  private final String main;
+  private final Path log;
+  private final InetSocketAddress listen;
+  private Process process;
 
-    InetSocketAddress listen() {
-        return listen;
-    }
+  /** A new one beside it at the same addresses, until it takes over; null: none. */
+  private Process beside;
 
-    Truth truth() {
-        return truth;
-    }
+  private Thread duty;
+  private volatile Truth truth = Truth.DOWN;
+  private volatile boolean disturbed;
+  private volatile double disturbedMs = Double.NEGATIVE_INFINITY;
 
-    boolean running() {
-        return process != null && process.isAlive();
+  /**
+   * @param settings the operator's file as text; null: none
+   * @param main the class that is run: the program, or a test's own around it
+   */
+  ProxyProcess(
+      int number, Path rig, InetSocketAddress listen, String config, String settings, String main)
+      throws IOException {
+    this.main = main;
+    this.number = number;
+    this.listen = listen;
+    folder = Files.createDirectory(rig.resolve("n" + number));
+    this.config = rig.resolve("n" + number + ".json");
+    Files.writeString(this.config, config);
+    log = rig.resolve("n" + number + ".log");
+    this.settings = settings == null ? null : rig.resolve("n" + number + ".toml");
+    if (settings != null) {
+      Files.writeString(this.settings, settings);
     }
+  }
 
-    /** Whether it has ended though nobody ended it. */
-    boolean died() {
-        return truth != Truth.DOWN && truth != Truth.LEAVING && !running();
-    }
+  int number() {
+    return number;
+  }
 
-    /** @param keep its folder as it was; false: empty */
-    void start(boolean keep) throws IOException {
-        if (running()) {
-            throw new IOException("proxy n" + number + " runs already");
-        }
-        if (!keep) {
-            Fleet.delete(folder);
-            Files.createDirectory(folder);
-        }
-        process = launch(config, folder, log, 0, command());
-        truth = Truth.STARTING;
-    }
+  InetSocketAddress listen() {
+    return listen;
+  }
 
-    private List<String> command() {
-        List<String> command = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m",
-                "-Dio.netty.jfr.enabled=false", main, "serve"));
-        if (settings != null) {
-            command.addAll(List.of("--settings", settings.toString()));
-        }
-        return command;
-    }
+  Truth truth() {
+    return truth;
+  }
 
-    /**
-     * A process of this program as it runs here, with its own configuration and folder.
-     *
-     * @param descriptors that it may hold; 0: as many as this process
-     * @param arguments of the JVM, the class and its arguments
-     */
-    public static Process launch(Path config, Path folder, Path log, int descriptors, List<String> arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of("sh", "-c", (descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ")
-                + "exec \"$0\" \"$@\"", Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-        command.addAll(descriptors == 0 ? List.of() : List.of("-XX:-MaxFDLimit")); // else the JVM raises what it may
-        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-        command.addAll(arguments);
-        ProcessBuilder program = new ProcessBuilder(command);
-        program.environment().put("BALANCER_CONFIG", config.toString());
-        program.environment().put("TMPDIR", folder.toString());
-        return program.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
-    }
+  boolean running() {
+    return process != null && process.isAlive();
+  }
 
-    /** Whether it answers clients by then. */
-    boolean ready(double withinMs) throws InterruptedException {
-        long end = System.nanoTime() + (long) (withinMs * 1e6);
-        while (System.nanoTime() < end && running()) {
-            try (Socket socket = new Socket()) {
-                socket.connect(listen, 1000);
-                socket.setSoTimeout(1000);
-                socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
-                if (new String(socket.getInputStream().readNBytes(4), StandardCharsets.US_ASCII).equals("MN\r\n")) {
-                    if (truth == Truth.STARTING) {
-                        truth = Truth.SERVING;
-                    }
-                    return true;
-                }
-            } catch (IOException e) {
-                Thread.sleep(50);
-            }
-        }
-        return false;
-    }
+  /** Whether it has ended though nobody ended it. */
+  boolean died() {
+    return truth != Truth.DOWN && truth != Truth.LEAVING && !running();
+  }
 
-    /** Another process of this proxy beside it, in the same folder: a new version, or the same. */
-    void startBeside(Path itsConfig) throws IOException {
-        beside = launch(itsConfig, folder, log, 0, command());
+  /**
+   * @param keep its folder as it was; false: empty
+   */
+  void start(boolean keep) throws IOException {
+    if (running()) {
+      throw new IOException("proxy n" + number + " runs already");
+    }
+    if (!keep) {
+      Fleet.delete(folder);
+      Files.createDirectory(folder);
     }
+    process = launch(config, folder, log, 0, command());
+    truth = Truth.STARTING;
+  }
 
-    /** SIGTERM to the old one; the new one is the proxy from here on. Whether the old one has ended by then. */
-    boolean takeOver(double withinMs) throws InterruptedException {
-        Process old = process;
-        old.destroy();
-        boolean ended = old.waitFor((long) withinMs, TimeUnit.MILLISECONDS);
-        process = beside;
-        beside = null;
-        return ended;
+  private List<String> command() {
+    List<String> command =
+        new ArrayList<>(
+            List.of(
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx64m",
+                "-Dio.netty.jfr.enabled=false",
+                main,
+                "serve"));
+    if (settings != null) {
+      command.addAll(List.of("--settings", settings.toString()));
     }
+    return command;
+  }
 
-    private void signal(String name) throws IOException, InterruptedException {
-        if (!running() || new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor() != 0) {
-            throw new IOException("proxy n" + number + ": signal " + name + " could not be given");
+  /**
+   * A process of this program as it runs here, with its own configuration and folder.
+   *
+   * @param descriptors that it may hold; 0: as many as this process
+   * @param arguments of the JVM, the class and its arguments
+   */
+  public static Process launch(
+      Path config, Path folder, Path log, int descriptors, List<String> arguments)
+      throws IOException {
+    List<String> command =
+        new ArrayList<>(
+            List.of(
+                "sh",
+                "-c",
+                (descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ") + "exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(
+        descriptors == 0
+            ? List.of()
+            : List.of("-XX:-MaxFDLimit")); // else the JVM raises what it may
+    command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+    command.addAll(arguments);
+    ProcessBuilder program = new ProcessBuilder(command);
+    program.environment().put("BALANCER_CONFIG", config.toString());
+    program.environment().put("TMPDIR", folder.toString());
+    return program
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+        .start();
+  }
+
+  /** Whether it answers clients by then. */
+  boolean ready(double withinMs) throws InterruptedException {
+    long end = System.nanoTime() + (long) (withinMs * 1e6);
+    while (System.nanoTime() < end && running()) {
+      try (Socket socket = new Socket()) {
+        socket.connect(listen, 1000);
+        socket.setSoTimeout(1000);
+        socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+        if (new String(socket.getInputStream().readNBytes(4), StandardCharsets.US_ASCII)
+            .equals("MN\r\n")) {
+          if (truth == Truth.STARTING) {
+            truth = Truth.SERVING;
+          }
+          return true;
         }
+      } catch (IOException e) {
+        Thread.sleep(50);
+      }
     }
+    return false;
+  }
 
-    /** It stands still until {@link #resume}. */
-    void pause() throws IOException, InterruptedException {
-        endDuty();
-        signal("STOP");
-        truth = Truth.PAUSED;
-    }
+  /** Another process of this proxy beside it, in the same folder: a new version, or the same. */
+  void startBeside(Path itsConfig) throws IOException {
+    beside = launch(itsConfig, folder, log, 0, command());
+  }
 
-    void resume() throws IOException, InterruptedException {
-        endDuty();
-        signal("CONT");
-        truth = Truth.SERVING;
+  /**
+   * SIGTERM to the old one; the new one is the proxy from here on. Whether the old one has ended by
+   * then.
+   */
+  boolean takeOver(double withinMs) throws InterruptedException {
+    Process old = process;
+    old.destroy();
+    boolean ended = old.waitFor((long) withinMs, TimeUnit.MILLISECONDS);
+    process = beside;
+    beside = null;
+    return ended;
+  }
+
+  private void signal(String name) throws IOException, InterruptedException {
+    if (!running()
+        || new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor()
+            != 0) {
+      throw new IOException("proxy n" + number + ": signal " + name + " could not be given");
     }
+  }
+
+  /** It stands still until {@link #resume}. */
+  void pause() throws IOException, InterruptedException {
+    endDuty();
+    signal("STOP");
+    truth = Truth.PAUSED;
+  }
 
-    /** It runs for this part of each second only, until {@link #resume}. */
-    void slow(double share) {
-        truth = Truth.SLOWED;
-        duty = new Thread(() -> {
-            try {
+  void resume() throws IOException, InterruptedException {
+    endDuty();
+    signal("CONT");
+    truth = Truth.SERVING;
+  }
+
+  /** It runs for this part of each second only, until {@link #resume}. */
+  void slow(double share) {
+    truth = Truth.SLOWED;
+    duty =
+        new Thread(
+            () -> {
+              try {
                 while (!Thread.currentThread().isInterrupted()) {
-                    signal("STOP");
-                    Thread.sleep((long) (1000 * (1 - share)));
-                    signal("CONT");
-                    Thread.sleep((long) (1000 * share));
+                  signal("STOP");
+                  Thread.sleep((long) (1000 * (1 - share)));
+                  signal("CONT");
+                  Thread.sleep((long) (1000 * share));
                 }
-            } catch (IOException | InterruptedException e) {
+              } catch (IOException | InterruptedException e) {
                 // it has ended, or the rig has it run again
-            }
-        }, "duty n" + number);
-        duty.setDaemon(true);
-        duty.start();
-    }
+              }
+            },
+            "duty n" + number);
+    duty.setDaemon(true);
+    duty.start();
+  }
 
-    private void endDuty() throws InterruptedException {
-        if (duty != null) {
-            duty.interrupt();
-            duty.join(2000);
-            duty = null;
-        }
+  private void endDuty() throws InterruptedException {
+    if (duty != null) {
+      duty.interrupt();
+      duty.join(2000);
+      duty = null;
     }
+  }
 
-    /** Whether the system has it stopped: that a pause is one. */
-    boolean stopped() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
-        return stat.charAt(stat.lastIndexOf(')') + 2) == 'T';
-    }
+  /** Whether the system has it stopped: that a pause is one. */
+  boolean stopped() throws IOException {
+    String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+    return stat.charAt(stat.lastIndexOf(')') + 2) == 'T';
+  }
 
-    /** As a crash: its connections are reset. */
-    void kill() throws InterruptedException {
-        endDuty();
-        truth = Truth.DOWN;
-        for (Process p : new Process[] {process, beside}) {
-            if (p != null) {
-                p.destroyForcibly();
-                p.waitFor(5, TimeUnit.SECONDS);
-            }
-        }
+  /** As a crash: its connections are reset. */
+  void kill() throws InterruptedException {
+    endDuty();
+    truth = Truth.DOWN;
+    for (Process p : new Process[] {process, beside}) {
+      if (p != null) {
+        p.destroyForcibly();
+        p.waitFor(5, TimeUnit.SECONDS);
+      }
     }
+  }
 
-    /** SIGTERM: it leaves in its own time. */
-    void leave() throws InterruptedException {
-        endDuty();
-        truth = Truth.LEAVING;
-        process.destroy();
-    }
+  /** SIGTERM: it leaves in its own time. */
+  void leave() throws InterruptedException {
+    endDuty();
+    truth = Truth.LEAVING;
+    process.destroy();
+  }
 
-    boolean ended(double withinMs) throws InterruptedException {
-        return process == null || process.waitFor((long) withinMs, TimeUnit.MILLISECONDS);
-    }
+  boolean ended(double withinMs) throws InterruptedException {
+    return process == null || process.waitFor((long) withinMs, TimeUnit.MILLISECONDS);
+  }
 
-    /** CPU that it has used since its start. */
-    double cpuMs() {
-        return process == null ? 0 : process.info().totalCpuDuration().map(d -> d.toNanos() / 1e6).orElse(0.0);
-    }
+  /** CPU that it has used since its start. */
+  double cpuMs() {
+    return process == null
+        ? 0
+        : process.info().totalCpuDuration().map(d -> d.toNanos() / 1e6).orElse(0.0);
+  }
 
-    /** From now on it can't do as it should, by the rig's doing. */
-    void disturbed(double nowMs) {
-        disturbed = true;
-        disturbedMs = nowMs;
-    }
+  /** From now on it can't do as it should, by the rig's doing. */
+  void disturbed(double nowMs) {
+    disturbed = true;
+    disturbedMs = nowMs;
+  }
 
-    /** It can again; what it had in hand until now is the rig's doing. */
-    void undisturbed(double nowMs) {
-        if (disturbed) {
-            disturbed = false;
-            disturbedMs = nowMs;
-        }
+  /** It can again; what it had in hand until now is the rig's doing. */
+  void undisturbed(double nowMs) {
+    if (disturbed) {
+      disturbed = false;
+      disturbedMs = nowMs;
     }
+  }
 
-    /** Whether it could not do as it should at some time from then on. */
-    boolean disturbedSince(double atMs) {
-        return disturbed || disturbedMs >= atMs;
-    }
+  /** Whether it could not do as it should at some time from then on. */
+  boolean disturbedSince(double atMs) {
+    return disturbed || disturbedMs >= atMs;
+  }
 
-    String log() throws IOException {
-        return Files.exists(log) ? Files.readString(log) : "";
-    }
+  String log() throws IOException {
+    return Files.exists(log) ? Files.readString(log) : "";
+  }
 }
--- a/src/main/java/damsonworks/limits/Account.java
+++ b/src/main/java/damsonworks/limits/Account.java
@@ -1,79 +1,90 @@
 package damsonworks.limits;
 
-/** What one peer holds: bytes by what they are held for, and how often it was served. Opened by {@link Accounts}. */
+/**
+ * What one peer holds: bytes by what they are held for, and how often it was served. Opened by
+ * {@link Accounts}.
+ */
 public final class Account {
-    /**
-     * So many bytes at most always have room. Guards receipts, refusals and short values, which cost next to
-     * nothing, against a shortage that long values have made. All clients' hands full of these pass the bounds by
-     * 16 KiB for each connection.
-     */
-    public static final int SHORT_BYTES = 1024;
-    private static final Holding[] KINDS = Holding.values();
+  /**
+   * So many bytes at most always have room. Guards receipts, refusals and short values, which cost
+   * next to nothing, against a shortage that long values have made. All clients' hands full of
+   * these pass the bounds by 16 KiB for each connection.
+   */
+  public static final int SHORT_BYTES = 1024;
 
-    private final Accounts all;
-    private final long[] held = new long[KINDS.length];
-    private long served;
-    private boolean closed;
+  private static final Holding[] KINDS = Holding.values();
 
-    Account(Accounts all) {
-        this.all = all;
-    }
+  private final Accounts all;
+  private final long[] held = new long[KINDS.length];
+  private long served;
+  private boolean closed;
 
-    /**
-     * Charges these bytes, or nothing: false if they are more than {@link #SHORT_BYTES} and would pass the bound on
-     * what all may hold of this kind. An account that is closed takes nothing.
-     */
-    public boolean charge(Holding kind, int bytes) {
-        if (closed || bytes > SHORT_BYTES && !all.room(kind, bytes)) {
-            return false;
-        }
-        add(kind, bytes);
-        return true;
-    }
+  Account(Accounts all) {
+    this.all = all;
+  }
 
-    /** Gives back; IllegalStateException if more than is held, which would be somebody else's. */
-    public void release(Holding kind, long bytes) {
-        if (bytes > held[kind.ordinal()]) {
-            throw new IllegalStateException(bytes + " bytes of " + kind + " given back, of " + held[kind.ordinal()]);
-        }
-        add(kind, -bytes);
+  /**
+   * Charges these bytes, or nothing: false if they are more than {@link #SHORT_BYTES} and would
+   * pass the bound on what all may hold of this kind. An account that is closed takes nothing.
+   */
+  public boolean charge(Holding kind, int bytes) {
+    if (closed || bytes > SHORT_BYTES && !all.room(kind, bytes)) {
+      return false;
     }
+    add(kind, bytes);
+    return true;
+  }
 
-    /** Makes what is held of this kind this much: of what has come already, whether or not there is room for it. */
-    public void set(Holding kind, long bytes) {
-        add(kind, bytes - held[kind.ordinal()]);
+  /** Gives back; IllegalStateException if more than is held, which would be somebody else's. */
+  public void release(Holding kind, long bytes) {
+    if (bytes > held[kind.ordinal()]) {
+      throw new IllegalStateException(
+          bytes + " bytes of " + kind + " given back, of " + held[kind.ordinal()]);
     }
+    add(kind, -bytes);
+  }
 
-    private void add(Holding kind, long bytes) {
-        held[kind.ordinal()] += bytes;
-        all.add(kind, bytes);
-    }
+  /**
+   * Makes what is held of this kind this much: of what has come already, whether or not there is
+   * room for it.
+   */
+  public void set(Holding kind, long bytes) {
+    add(kind, bytes - held[kind.ordinal()]);
+  }
 
-    public long held(Holding kind) {
-        return held[kind.ordinal()];
-    }
+  private void add(Holding kind, long bytes) {
+    held[kind.ordinal()] += bytes;
+    all.add(kind, bytes);
+  }
 
-    /** Bytes held of all kinds. */
-    public long held() {
-        long sum = 0;
-        for (long h : held) {
-            sum += h;
-        }
-        return sum;
-    }
+  public long held(Holding kind) {
+    return held[kind.ordinal()];
+  }
 
-    /** One more of the peer's requests has been answered. */
-    public void answered() {
-        served++;
+  /** Bytes held of all kinds. */
+  public long held() {
+    long sum = 0;
+    for (long h : held) {
+      sum += h;
     }
+    return sum;
+  }
 
-    /** Requests answered since the account was opened. */
-    public long served() {
-        return served;
-    }
+  /** One more of the peer's requests has been answered. */
+  public void answered() {
+    served++;
+  }
 
-    /** The peer has gone: nothing more is charged, and what is still held stays until it is given back. */
-    public void close() {
-        closed = true;
-    }
+  /** Requests answered since the account was opened. */
+  public long served() {
+    return served;
+  }
+
+  /**
+   * The peer has gone: nothing more is charged, and what is still held stays until it is given
+   * back.
+   */
+  public void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/damsonworks/limits/Accounts.java
+++ b/src/main/java/damsonworks/limits/Accounts.java
@@ -5,79 +5,82 @@
 
 /** All accounts with the sums of what they hold and the bounds on these sums. */
 public final class Accounts {
-    private final long[] bounds = new long[Holding.values().length];
-    private final long[] sums = new long[bounds.length];
-    private final long[] most = new long[bounds.length];
+  private final long[] bounds = new long[Holding.values().length];
+  private final long[] sums = new long[bounds.length];
+  private final long[] most = new long[bounds.length];
 
-    /** @param bounds the most that all together may hold, in bytes; a kind that is not named has no bound */
-    public Accounts(Map<Holding, Long> bounds) {
-        for (Holding h : Holding.values()) {
-            long bound = bounds.getOrDefault(h, Long.MAX_VALUE);
-            if (bound <= 0) {
-                throw new IllegalArgumentException(h + ": a bound of " + bound + " bytes");
-            }
-            this.bounds[h.ordinal()] = bound;
-        }
+  /**
+   * @param bounds the most that all together may hold, in bytes; a kind that is not named has no
+   *     bound
+   */
+  public Accounts(Map<Holding, Long> bounds) {
+    for (Holding h : Holding.values()) {
+      long bound = bounds.getOrDefault(h, Long.MAX_VALUE);
+      if (bound <= 0) {
+        throw new IllegalArgumentException(h + ": a bound of " + bound + " bytes");
+      }
+      this.bounds[h.ordinal()] = bound;
     }
+  }
 
-    /** An account for a peer that has come. */
-    public Account open() {
-        return new Account(this);
-    }
+  /** An account for a peer that has come. */
+  public Account open() {
+    return new Account(this);
+  }
 
-    /** Whether so much more may be held. */
-    public boolean room(Holding kind, long bytes) {
-        return sums[kind.ordinal()] + bytes <= bounds[kind.ordinal()];
-    }
+  /** Whether so much more may be held. */
+  public boolean room(Holding kind, long bytes) {
+    return sums[kind.ordinal()] + bytes <= bounds[kind.ordinal()];
+  }
 
-    void add(Holding kind, long bytes) {
-        int i = kind.ordinal();
-        sums[i] += bytes;
-        most[i] = Math.max(most[i], sums[i]);
-    }
+  void add(Holding kind, long bytes) {
+    int i = kind.ordinal();
+    sums[i] += bytes;
+    most[i] = Math.max(most[i], sums[i]);
+  }
 
-    public long held(Holding kind) {
-        return sums[kind.ordinal()];
-    }
+  public long held(Holding kind) {
+    return sums[kind.ordinal()];
+  }
 
-    /** The most that was held at one time, in bytes. */
-    public long most(Holding kind) {
-        return most[kind.ordinal()];
-    }
+  /** The most that was held at one time, in bytes. */
+  public long most(Holding kind) {
+    return most[kind.ordinal()];
+  }
 
-    public long bound(Holding kind) {
-        return bounds[kind.ordinal()];
-    }
+  public long bound(Holding kind) {
+    return bounds[kind.ordinal()];
+  }
 
-    /**
-     * The fullest kind's part of its bound, from 0; over 1 where what had come already was charged. Without what is
-     * being passed on: that fills its room on purpose, and its servers wait for it.
-     */
-    public double share() {
-        double share = 0;
-        for (int i = 0; i < sums.length; i++) {
-            if (bounds[i] != Long.MAX_VALUE && i != Holding.PASSING.ordinal()) {
-                share = Math.max(share, (double) sums[i] / bounds[i]);
-            }
-        }
-        return share;
+  /**
+   * The fullest kind's part of its bound, from 0; over 1 where what had come already was charged.
+   * Without what is being passed on: that fills its room on purpose, and its servers wait for it.
+   */
+  public double share() {
+    double share = 0;
+    for (int i = 0; i < sums.length; i++) {
+      if (bounds[i] != Long.MAX_VALUE && i != Holding.PASSING.ordinal()) {
+        share = Math.max(share, (double) sums[i] / bounds[i]);
+      }
     }
+    return share;
+  }
 
-    /** What is held, by kind, for the log. */
-    public Map<Holding, Long> sums() {
-        return byKind(sums);
-    }
+  /** What is held, by kind, for the log. */
+  public Map<Holding, Long> sums() {
+    return byKind(sums);
+  }
 
-    /** The most that was held of each kind, not at the same time. */
-    public Map<Holding, Long> mosts() {
-        return byKind(most);
-    }
+  /** The most that was held of each kind, not at the same time. */
+  public Map<Holding, Long> mosts() {
+    return byKind(most);
+  }
 
-    private static Map<Holding, Long> byKind(long[] bytes) {
-        Map<Holding, Long> all = new EnumMap<>(Holding.class);
-        for (Holding h : Holding.values()) {
-            all.put(h, bytes[h.ordinal()]);
-        }
-        return all;
+  private static Map<Holding, Long> byKind(long[] bytes) {
+    Map<Holding, Long> all = new EnumMap<>(Holding.class);
+    for (Holding h : Holding.values()) {
+      all.put(h, bytes[h.ordinal()]);
     }
+    return all;
+  }
 }
--- a/src/main/java/damsonworks/limits/LeastRate.java
+++ b/src/main/java/damsonworks/limits/LeastRate.java
@@ -7,9 +7,9 @@
  * @param graceMs how far behind that rate it may fall, in milliseconds, 0 or more
  */
 public record LeastRate(double bytesPerS, double graceMs) {
-    public LeastRate {
-        if (!(bytesPerS > 0) || !(graceMs >= 0)) {
-            throw new IllegalArgumentException(bytesPerS + " bytes a second after " + graceMs + " ms");
-        }
+  public LeastRate {
+    if (!(bytesPerS > 0) || !(graceMs >= 0)) {
+      throw new IllegalArgumentException(bytesPerS + " bytes a second after " + graceMs + " ms");
     }
+  }
 }
--- a/src/main/java/damsonworks/load/Echo.java
+++ b/src/main/java/damsonworks/load/Echo.java
@@ -16,56 +16,72 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** A target in the generator's own process that serves every request at once: what is measured then is the generator. */
+/**
+ * A target in the generator's own process that serves every request at once: what is measured then
+ * is the generator.
+ */
 final class Echo implements AutoCloseable {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final InetSocketAddress address;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final InetSocketAddress address;
 
-    Echo() throws InterruptedException {
-        address = (InetSocketAddress) new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096).childHandler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
+  Echo() throws InterruptedException {
+    address =
+        (InetSocketAddress)
+            new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096)
+                .childHandler(
+                    new ChannelInitializer<>() {
+                      @Override
+                      protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new Server());
-                    }
-                }).bind("127.0.0.1", 0).sync().channel().localAddress();
-    }
-
-    InetSocketAddress address() {
-        return address;
-    }
+                      }
+                    })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel()
+                .localAddress();
+  }
 
-    private static final class Server extends ByteToMessageDecoder {
-        private int skip;
+  InetSocketAddress address() {
+    return address;
+  }
 
-        @Override
-        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-            if (skip > 0) {
-                int n = Math.min(skip, in.readableBytes());
-                in.skipBytes(n);
-                skip -= n;
-                return;
-            }
-            int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
-            if (end < 0) {
-                return;
-            }
-            String line = in.toString(in.readerIndex(), end - in.readerIndex(), StandardCharsets.ISO_8859_1).strip();
-            in.readerIndex(end + 1);
-            String[] words = line.split(" ", 6);
-            boolean write = words[0].equals("ms");
-            skip = write ? Integer.parseInt(words[2]) + 2 : 0;
-            ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), "HD " + words[3] + " cecho\r\n"));
-        }
+  private static final class Server extends ByteToMessageDecoder {
+    private int skip;
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      if (skip > 0) {
+        int n = Math.min(skip, in.readableBytes());
+        in.skipBytes(n);
+        skip -= n;
+        return;
+      }
+      int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
+      if (end < 0) {
+        return;
+      }
+      String line =
+          in.toString(in.readerIndex(), end - in.readerIndex(), StandardCharsets.ISO_8859_1)
+              .strip();
+      in.readerIndex(end + 1);
+      String[] words = line.split(" ", 6);
+      boolean write = words[0].equals("ms");
+      skip = write ? Integer.parseInt(words[2]) + 2 : 0;
+      ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), "HD " + words[3] + " cecho\r\n"));
     }
 
     @Override
-    public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
     }
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
 }
--- a/src/main/java/damsonworks/load/Kind.java
+++ b/src/main/java/damsonworks/load/Kind.java
@@ -12,11 +12,19 @@
  * @param aimMs wanted within, for what counts as late
  * @param patienceMs a client gives the whole request up after this
  */
-public record Kind(String name, double share, boolean write, boolean keyed, boolean safe, double aimMs, double patienceMs) {
-    /** The site's mix as its brief has it. */
-    public static final List<Kind> USUAL = List.of(
-            new Kind("text", 57, false, false, true, 250, 1000),
-            new Kind("image", 38, false, false, true, 300, 1000),
-            new Kind("submit", 2.7, true, false, false, 250, 600),
-            new Kind("publish", 1.8, true, true, false, 500, 1000));
+public record Kind(
+    String name,
+    double share,
+    boolean write,
+    boolean keyed,
+    boolean safe,
+    double aimMs,
+    double patienceMs) {
+  /** The site's mix as its brief has it. */
+  public static final List<Kind> USUAL =
+      List.of(
+          new Kind("text", 57, false, false, true, 250, 1000),
+          new Kind("image", 38, false, false, true, 300, 1000),
+          new Kind("submit", 2.7, true, false, false, 250, 600),
+          new Kind("publish", 1.8, true, true, false, 500, 1000));
 }
--- a/src/main/java/damsonworks/load/UsageException.java
+++ b/src/main/java/damsonworks/load/UsageException.java
@@ -1,10 +1,13 @@
 package damsonworks.load;
 
-/** What was asked for can't be done; the message is one line that says what is wrong and what is allowed. */
+/**
+ * What was asked for can't be done; the message is one line that says what is wrong and what is
+ * allowed.
+ */
 public final class UsageException extends Exception {
-    private static final long serialVersionUID = 1L;
+  private static final long serialVersionUID = 1L;
 
-    public UsageException(String message) {
-        super(message, null, false, false);
-    }
+  public UsageException(String message) {
+    super(message, null, false, false);
+  }
 }
--- a/src/main/java/damsonworks/membership/View.java
+++ b/src/main/java/damsonworks/membership/View.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * What one proxy believes of its tier, for who looks from outside and for the shares that follow from it. Hints with an age.
+ * What one proxy believes of its tier, for who looks from outside and for the shares that follow
+ * from it. Hints with an age.
  *
  * @param me its number
  * @param doubtful it does not trust its own ears and judges nobody
@@ -13,12 +14,25 @@
  * @param sentMessages since the start
  * @param sentBytes since the start
  */
-public record View(int me, boolean doubtful, int health, double delayMs, List<Member> members, long sentMessages, long sentBytes) {
-    /**
-     * @param ageMs for how long it has been in this state
-     * @param heardMs since it was last heard first-hand; infinite: never
-     * @param direct false: the last own question to it had no answer, and others say that it is there
-     * @param accusers whose questions had no answer, if it is a suspect
-     */
-    public record Member(State state, int incarnation, double ageMs, double heardMs, boolean direct, List<Integer> accusers) { }
+public record View(
+    int me,
+    boolean doubtful,
+    int health,
+    double delayMs,
+    List<Member> members,
+    long sentMessages,
+    long sentBytes) {
+  /**
+   * @param ageMs for how long it has been in this state
+   * @param heardMs since it was last heard first-hand; infinite: never
+   * @param direct false: the last own question to it had no answer, and others say that it is there
+   * @param accusers whose questions had no answer, if it is a suspect
+   */
+  public record Member(
+      State state,
+      int incarnation,
+      double ageMs,
+      double heardMs,
+      boolean direct,
+      List<Integer> accusers) {}
 }
--- a/src/main/java/damsonworks/membership/package-info.java
+++ b/src/main/java/damsonworks/membership/package-info.java
@@ -1,2 +1,5 @@
-/** Who of the tier's proxies is there: rules alone, in times that the caller gives. Hints with an age, never more. */
+/**
+ * Who of the tier's proxies is there: rules alone, in times that the caller gives. Hints with an
+ * age, never more.
+ */
 package damsonworks.membership;
--- a/src/main/java/damsonworks/model/package-info.java
+++ b/src/main/java/damsonworks/model/package-info.java
@@ -1,2 +1,5 @@
-/** The rules in virtual time, against models of what they meet: no sockets, no clock; the same seed plays the same. */
+/**
+ * The rules in virtual time, against models of what they meet: no sockets, no clock; the same seed
+ * plays the same.
+ */
 package damsonworks.model;
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/damsonworks/proxy/Door.java
@@ -19,309 +19,363 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The places that clients' connections have, and who is shown out where there are too few. The one owner of their
- * descriptors: one counts from when the kernel is asked for it until the selector has let go of it, so that
- * {@link #inUse()} passes the bound on no path.
+ * The places that clients' connections have, and who is shown out where there are too few. The one
+ * owner of their descriptors: one counts from when the kernel is asked for it until the selector
+ * has let go of it, so that {@link #inUse()} passes the bound on no path.
  */
 final class Door implements ClientConnection.House {
-    /**
-     * So many connections are taken in one round of the loop at most, and so many places are kept free where
-     * somebody can be shown out: a closed connection's descriptor is free only with the next round. Guards
-     * newcomers against waiting a round each. Harm: with few places a good part of them stands empty.
-     */
-    private static final int BATCH = 16;
-    /** No more is taken for so long after a failure to take one; what comes waits in the kernel's backlog. */
-    private static final long FAILED_PAUSE_MS = 10;
-    private static final long SWEEP_MS = 50;
-    /** What was cut off is told in the log once in so long at most. */
-    private static final double TELL_MS = 10_000;
-    /**
-     * Full places count as this much of the room: those that say nothing get half of their time then. More would
-     * be hard on slow clients for a shortage that the door deals with by itself.
-     */
-    private static final double PLACES_SHARE = 0.8;
-
-    private final EventLoop loop;
-    private final Dispatcher dispatcher;
-    private final Limits limits;
-    private final DoorRules rules;
-    private final HoldOff holdOff = new HoldOff();
-    private final LoopLag lag = new LoopLag();
-    private final Pressure pressure = new Pressure();
-    private final Accounts accounts;
-    private final Cuts cuts;
-    private final Set<ClientConnection> clients = new LinkedHashSet<>();
-    private Channel listener;
-    /** Taken from the kernel in this batch and not yet among the clients. */
-    private int expected;
-    /** Closed, with a descriptor that the selector holds until its next round. */
-    private int releasing;
-    /** Left to another process of this proxy, while it runs. */
-    private int reserved;
-    private int most;
-    private boolean resting;
-    private boolean closed;
-    private double sweepDueMs;
-    private double toldMs;
-
-    Door(EventLoop loop, Dispatcher dispatcher) {
-        this.loop = loop;
-        this.dispatcher = dispatcher;
-        limits = dispatcher.limits();
-        accounts = dispatcher.accounts();
-        cuts = dispatcher.cuts();
-        int places = limits.places();
-        rules = new DoorRules(places, limits.clientsRoom(), Math.min(BATCH, places / 8), limits.showOutIdle());
+  /**
+   * So many connections are taken in one round of the loop at most, and so many places are kept
+   * free where somebody can be shown out: a closed connection's descriptor is free only with the
+   * next round. Guards newcomers against waiting a round each. Harm: with few places a good part of
+   * them stands empty.
+   */
+  private static final int BATCH = 16;
+
+  /**
+   * No more is taken for so long after a failure to take one; what comes waits in the kernel's
+   * backlog.
+   */
+  private static final long FAILED_PAUSE_MS = 10;
+
+  private static final long SWEEP_MS = 50;
+
+  /** What was cut off is told in the log once in so long at most. */
+  private static final double TELL_MS = 10_000;
+
+  /**
+   * Full places count as this much of the room: those that say nothing get half of their time then.
+   * More would be hard on slow clients for a shortage that the door deals with by itself.
+   */
+  private static final double PLACES_SHARE = 0.8;
+
+  private final EventLoop loop;
+  private final Dispatcher dispatcher;
+  private final Limits limits;
+  private final DoorRules rules;
+  private final HoldOff holdOff = new HoldOff();
+  private final LoopLag lag = new LoopLag();
+  private final Pressure pressure = new Pressure();
+  private final Accounts accounts;
+  private final Cuts cuts;
+  private final Set<ClientConnection> clients = new LinkedHashSet<>();
+  private Channel listener;
+
+  /** Taken from the kernel in this batch and not yet among the clients. */
+  private int expected;
+
+  /** Closed, with a descriptor that the selector holds until its next round. */
+  private int releasing;
+
+  /** Left to another process of this proxy, while it runs. */
+  private int reserved;
+
+  private int most;
+  private boolean resting;
+  private boolean closed;
+  private double sweepDueMs;
+  private double toldMs;
+
+  Door(EventLoop loop, Dispatcher dispatcher) {
+    this.loop = loop;
+    this.dispatcher = dispatcher;
+    limits = dispatcher.limits();
+    accounts = dispatcher.accounts();
+    cuts = dispatcher.cuts();
+    int places = limits.places();
+    rules =
+        new DoorRules(
+            places, limits.clientsRoom(), Math.min(BATCH, places / 8), limits.showOutIdle());
+  }
+
+  static int batch() {
+    return BATCH;
+  }
+
+  void open(Channel by) {
+    listener = by;
+    sweepAgain();
+  }
+
+  /** Looks after nobody any more; for one that was only a rehearsal. */
+  void close() {
+    closed = true;
+  }
+
+  Set<ClientConnection> clients() {
+    return clients;
+  }
+
+  /** Descriptors that clients hold. */
+  int inUse() {
+    return clients.size() + expected + releasing;
+  }
+
+  /** Part of the places is another process's now, or is not any more. */
+  void reserve(int sockets, Succession.Holds other) {
+    reserved = Succession.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
+    if (listener != null) {
+      resume();
     }
+  }
 
-    static int batch() {
-        return BATCH;
-    }
+  /** The most that {@link #inUse()} has been. */
+  int most() {
+    return most;
+  }
 
-    void open(Channel by) {
-        listener = by;
-        sweepAgain();
-    }
+  int places() {
+    return rules.places();
+  }
 
-    /** Looks after nobody any more; for one that was only a rehearsal. */
-    void close() {
-        closed = true;
-    }
-
-    Set<ClientConnection> clients() {
-        return clients;
-    }
+  // ---- the listener's questions
 
-    /** Descriptors that clients hold. */
-    int inUse() {
-        return clients.size() + expected + releasing;
+  /** Whether one more connection may be taken now; if not, none is taken until there is room. */
+  boolean hasRoom() {
+    if (!resting && hasPlace()) {
+      return true;
     }
-
-    /** Part of the places is another process's now, or is not any more. */
-    void reserve(int sockets, Succession.Holds other) {
-        reserved = Succession.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
-        if (listener != null) {
-            resume();
-        }
-    }
-
-    /** The most that {@link #inUse()} has been. */
-    int most() {
-        return most;
-    }
-
-    int places() {
-        return rules.places();
-    }
-
-    // ---- the listener's questions
-
-    /** Whether one more connection may be taken now; if not, none is taken until there is room. */
-    boolean hasRoom() {
-        if (!resting && hasPlace()) {
-            return true;
-        }
-        if (!resting) {
-            makeRoom();
-        }
-        listener.config().setAutoRead(false);
-        return false;
-    }
-
-    private boolean hasPlace() {
-        return inUse() + reserved < rules.places();
-    }
-
-    /** The kernel has given so many connections, each of which {@link #enter} follows for, or nothing does. */
-    void taking(int n) {
-        expected += n;
-        most = Math.max(most, inUse());
+    if (!resting) {
+      makeRoom();
     }
-
-    /** The batch has been worked off: what has not entered by now has been closed by who failed on it. */
-    void batchEnded() {
-        released(expected);
-        expected = 0;
+    listener.config().setAutoRead(false);
+    return false;
+  }
+
+  private boolean hasPlace() {
+    return inUse() + reserved < rules.places();
+  }
+
+  /**
+   * The kernel has given so many connections, each of which {@link #enter} follows for, or nothing
+   * does.
+   */
+  void taking(int n) {
+    expected += n;
+    most = Math.max(most, inUse());
+  }
+
+  /**
+   * The batch has been worked off: what has not entered by now has been closed by who failed on it.
+   */
+  void batchEnded() {
+    released(expected);
+    expected = 0;
+  }
+
+  void cannotTake(Throwable cause) {
+    dispatcher.log("a connection could not be taken: " + cause);
+    ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
+    if (first != null) {
+      showUnlessItAsked(first);
     }
-
-    void cannotTake(Throwable cause) {
-        dispatcher.log("a connection could not be taken: " + cause);
-        ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
-        if (first != null) {
-            showUnlessItAsked(first);
-        }
-        resting = true;
-        listener.config().setAutoRead(false);
-        loop.schedule(() -> {
-            resting = false;
-            resume();
-        }, FAILED_PAUSE_MS, TimeUnit.MILLISECONDS);
+    resting = true;
+    listener.config().setAutoRead(false);
+    loop.schedule(
+        () -> {
+          resting = false;
+          resume();
+        },
+        FAILED_PAUSE_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  // ---- coming and going
+
+  void enter(Channel channel) {
+    ClientConnection client = new ClientConnection(dispatcher, this);
+    channel.pipeline().addLast(client);
+    // While it is only expected, so that the choice can't fall on it before it could say a word.
+    if (rules.isShort(
+        clients.size(),
+        expected + reserved)) { // else the next sweep sees to it: this looks at every guest
+      makeRoom();
     }
-
-    // ---- coming and going
-
-    void enter(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher, this);
-        channel.pipeline().addLast(client);
-        // While it is only expected, so that the choice can't fall on it before it could say a word.
-        if (rules.isShort(clients.size(), expected + reserved)) { // else the next sweep sees to it: this looks at every guest
-            makeRoom();
-        }
-        expected = Math.max(0, expected - 1);
-        clients.add(client);
-        double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
-        if (wait > 0) {
-            cuts.count(Cut.HELD_OFF);
-            client.holdOff(wait);
-        }
+    expected = Math.max(0, expected - 1);
+    clients.add(client);
+    double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
+    if (wait > 0) {
+      cuts.count(Cut.HELD_OFF);
+      client.holdOff(wait);
     }
+  }
 
-    @Override
-    public void asked(ClientConnection client) {
-        rules.newcomer(dispatcher.now());
-    }
+  @Override
+  public void asked(ClientConnection client) {
+    rules.newcomer(dispatcher.now());
+  }
 
-    @Override
-    public void served(ClientConnection client) {
-        if (limits.holdOff()) {
-            holdOff.served(dispatcher.now(), client.address());
-        }
+  @Override
+  public void served(ClientConnection client) {
+    if (limits.holdOff()) {
+      holdOff.served(dispatcher.now(), client.address());
     }
+  }
 
-    @Override
-    public void turnedAway(ClientConnection client) {
-        if (limits.holdOff()) {
-            holdOff.turnedAway(dispatcher.now(), client.address());
-        }
+  @Override
+  public void turnedAway(ClientConnection client) {
+    if (limits.holdOff()) {
+      holdOff.turnedAway(dispatcher.now(), client.address());
     }
-
-    @Override
-    public int unproven() {
-        return pressure.level().unproven();
+  }
+
+  @Override
+  public int unproven() {
+    return pressure.level().unproven();
+  }
+
+  /** One at a time, as what it held comes back by and by. */
+  @Override
+  public void full() {
+    ClientConnection next = FairShare.next(dispatcher.now(), clients);
+    if (next != null) {
+      show(next, Cut.HOARDER);
     }
+  }
 
-    /** One at a time, as what it held comes back by and by. */
-    @Override
-    public void full() {
-        ClientConnection next = FairShare.next(dispatcher.now(), clients);
-        if (next != null) {
-            show(next, Cut.HOARDER);
-        }
+  /** The connection has ended, whoever ended it. */
+  void left(ClientConnection client) {
+    if (clients.remove(client)) {
+      released(1);
     }
-
-    /** The connection has ended, whoever ended it. */
-    void left(ClientConnection client) {
-        if (clients.remove(client)) {
-            released(1);
-        }
+  }
+
+  /**
+   * A closed channel's descriptor comes back when the selector has dropped its key, before the next
+   * batch.
+   */
+  private void released(int n) {
+    if (n > 0) {
+      releasing += n;
+      loop.execute(
+          () -> {
+            releasing -= n;
+            resume();
+          });
     }
+  }
 
-    /** A closed channel's descriptor comes back when the selector has dropped its key, before the next batch. */
-    private void released(int n) {
-        if (n > 0) {
-            releasing += n;
-            loop.execute(() -> {
-                releasing -= n;
-                resume();
-            });
-        }
+  private void resume() {
+    if (!resting && listener != null && !listener.config().isAutoRead() && hasPlace()) {
+      listener.config().setAutoRead(true);
     }
-
-    private void resume() {
-        if (!resting && listener != null && !listener.config().isAutoRead() && hasPlace()) {
-            listener.config().setAutoRead(true);
-        }
+  }
+
+  /**
+   * Shows out until the rules are content, or nobody is left who may be. Each is looked at once:
+   * one that asks as fast as it is refused would hold the loop, and has the next turn for it.
+   */
+  private void makeRoom() {
+    Set<ClientConnection> kept = new HashSet<>();
+    for (ClientConnection c;
+        (c = rules.next(dispatcher.now(), clients, expected + reserved)) != null; ) {
+      if (!showUnlessItAsked(c) && !kept.add(c)) {
+        return;
+      }
     }
-
-    /**
-     * Shows out until the rules are content, or nobody is left who may be. Each is looked at once: one that asks as fast
-     * as it is refused would hold the loop, and has the next turn for it.
-     */
-    private void makeRoom() {
-        Set<ClientConnection> kept = new HashSet<>();
-        for (ClientConnection c; (c = rules.next(dispatcher.now(), clients, expected + reserved)) != null;) {
-            if (!showUnlessItAsked(c) && !kept.add(c)) {
-                return;
-            }
-        }
+  }
+
+  /**
+   * Nobody is shown out with a request that the kernel has and the loop has not come to yet: it
+   * would be lost with its connection. What there is is read first, and the reason to go must still
+   * hold then. False: it does not.
+   */
+  private boolean showUnlessItAsked(ClientConnection c) {
+    boolean useless = c.useless();
+    boolean busy = !useless && c.busy();
+    if (!busy && c.lastLook() && (useless ? !c.useless() : c.busy())) {
+      return false;
     }
-
-    /**
-     * Nobody is shown out with a request that the kernel has and the loop has not come to yet: it would be lost with its
-     * connection. What there is is read first, and the reason to go must still hold then. False: it does not.
-     */
-    private boolean showUnlessItAsked(ClientConnection c) {
-        boolean useless = c.useless();
-        boolean busy = !useless && c.busy();
-        if (!busy && c.lastLook() && (useless ? !c.useless() : c.busy())) {
-            return false;
-        }
-        show(c, useless ? Cut.USELESS : busy ? Cut.HOARDER : Cut.IDLE);
-        return true;
+    show(c, useless ? Cut.USELESS : busy ? Cut.HOARDER : Cut.IDLE);
+    return true;
+  }
+
+  /**
+   * The same for one that is too slow or says nothing: what it has said meanwhile counts before its
+   * time does.
+   */
+  private void cutIfStalled(ClientConnection c, double patience) {
+    if (c.stalled(dispatcher.now(), patience) != null) {
+      c.lastLook();
+      Cut why = c.stalled(dispatcher.now(), patience);
+      if (why != null) {
+        show(c, why);
+      }
     }
-
-    /** The same for one that is too slow or says nothing: what it has said meanwhile counts before its time does. */
-    private void cutIfStalled(ClientConnection c, double patience) {
-        if (c.stalled(dispatcher.now(), patience) != null) {
-            c.lastLook();
-            Cut why = c.stalled(dispatcher.now(), patience);
-            if (why != null) {
-                show(c, why);
-            }
-        }
+  }
+
+  /**
+   * Out of the set at once: the next choice must not fall on it again. One that has left by itself
+   * is in it no more.
+   */
+  private void show(ClientConnection client, Cut why) {
+    if (!clients.remove(client)) {
+      return;
     }
-
-    /** Out of the set at once: the next choice must not fall on it again. One that has left by itself is in it no more. */
-    private void show(ClientConnection client, Cut why) {
-        if (!clients.remove(client)) {
-            return;
-        }
-        released(1);
-        cuts.count(why);
-        if (why != Cut.IDLE && why != Cut.USELESS) { // those two are no fault of its own
-            turnedAway(client);
-        }
-        client.close();
+    released(1);
+    cuts.count(why);
+    if (why != Cut.IDLE && why != Cut.USELESS) { // those two are no fault of its own
+      turnedAway(client);
     }
-
-    /** Not at a fixed distance by the executor's clock, which would make up for a late sweep by several at once. */
-    private void sweepAgain() {
-        if (closed) {
-            return;
-        }
-        sweepDueMs = dispatcher.now() + SWEEP_MS;
-        loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+    client.close();
+  }
+
+  /**
+   * Not at a fixed distance by the executor's clock, which would make up for a late sweep by
+   * several at once.
+   */
+  private void sweepAgain() {
+    if (closed) {
+      return;
     }
-
-    private void sweep() {
-        try {
-            double now = dispatcher.now();
-            lag.ticked(sweepDueMs, now);
-            Pressure.Level level = pressure.at(Math.max(accounts.share(),
-                    Math.max(lag.share(now), (double) inUse() / rules.places() * PLACES_SHARE)));
-            for (ClientConnection c : List.copyOf(clients)) {
-                cutIfStalled(c, level.patience());
-                c.lookIfPaused();
-            }
-            makeRoom();
-            resume();
-            tell(now);
-        } catch (Throwable t) {
-            dispatcher.fault(t);
-        } finally {
-            sweepAgain();
-        }
+    sweepDueMs = dispatcher.now() + SWEEP_MS;
+    loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void sweep() {
+    try {
+      double now = dispatcher.now();
+      lag.ticked(sweepDueMs, now);
+      Pressure.Level level =
+          pressure.at(
+              Math.max(
+                  accounts.share(),
+                  Math.max(lag.share(now), (double) inUse() / rules.places() * PLACES_SHARE)));
+      for (ClientConnection c : List.copyOf(clients)) {
+        cutIfStalled(c, level.patience());
+        c.lookIfPaused();
+      }
+      makeRoom();
+      resume();
+      tell(now);
+    } catch (Throwable t) {
+      dispatcher.fault(t);
+    } finally {
+      sweepAgain();
     }
-
-    private void tell(double now) {
-        if (now - toldMs >= TELL_MS) {
-            toldMs = now;
-            String news = cuts.news();
-            if (!news.isEmpty()) {
-                dispatcher.log("cut off: " + news + "; " + pressure.level() + ", " + inUse() + " of " + rules.places()
-                        + " places, loop late by " + Math.round(lag.lateMs(now)) + " ms, held " + accounts.sums()
-                        + ", at most " + accounts.mosts());
-            }
-        }
+  }
+
+  private void tell(double now) {
+    if (now - toldMs >= TELL_MS) {
+      toldMs = now;
+      String news = cuts.news();
+      if (!news.isEmpty()) {
+        dispatcher.log(
+            "cut off: "
+                + news
+                + "; "
+                + pressure.level()
+                + ", "
+                + inUse()
+                + " of "
+                + rules.places()
+                + " places, loop late by "
+                + Math.round(lag.lateMs(now))
+                + " ms, held "
+                + accounts.sums()
+                + ", at most "
+                + accounts.mosts());
+      }
     }
+  }
 }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -5,104 +5,126 @@
 import java.util.List;
 
 /**
- * One command of a client with the place of its answer in the connection's order. A request that the module
- * decides on is also in the dispatcher's table until it is over and no attempt of it is out.
+ * One command of a client with the place of its answer in the connection's order. A request that
+ * the module decides on is also in the dispatcher's table until it is over and no attempt of it is
+ * out.
  */
 final class Exchange {
-    final ClientConnection client;
-    /** Null where the proxy answers by itself. */
-    final Command command;
-
-    /** The answer, until it is its turn to go to the client. */
-    ByteBuf answer;
-    /** What the answer holds of memory, in bytes. */
-    int held;
-
-    int id;
-    /** The number of its class. */
-    int kind;
-    double dueMs;
-    /** It must not have its effect twice, so an attempt that may have run is its last. */
-    boolean unsafe;
-    /** It may be repeated at will, also when it has run. */
-    boolean safe;
-    /** The long value that is on its way to the client as its one answer; null: none is. */
-    Passage passage;
-    /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
-    boolean over;
-    int out;
+  final ClientConnection client;
+
+  /** Null where the proxy answers by itself. */
+  final Command command;
+
+  /** The answer, until it is its turn to go to the client. */
+  ByteBuf answer;
+
+  /** What the answer holds of memory, in bytes. */
+  int held;
+
+  int id;
+
+  /** The number of its class. */
+  int kind;
+
+  double dueMs;
+
+  /** It must not have its effect twice, so an attempt that may have run is its last. */
+  boolean unsafe;
+
+  /** It may be repeated at will, also when it has run. */
+  boolean safe;
+
+  /** The long value that is on its way to the client as its one answer; null: none is. */
+  Passage passage;
+
+  /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
+  boolean over;
+
+  int out;
+  Timers.Timer timer;
+  final List<Attempt> attempts = new ArrayList<>(3);
+
+  Exchange(ClientConnection client, Command command) {
+    this.client = client;
+    this.command = command;
+  }
+
+  /** A command as the client gave it. */
+  static final class Command {
+    final String key;
+    final String id;
+    final boolean write;
+
+    /** The list of names and values as it came. */
+    final String extras;
+
+    /** The command's line up to the deadline's figure, and what follows that. */
+    final String head;
+
+    final String tail;
+
+    /**
+     * The value with its line's end; null for reads. Kept for attempts to come, until it is over.
+     */
+    ByteBuf value;
+
+    Command(String key, String id, boolean write, String extras, String head, String tail) {
+      this.key = key;
+      this.id = id;
+      this.write = write;
+      this.extras = extras;
+      this.head = head;
+      this.tail = tail;
+    }
+
+    void release() {
+      if (value != null) {
+        value.release();
+        value = null;
+      }
+    }
+  }
+
+  /** One try of a request at a server, or a probe of it (no exchange). */
+  static final class Attempt {
+    final Exchange exchange;
+    final int index;
+    final int server;
+    final double sentMs;
+
+    /** When the proxy stops waiting. */
+    final double untilMs;
+
+    UpstreamConnection connection;
+
+    /** The last byte went out: from then on it may have run. */
+    private boolean written;
+
+    /** It has had its one outcome. */
+    boolean ended;
+
+    /** Its answer is not waited for any more, but still to be read. */
+    boolean abandoned;
+
     Timers.Timer timer;
-    final List<Attempt> attempts = new ArrayList<>(3);
 
-    Exchange(ClientConnection client, Command command) {
-        this.client = client;
-        this.command = command;
+    Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
+      this.exchange = exchange;
+      this.index = index;
+      this.server = server;
+      this.sentMs = sentMs;
+      this.untilMs = untilMs;
     }
 
-    /** A command as the client gave it. */
-    static final class Command {
-        final String key;
-        final String id;
-        final boolean write;
-        /** The list of names and values as it came. */
-        final String extras;
-        /** The command's line up to the deadline's figure, and what follows that. */
-        final String head;
-        final String tail;
-        /** The value with its line's end; null for reads. Kept for attempts to come, until it is over. */
-        ByteBuf value;
-
-        Command(String key, String id, boolean write, String extras, String head, String tail) {
-            this.key = key;
-            this.id = id;
-            this.write = write;
-            this.extras = extras;
-            this.head = head;
-            this.tail = tail;
-        }
-
-        void release() {
-            if (value != null) {
-                value.release();
-                value = null;
-            }
-        }
+    boolean written() {
+      return written;
     }
 
-    /** One try of a request at a server, or a probe of it (no exchange). */
-    static final class Attempt {
-        final Exchange exchange;
-        final int index;
-        final int server;
-        final double sentMs;
-        /** When the proxy stops waiting. */
-        final double untilMs;
-        UpstreamConnection connection;
-        /** The last byte went out: from then on it may have run. */
-        private boolean written;
-        /** It has had its one outcome. */
-        boolean ended;
-        /** Its answer is not waited for any more, but still to be read. */
-        boolean abandoned;
-        Timers.Timer timer;
-
-        Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
-            this.exchange = exchange;
-            this.index = index;
-            this.server = server;
-            this.sentMs = sentMs;
-            this.untilMs = untilMs;
-        }
-
-        boolean written() {
-            return written;
-        }
-
-        /** Its last byte has been handed to the network, if it was. True if that is news. */
-        boolean wrote(boolean whole) {
-            boolean news = whole && !written;
-            written |= whole;
-            return news;
-        }
+    /** Its last byte has been handed to the network, if it was. True if that is news. */
+    boolean wrote(boolean whole) {
+      boolean news = whole && !written;
+      written |= whole;
+      return news;
     }
+  }
 }
--- a/src/main/java/damsonworks/proxy/Initializer.java
+++ b/src/main/java/damsonworks/proxy/Initializer.java
@@ -6,14 +6,14 @@
 
 /** Puts the handlers of one new connection in place. */
 final class Initializer extends ChannelInitializer<Channel> {
-    private final ChannelHandler[] handlers;
+  private final ChannelHandler[] handlers;
 
-    Initializer(ChannelHandler... handlers) {
-        this.handlers = handlers;
-    }
+  Initializer(ChannelHandler... handlers) {
+    this.handlers = handlers;
+  }
 
-    @Override
-    protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(handlers);
-    }
+  @Override
+  protected void initChannel(Channel channel) {
+    channel.pipeline().addLast(handlers);
+  }
 }
--- a/src/main/java/damsonworks/proxy/Passage.java
+++ b/src/main/java/damsonworks/proxy/Passage.java
@@ -8,82 +8,91 @@
 import java.util.ArrayDeque;
 
 /**
- * A long value on its way from its server to its client, part by part and never whole in memory. Once its first bytes
- * are with the client there is no other answer to the request: it ends whole, or the client's connection ends before
- * the value does, which is how the client can tell.
+ * A long value on its way from its server to its client, part by part and never whole in memory.
+ * Once its first bytes are with the client there is no other answer to the request: it ends whole,
+ * or the client's connection ends before the value does, which is how the client can tell.
  */
 final class Passage {
-    final Attempt attempt;
-    final double beganMs;
-    private final Accounts accounts;
-    private final UpstreamConnection from;
-    /** What waits for its turn among the client's answers. */
-    private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>(2);
-    /** Bytes that have come and that the client's connection has not taken, those in line included. */
-    private long pending;
-    private boolean begun;
-    private boolean whole;
-    private boolean ended;
+  final Attempt attempt;
+  final double beganMs;
+  private final Accounts accounts;
+  private final UpstreamConnection from;
 
-    Passage(Attempt attempt, UpstreamConnection from, Accounts accounts, double now) {
-        this.attempt = attempt;
-        this.from = from;
-        this.accounts = accounts;
-        beganMs = now;
-    }
+  /** What waits for its turn among the client's answers. */
+  private final ArrayDeque<ByteBuf> parts = new ArrayDeque<>(2);
 
-    /** Takes the part over. */
-    void add(ByteBuf part) {
-        parts.add(part);
-        pending += part.readableBytes();
-    }
+  /**
+   * Bytes that have come and that the client's connection has not taken, those in line included.
+   */
+  private long pending;
 
-    /** The next part to write; null: none is here. */
-    ByteBuf next() {
-        ByteBuf part = parts.poll();
-        begun |= part != null;
-        return part;
-    }
+  private boolean begun;
+  private boolean whole;
+  private boolean ended;
 
-    /** Whether the client has been sent some of it. */
-    boolean begun() {
-        return begun;
-    }
+  Passage(Attempt attempt, UpstreamConnection from, Accounts accounts, double now) {
+    this.attempt = attempt;
+    this.from = from;
+    this.accounts = accounts;
+    beganMs = now;
+  }
 
-    /** All of it has come. */
-    void whole() {
-        whole = true;
-        ended = true;
-    }
+  /** Takes the part over. */
+  void add(ByteBuf part) {
+    parts.add(part);
+    pending += part.readableBytes();
+  }
 
-    /** Whether nothing of it is still to be written. */
-    boolean done() {
-        return whole && parts.isEmpty();
-    }
+  /** The next part to write; null: none is here. */
+  ByteBuf next() {
+    ByteBuf part = parts.poll();
+    begun |= part != null;
+    return part;
+  }
 
-    /** The client's connection has taken so much. */
-    void taken(int bytes) {
-        pending -= bytes;
-        regulate();
-    }
+  /** Whether the client has been sent some of it. */
+  boolean begun() {
+    return begun;
+  }
+
+  /** All of it has come. */
+  void whole() {
+    whole = true;
+    ended = true;
+  }
+
+  /** Whether nothing of it is still to be written. */
+  boolean done() {
+    return whole && parts.isEmpty();
+  }
+
+  /** The client's connection has taken so much. */
+  void taken(int bytes) {
+    pending -= bytes;
+    regulate();
+  }
 
-    /** Has its server read, or not, by what is in hand. */
-    void regulate() {
-        if (!ended) {
-            from.reads(PassWindow.reads(pending, from.depth() - 1, accounts.held(Holding.PASSING),
-                    accounts.bound(Holding.PASSING)));
-        }
+  /** Has its server read, or not, by what is in hand. */
+  void regulate() {
+    if (!ended) {
+      from.reads(
+          PassWindow.reads(
+              pending,
+              from.depth() - 1,
+              accounts.held(Holding.PASSING),
+              accounts.bound(Holding.PASSING)));
     }
+  }
 
-    /** Nothing more of it is wanted; returns the bytes that were still in line. */
-    int drop() {
-        ended = true;
-        int bytes = 0;
-        for (ByteBuf part; (part = parts.poll()) != null;) {
-            bytes += part.readableBytes();
-            part.release();
-        }
-        pending -= bytes;
-        return bytes;
+  /** Nothing more of it is wanted; returns the bytes that were still in line. */
+  int drop() {
+    ended = true;
+    int bytes = 0;
+    for (ByteBuf part; (part = parts.poll()) != null; ) {
+      bytes += part.readableBytes();
+      part.release();
     }
+    pending -= bytes;
+    return bytes;
+  }
 }
--- a/src/main/java/damsonworks/proxy/SharedFolder.java
+++ b/src/main/java/damsonworks/proxy/SharedFolder.java
@@ -17,145 +17,168 @@
 import java.util.Set;
 
 /**
- * The folder that an old and a new process of one proxy share: the log of nodes out by hand, and a file with a slot for
- * each of the two, locked while its process lives, which the system sees to. Small files in memory; still used on the
- * control's thread alone and never on the proxy's event loop. Without a folder all is kept by this process only.
+ * The folder that an old and a new process of one proxy share: the log of nodes out by hand, and a
+ * file with a slot for each of the two, locked while its process lives, which the system sees to.
+ * Small files in memory; still used on the control's thread alone and never on the proxy's event
+ * loop. Without a folder all is kept by this process only.
  */
 final class SharedFolder {
-    private static final String LOG = "damsonworks.hand";
-    private static final String SLOTS = "damsonworks.slots";
-    /** A slot can be held for a moment by one who only looks whether it is. */
-    private static final int TRIES = 10;
-    /** Behind the bytes that are locked, for each slot: clients, servers, 1 if it serves; big-endian. */
-    private static final int HOLDS_AT = 8;
-    private static final int HOLDS_BYTES = 3 * Integer.BYTES;
+  private static final String LOG = "damsonworks.hand";
+  private static final String SLOTS = "damsonworks.slots";
 
-    private final Path log;
-    private FileChannel slots;
-    private FileLock mine;
-    private int slot;
-    private byte[] kept = {};
-    private Object seen;
+  /** A slot can be held for a moment by one who only looks whether it is. */
+  private static final int TRIES = 10;
 
-    /** @param folder null: there is none */
-    SharedFolder(Path folder) throws IOException {
-        log = folder == null ? null : folder.resolve(LOG);
-        if (folder == null) {
-            return;
-        }
-        slots = FileChannel.open(folder.resolve(SLOTS), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
-        for (int i = 0; mine == null && i < 2 * TRIES; i++) {
-            slot = i % 2;
-            mine = lock(slot);
-            if (mine == null && i % 2 == 1) {
-                try {
-                    Thread.sleep(1);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-        }
-        if (mine == null) {
-            slots.close();
-            throw new IOException("two processes of this proxy already run");
-        }
-    }
+  /**
+   * Behind the bytes that are locked, for each slot: clients, servers, 1 if it serves; big-endian.
+   */
+  private static final int HOLDS_AT = 8;
 
-    private FileLock lock(int which) throws IOException {
+  private static final int HOLDS_BYTES = 3 * Integer.BYTES;
+
+  private final Path log;
+  private FileChannel slots;
+  private FileLock mine;
+  private int slot;
+  private byte[] kept = {};
+  private Object seen;
+
+  /**
+   * @param folder null: there is none
+   */
+  SharedFolder(Path folder) throws IOException {
+    log = folder == null ? null : folder.resolve(LOG);
+    if (folder == null) {
+      return;
+    }
+    slots =
+        FileChannel.open(
+            folder.resolve(SLOTS),
+            StandardOpenOption.CREATE,
+            StandardOpenOption.READ,
+            StandardOpenOption.WRITE);
+    for (int i = 0; mine == null && i < 2 * TRIES; i++) {
+      slot = i % 2;
+      mine = lock(slot);
+      if (mine == null && i % 2 == 1) {
         try {
-            return slots.tryLock(which, 1, false);
-        } catch (OverlappingFileLockException e) { // held within this JVM
-            return null;
+          Thread.sleep(1);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
         }
+      }
     }
+    if (mine == null) {
+      slots.close();
+      throw new IOException("two processes of this proxy already run");
+    }
+  }
 
-    /** Whether the other process runs. */
-    boolean beside() throws IOException {
-        if (slots == null) {
-            return false;
-        }
-        FileLock other = lock(1 - slot);
-        if (other != null) {
-            other.release();
-        }
-        return other == null;
+  private FileLock lock(int which) throws IOException {
+    try {
+      return slots.tryLock(which, 1, false);
+    } catch (OverlappingFileLockException e) { // held within this JVM
+      return null;
     }
+  }
 
-    /** Tells the other process what this one holds and has what that one does; nothing where it does not run. */
-    Succession.Holds exchange(Succession.Holds holds) throws IOException {
-        if (slots == null) {
-            return Succession.Holds.NOTHING;
-        }
-        slots.write(ByteBuffer.allocate(HOLDS_BYTES).putInt(holds.clients()).putInt(holds.servers())
-                .putInt(holds.serves() ? 1 : 0).flip(),
-                HOLDS_AT + slot * HOLDS_BYTES);
-        ByteBuffer other = ByteBuffer.allocate(HOLDS_BYTES);
-        if (!beside()) {
-            return Succession.Holds.NOTHING;
-        }
-        slots.read(other, HOLDS_AT + (1 - slot) * HOLDS_BYTES);
-        // One that has just begun may not have written yet.
-        return other.hasRemaining() ? new Succession.Holds(1, 0, false)
-                : new Succession.Holds(Math.max(1, other.getInt(0)), Math.max(0, other.getInt(Integer.BYTES)),
-                        other.getInt(2 * Integer.BYTES) == 1);
+  /** Whether the other process runs. */
+  boolean beside() throws IOException {
+    if (slots == null) {
+      return false;
+    }
+    FileLock other = lock(1 - slot);
+    if (other != null) {
+      other.release();
     }
+    return other == null;
+  }
 
-    /** The nodes that are out now; null where nothing has changed since it was last asked. */
-    Set<String> news() throws IOException {
-        if (log == null) {
-            return null;
-        }
-        Object now;
-        try {
-            BasicFileAttributes file = Files.readAttributes(log, BasicFileAttributes.class);
-            now = file.size() + " " + file.lastModifiedTime() + " " + file.fileKey();
-        } catch (NoSuchFileException e) {
-            return null;
-        }
-        return now.equals(seen) ? null : read(now);
+  /**
+   * Tells the other process what this one holds and has what that one does; nothing where it does
+   * not run.
+   */
+  Succession.Holds exchange(Succession.Holds holds) throws IOException {
+    if (slots == null) {
+      return Succession.Holds.NOTHING;
     }
+    slots.write(
+        ByteBuffer.allocate(HOLDS_BYTES)
+            .putInt(holds.clients())
+            .putInt(holds.servers())
+            .putInt(holds.serves() ? 1 : 0)
+            .flip(),
+        HOLDS_AT + slot * HOLDS_BYTES);
+    ByteBuffer other = ByteBuffer.allocate(HOLDS_BYTES);
+    if (!beside()) {
+      return Succession.Holds.NOTHING;
+    }
+    slots.read(other, HOLDS_AT + (1 - slot) * HOLDS_BYTES);
+    // One that has just begun may not have written yet.
+    return other.hasRemaining()
+        ? new Succession.Holds(1, 0, false)
+        : new Succession.Holds(
+            Math.max(1, other.getInt(0)),
+            Math.max(0, other.getInt(Integer.BYTES)),
+            other.getInt(2 * Integer.BYTES) == 1);
+  }
 
-    private Set<String> read(Object now) throws IOException {
-        Set<String> out = HandLog.out(log == null ? kept : Files.readAllBytes(log));
-        seen = now;
-        return out;
+  /** The nodes that are out now; null where nothing has changed since it was last asked. */
+  Set<String> news() throws IOException {
+    if (log == null) {
+      return null;
+    }
+    Object now;
+    try {
+      BasicFileAttributes file = Files.readAttributes(log, BasicFileAttributes.class);
+      now = file.size() + " " + file.lastModifiedTime() + " " + file.fileKey();
+    } catch (NoSuchFileException e) {
+      return null;
     }
+    return now.equals(seen) ? null : read(now);
+  }
 
-    /** Adds a call; the nodes that are out with it. What is returned stands in the log. */
-    Set<String> add(String node, boolean out) throws IOException {
-        byte[] record = HandLog.record(node, out);
-        if (log == null) {
-            Set<String> all = HandLog.out(kept);
-            if (out) {
-                all.add(node);
-            } else {
-                all.remove(node);
-            }
-            kept = HandLog.whole(all);
-            return all;
-        }
-        if (Files.exists(log) && Files.size(log) > HandLog.COMPACT_FROM_BYTES && !beside()) {
-            Path next = log.resolveSibling(LOG + ".next");
-            Files.write(next, HandLog.whole(HandLog.out(Files.readAllBytes(log))));
-            try {
-                Files.move(next, log, StandardCopyOption.ATOMIC_MOVE);
-            } catch (AtomicMoveNotSupportedException e) {
-                Files.delete(next); // the long log is as good
-            }
-        }
-        try (FileChannel file = FileChannel.open(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
-            ByteBuffer bytes = ByteBuffer.wrap(record);
-            while (bytes.hasRemaining()) {
-                file.write(bytes);
-            }
-        }
-        return read(null);
+  private Set<String> read(Object now) throws IOException {
+    Set<String> out = HandLog.out(log == null ? kept : Files.readAllBytes(log));
+    seen = now;
+    return out;
+  }
+
+  /** Adds a call; the nodes that are out with it. What is returned stands in the log. */
+  Set<String> add(String node, boolean out) throws IOException {
+    byte[] record = HandLog.record(node, out);
+    if (log == null) {
+      Set<String> all = HandLog.out(kept);
+      if (out) {
+        all.add(node);
+      } else {
+        all.remove(node);
+      }
+      kept = HandLog.whole(all);
+      return all;
     }
+    if (Files.exists(log) && Files.size(log) > HandLog.COMPACT_FROM_BYTES && !beside()) {
+      Path next = log.resolveSibling(LOG + ".next");
+      Files.write(next, HandLog.whole(HandLog.out(Files.readAllBytes(log))));
+      try {
+        Files.move(next, log, StandardCopyOption.ATOMIC_MOVE);
+      } catch (AtomicMoveNotSupportedException e) {
+        Files.delete(next); // the long log is as good
+      }
+    }
+    try (FileChannel file =
+        FileChannel.open(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+      ByteBuffer bytes = ByteBuffer.wrap(record);
+      while (bytes.hasRemaining()) {
+        file.write(bytes);
+      }
+    }
+    return read(null);
+  }
 
-    void close() throws IOException {
-        if (slots != null) {
-            slots.close(); // with its lock
-        }
+  void close() throws IOException {
+    if (slots != null) {
+      slots.close(); // with its lock
     }
+  }
 }
--- a/src/main/java/damsonworks/settings/package-info.java
+++ b/src/main/java/damsonworks/settings/package-info.java
@@ -1,2 +1,5 @@
-/** The operator's own file: read, checked as a whole, and handed on as plain records. Uses no other package. */
+/**
+ * The operator's own file: read, checked as a whole, and handed on as plain records. Uses no other
+ * package.
+ */
 package damsonworks.settings;
--- a/src/main/java/damsonworks/site/Breach.java
+++ b/src/main/java/damsonworks/site/Breach.java
@@ -8,8 +8,9 @@
  * @param evidence what the ledger holds of it, in one line
  */
 public record Breach(int rule, double atMs, String evidence) {
-    @Override
-    public String toString() {
-        return String.format(java.util.Locale.ROOT, "rule %d at %.3f s: %s", rule, atMs / 1000, evidence);
-    }
+  @Override
+  public String toString() {
+    return String.format(
+        java.util.Locale.ROOT, "rule %d at %.3f s: %s", rule, atMs / 1000, evidence);
+  }
 }
--- a/src/main/java/damsonworks/site/Loopback.java
+++ b/src/main/java/damsonworks/site/Loopback.java
@@ -9,88 +9,96 @@
 import java.nio.file.Path;
 
 /**
- * Loopback addresses that one rig has to itself, and ports there that nobody is dealt by the system: 127.A.B.1 is the
- * site's, 127.A.B.10 and up are the same site as each proxy is told of it, so that what comes from one proxy can be told
- * from what comes from another. A port that is let go and taken again, as at a restart, is still free then. Held by one
- * listener until it is closed; also while another rig runs beside it. Not for several threads.
+ * Loopback addresses that one rig has to itself, and ports there that nobody is dealt by the
+ * system: 127.A.B.1 is the site's, 127.A.B.10 and up are the same site as each proxy is told of it,
+ * so that what comes from one proxy can be told from what comes from another. A port that is let go
+ * and taken again, as at a restart, is still free then. Held by one listener until it is closed;
+ * also while another rig runs beside it. Not for several threads.
  */
 public final class Loopback implements AutoCloseable {
-    /** Views that there is room for. */
-    public static final int MOST_VIEWS = 200;
-    private static final int LOCK_PORT = 9_999;
-    private static final int FIRST_PORT = 10_000;
-    private static final int FIRST_VIEW = 10;
-    private static final int TRIES = 500;
+  /** Views that there is room for. */
+  public static final int MOST_VIEWS = 200;
 
-    private final ServerSocket lock;
-    private final String block;
-    private final int endPort;
-    private int next = FIRST_PORT;
+  private static final int LOCK_PORT = 9_999;
+  private static final int FIRST_PORT = 10_000;
+  private static final int FIRST_VIEW = 10;
+  private static final int TRIES = 500;
 
-    public Loopback() throws IOException {
-        endPort = drawnFrom();
-        long at = ProcessHandle.current().pid() * 31 + System.nanoTime() / 1000;
-        IOException last = null;
-        ServerSocket held = null;
-        String tried = "";
-        for (int i = 0; i < TRIES && held == null; i++, at++) {
-            tried = "127." + (64 + Math.floorMod(at / 250, 128L)) + "." + (1 + Math.floorMod(at, 250L)) + ".";
-            try {
-                held = new ServerSocket(LOCK_PORT, 1, InetAddress.getByName(tried + "1"));
-            } catch (IOException e) {
-                last = e;
-            }
-        }
-        if (held == null) {
-            throw new IOException("no loopback address is free: " + last.getMessage());
-        }
-        lock = held;
-        block = tried;
-    }
+  private final ServerSocket lock;
+  private final String block;
+  private final int endPort;
+  private int next = FIRST_PORT;
 
-    /** The least port that the system deals out by itself. */
-    private static int drawnFrom() {
-        try {
-            int from = Integer.parseInt(Files.readString(Path.of("/proc/sys/net/ipv4/ip_local_port_range")).strip().split("\\s+")[0]);
-            return Math.max(FIRST_PORT + 5000, from);
-        } catch (IOException | NumberFormatException e) {
-            return 32_768;
-        }
+  public Loopback() throws IOException {
+    endPort = drawnFrom();
+    long at = ProcessHandle.current().pid() * 31 + System.nanoTime() / 1000;
+    IOException last = null;
+    ServerSocket held = null;
+    String tried = "";
+    for (int i = 0; i < TRIES && held == null; i++, at++) {
+      tried =
+          "127." + (64 + Math.floorMod(at / 250, 128L)) + "." + (1 + Math.floorMod(at, 250L)) + ".";
+      try {
+        held = new ServerSocket(LOCK_PORT, 1, InetAddress.getByName(tried + "1"));
+      } catch (IOException e) {
+        last = e;
+      }
     }
-
-    public String host() {
-        return block + "1";
+    if (held == null) {
+      throw new IOException("no loopback address is free: " + last.getMessage());
     }
+    lock = held;
+    block = tried;
+  }
 
-    /** The site's address as the proxy of this number is told it. */
-    public String view(int proxy) {
-        if (proxy < 0 || proxy >= MOST_VIEWS) {
-            throw new IllegalArgumentException("view " + proxy + ": 0 to " + (MOST_VIEWS - 1));
-        }
-        return block + (FIRST_VIEW + proxy);
+  /** The least port that the system deals out by itself. */
+  private static int drawnFrom() {
+    try {
+      int from =
+          Integer.parseInt(
+              Files.readString(Path.of("/proc/sys/net/ipv4/ip_local_port_range"))
+                  .strip()
+                  .split("\\s+")[0]);
+      return Math.max(FIRST_PORT + 5000, from);
+    } catch (IOException | NumberFormatException e) {
+      return 32_768;
     }
+  }
 
-    /** Whose view an address is; -1: nobody's. */
-    static int proxyAt(InetSocketAddress local) {
-        return Math.max(-1, (local.getAddress().getAddress()[3] & 0xFF) - FIRST_VIEW);
-    }
+  public String host() {
+    return block + "1";
+  }
 
-    /** A port that is free for TCP and UDP at {@link #host} and is given to nobody else. */
-    public int port() throws IOException {
-        while (next < endPort) {
-            int port = next++;
-            InetAddress at = InetAddress.getByName(host());
-            try (ServerSocket tcp = new ServerSocket(port, 1, at); DatagramSocket udp = new DatagramSocket(port, at)) {
-                return port;
-            } catch (IOException e) {
-                // somebody listens at all addresses there
-            }
-        }
-        throw new IOException("no port is free at " + host());
+  /** The site's address as the proxy of this number is told it. */
+  public String view(int proxy) {
+    if (proxy < 0 || proxy >= MOST_VIEWS) {
+      throw new IllegalArgumentException("view " + proxy + ": 0 to " + (MOST_VIEWS - 1));
     }
+    return block + (FIRST_VIEW + proxy);
+  }
 
-    @Override
-    public void close() throws IOException {
-        lock.close();
+  /** Whose view an address is; -1: nobody's. */
+  static int proxyAt(InetSocketAddress local) {
+    return Math.max(-1, (local.getAddress().getAddress()[3] & 0xFF) - FIRST_VIEW);
+  }
+
+  /** A port that is free for TCP and UDP at {@link #host} and is given to nobody else. */
+  public int port() throws IOException {
+    while (next < endPort) {
+      int port = next++;
+      InetAddress at = InetAddress.getByName(host());
+      try (ServerSocket tcp = new ServerSocket(port, 1, at);
+          DatagramSocket udp = new DatagramSocket(port, at)) {
+        return port;
+      } catch (IOException e) {
+        // somebody listens at all addresses there
+      }
     }
+    throw new IOException("no port is free at " + host());
+  }
+
+  @Override
+  public void close() throws IOException {
+    lock.close();
+  }
 }
--- a/src/main/java/damsonworks/site/Roster.java
+++ b/src/main/java/damsonworks/site/Roster.java
@@ -7,72 +7,96 @@
 
 /** Discovery's list: entries with the version at which each last changed. Rules alone. */
 public final class Roster {
-    /** How a host stands. */
-    public enum Health { UP, DRAINING, REMOVED }
+  /** How a host stands. */
+  public enum Health {
+    UP,
+    DRAINING,
+    REMOVED
+  }
 
-    /**
-     * @param share of the keys, against others
-     * @param bornMs Unix time of its last start in milliseconds; 0: long ago
-     */
-    public record Host(String name, String dial, String zone, String kind, Health health, int share, long bornMs) {
-        public Host(String name, String dial, String zone, String kind, Health health, long bornMs) {
-            this(name, dial, zone, kind, health, 1, bornMs);
-        }
+  /**
+   * @param share of the keys, against others
+   * @param bornMs Unix time of its last start in milliseconds; 0: long ago
+   */
+  public record Host(
+      String name, String dial, String zone, String kind, Health health, int share, long bornMs) {
+    public Host(String name, String dial, String zone, String kind, Health health, long bornMs) {
+      this(name, dial, zone, kind, health, 1, bornMs);
+    }
 
-        Host with(Health other) {
-            return new Host(name, dial, zone, kind, other, share, bornMs);
-        }
+    Host with(Health other) {
+      return new Host(name, dial, zone, kind, other, share, bornMs);
+    }
 
-        String json() {
-            return "{\"host\":\"" + name + "\",\"dial\":\"" + dial + "\",\"site\":\"" + zone + "\",\"class\":\"" + kind
-                    + "\",\"block\":0,\"health\":\"" + health.name().toLowerCase(java.util.Locale.ROOT)
-                    + "\",\"share\":" + share + ",\"born_ms\":" + bornMs + "}";
-        }
+    String json() {
+      return "{\"host\":\""
+          + name
+          + "\",\"dial\":\""
+          + dial
+          + "\",\"site\":\""
+          + zone
+          + "\",\"class\":\""
+          + kind
+          + "\",\"block\":0,\"health\":\""
+          + health.name().toLowerCase(java.util.Locale.ROOT)
+          + "\",\"share\":"
+          + share
+          + ",\"born_ms\":"
+          + bornMs
+          + "}";
     }
+  }
 
-    private record Entry(Host host, long version) { }
+  private record Entry(Host host, long version) {}
 
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
-    private long version = 1;
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private long version = 1;
 
-    public long version() {
-        return version;
-    }
+  public long version() {
+    return version;
+  }
 
-    /** One more version, with this host as it is now. */
-    public void put(Host host) {
-        version++;
-        entries.put(host.name(), new Entry(host, version));
-    }
+  /** One more version, with this host as it is now. */
+  public void put(Host host) {
+    version++;
+    entries.put(host.name(), new Entry(host, version));
+  }
 
-    public void health(String name, Health health) {
-        Entry e = entries.get(name);
-        if (e == null) {
-            throw new IllegalArgumentException("no host " + name + " among " + entries.keySet());
-        }
-        put(e.host().with(health));
+  public void health(String name, Health health) {
+    Entry e = entries.get(name);
+    if (e == null) {
+      throw new IllegalArgumentException("no host " + name + " among " + entries.keySet());
     }
+    put(e.host().with(health));
+  }
 
-    public Host host(String name) {
-        return entries.get(name) == null ? null : entries.get(name).host();
-    }
+  public Host host(String name) {
+    return entries.get(name) == null ? null : entries.get(name).host();
+  }
 
-    /** All that is there, without what is removed. */
-    public String whole() {
-        return json(true, entries.values().stream().filter(e -> e.host().health() != Health.REMOVED).toList());
-    }
+  /** All that is there, without what is removed. */
+  public String whole() {
+    return json(
+        true, entries.values().stream().filter(e -> e.host().health() != Health.REMOVED).toList());
+  }
 
-    /** What has changed since this version; all that is there where nobody can have it. */
-    public String since(long seen) {
-        if (seen < 1 || seen > version) {
-            return whole();
-        }
-        return json(false, entries.values().stream().filter(e -> e.version() > seen).toList());
+  /** What has changed since this version; all that is there where nobody can have it. */
+  public String since(long seen) {
+    if (seen < 1 || seen > version) {
+      return whole();
     }
+    return json(false, entries.values().stream().filter(e -> e.version() > seen).toList());
+  }
 
-    private String json(boolean whole, List<Entry> of) {
-        List<String> hosts = new ArrayList<>();
-        of.forEach(e -> hosts.add(e.host().json()));
-        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", hosts) + "]}";
-    }
+  private String json(boolean whole, List<Entry> of) {
+    List<String> hosts = new ArrayList<>();
+    of.forEach(e -> hosts.add(e.host().json()));
+    return "{\"seq\":"
+        + version
+        + ",\"whole\":"
+        + whole
+        + ",\"hosts\":["
+        + String.join(",", hosts)
+        + "]}";
+  }
 }
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -16,76 +16,167 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
-/** The borders between the packages: rules know neither sockets nor clocks, and nothing reaches back up. */
+/**
+ * The borders between the packages: rules know neither sockets nor clocks, and nothing reaches back
+ * up.
+ */
 class ArchitectureTest {
-    private static final JavaClasses ALL = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
-            .importPackages("damsonworks");
+  private static final JavaClasses ALL =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("damsonworks");
 
-    /** Rules within a package that has sockets too. */
-    private static final List<String> RULES = List.of("load.Arrivals", "load.Ask", "load.Keys", "load.Kind", "load.Patience",
-            "load.Plan", "load.Shape", "load.Tally", "load.Wheel", "site.Breach", "site.ColdGuard", "site.Ledger", "site.Roster",
-            "site.Scenario", "site.Shelf", "site.Station", "fleet.Wire", "fleet.Beliefs");
+  /** Rules within a package that has sockets too. */
+  private static final List<String> RULES =
+      List.of(
+          "load.Arrivals",
+          "load.Ask",
+          "load.Keys",
+          "load.Kind",
+          "load.Patience",
+          "load.Plan",
+          "load.Shape",
+          "load.Tally",
+          "load.Wheel",
+          "site.Breach",
+          "site.ColdGuard",
+          "site.Ledger",
+          "site.Roster",
+          "site.Scenario",
+          "site.Shelf",
+          "site.Station",
+          "fleet.Wire",
+          "fleet.Beliefs");
 
-    private static DescribedPredicate<JavaClass> rules() {
-        return DescribedPredicate.describe("rules", c -> {
-            String in = c.getPackageName().replace("damsonworks", "");
-            return List.of(".limits", ".budget", ".control", ".gossip", ".membership", ".shared").contains(in)
-                    || in.isEmpty() && !c.getSimpleName().equals("Main")
-                    || RULES.stream().anyMatch(r -> c.getName().matches("damsonworks\\." + r + "(\\$.*)?"));
+  private static DescribedPredicate<JavaClass> rules() {
+    return DescribedPredicate.describe(
+        "rules",
+        c -> {
+          String in = c.getPackageName().replace("damsonworks", "");
+          return List.of(".limits", ".budget", ".control", ".gossip", ".membership", ".shared")
+                  .contains(in)
+              || in.isEmpty() && !c.getSimpleName().equals("Main")
+              || RULES.stream()
+                  .anyMatch(r -> c.getName().matches("damsonworks\\." + r + "(\\$.*)?"));
         });
-    }
+  }
 
-    @Test
-    void rulesKnowNoSocketsNoFilesAndNoThreads() {
-        noClasses().that(rules()).should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..",
-                "java.nio.file..", "java.nio.channels..", "java.util.concurrent..").check(ALL);
-    }
+  @Test
+  void rulesKnowNoSocketsNoFilesAndNoThreads() {
+    noClasses()
+        .that(rules())
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "io.netty..",
+            "java.net..",
+            "java.nio.file..",
+            "java.nio.channels..",
+            "java.util.concurrent..")
+        .check(ALL);
+  }
 
-    @Test
-    void rulesReadNoClock() {
-        for (String call : List.of("currentTimeMillis", "nanoTime")) {
-            noClasses().that(rules()).should().callMethod(System.class, call).check(ALL);
-        }
+  @Test
+  void rulesReadNoClock() {
+    for (String call : List.of("currentTimeMillis", "nanoTime")) {
+      noClasses().that(rules()).should().callMethod(System.class, call).check(ALL);
     }
+  }
 
-    @Test
-    void theModuleKnowsNothingOfTheRest() {
-        classes().that().haveFullyQualifiedName("damsonworks.Policy").or().haveFullyQualifiedName("damsonworks.Carp")
-                .should().onlyDependOnClassesThat(DescribedPredicate.describe("its own and the JDK's", c ->
-                        c.getName().startsWith("java.") || c.getName().matches("damsonworks\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
-                        || c.isPrimitive() || c.isArray())).check(ALL);
-    }
+  @Test
+  void theModuleKnowsNothingOfTheRest() {
+    classes()
+        .that()
+        .haveFullyQualifiedName("damsonworks.Policy")
+        .or()
+        .haveFullyQualifiedName("damsonworks.Carp")
+        .should()
+        .onlyDependOnClassesThat(
+            DescribedPredicate.describe(
+                "its own and the JDK's",
+                c ->
+                    c.getName().startsWith("java.")
+                        || c.getName()
+                            .matches(
+                                "damsonworks\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
+                        || c.isPrimitive()
+                        || c.isArray()))
+        .check(ALL);
+  }
 
-    @Test
-    void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
-        noClasses().that().resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.fleet..").should().dependOnClassesThat()
-                .resideInAnyPackage("damsonworks.proxy..").check(ALL);
-        noClasses().that().resideInAPackage("damsonworks.proxy..").should().dependOnClassesThat()
-                .resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.model..", "damsonworks.fleet..").check(ALL);
-        noClasses().that().resideInAPackage("damsonworks.proxy..").should().dependOnClassesThat(
-                DescribedPredicate.describe("the simulator's wire, but for its parser of the settings", c ->
-                        c.getPackageName().equals("damsonworks.wire") && !c.getSimpleName().matches("SettingsParser|WireException")))
-                .check(ALL);
-    }
+  @Test
+  void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
+    noClasses()
+        .that()
+        .resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.fleet..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("damsonworks.proxy..")
+        .check(ALL);
+    noClasses()
+        .that()
+        .resideInAPackage("damsonworks.proxy..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "damsonworks.load..",
+            "damsonworks.site..",
+            "damsonworks.model..",
+            "damsonworks.fleet..")
+        .check(ALL);
+    noClasses()
+        .that()
+        .resideInAPackage("damsonworks.proxy..")
+        .should()
+        .dependOnClassesThat(
+            DescribedPredicate.describe(
+                "the simulator's wire, but for its parser of the settings",
+                c ->
+                    c.getPackageName().equals("damsonworks.wire")
+                        && !c.getSimpleName().matches("SettingsParser|WireException")))
+        .check(ALL);
+  }
 
-    /** The program as the platform starts it, up to its first error: nothing of a command's own is loaded. */
-    @Test
-    void serveLoadsNothingOfTheOtherCommands() throws Exception {
-        String path = Arrays.stream(System.getProperty("java.class.path").split(System.getProperty("path.separator")))
-                .filter(p -> !p.contains("test-classes")).collect(Collectors.joining(System.getProperty("path.separator")));
-        Path log = java.nio.file.Files.createTempFile("classes", ".log");
-        ProcessBuilder serve = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + log, "-cp", path, "damsonworks.Main", "serve").redirectErrorStream(true);
-        serve.environment().put("BALANCER_CONFIG", "/nonexistent");
-        Process process = serve.start();
-        String said = new String(process.getInputStream().readAllBytes());
-        assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
-        assertThat(process.exitValue()).as(said).isEqualTo(2);
-        List<String> loaded = java.nio.file.Files.readAllLines(log);
-        assertThat(loaded).anyMatch(l -> l.contains("damsonworks.proxy.Proxy")).noneMatch(l -> l.contains("picocli")
-                || l.contains("HdrHistogram") || l.contains("damsonworks.load") || l.contains("nightconfig")
-                || l.contains("damsonworks.site") || l.contains("damsonworks.fleet") || l.contains("damsonworks.membership") || l.contains("damsonworks.shared")
-                || l.contains("damsonworks.model"));
-        java.nio.file.Files.delete(log);
-    }
+  /**
+   * The program as the platform starts it, up to its first error: nothing of a command's own is
+   * loaded.
+   */
+  @Test
+  void serveLoadsNothingOfTheOtherCommands() throws Exception {
+    String path =
+        Arrays.stream(
+                System.getProperty("java.class.path").split(System.getProperty("path.separator")))
+            .filter(p -> !p.contains("test-classes"))
+            .collect(Collectors.joining(System.getProperty("path.separator")));
+    Path log = java.nio.file.Files.createTempFile("classes", ".log");
+    ProcessBuilder serve =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:file=" + log,
+                "-cp",
+                path,
+                "damsonworks.Main",
+                "serve")
+            .redirectErrorStream(true);
+    serve.environment().put("BALANCER_CONFIG", "/nonexistent");
+    Process process = serve.start();
+    String said = new String(process.getInputStream().readAllBytes());
+    assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+    assertThat(process.exitValue()).as(said).isEqualTo(2);
+    List<String> loaded = java.nio.file.Files.readAllLines(log);
+    assertThat(loaded)
+        .anyMatch(l -> l.contains("damsonworks.proxy.Proxy"))
+        .noneMatch(
+            l ->
+                l.contains("picocli")
+                    || l.contains("HdrHistogram")
+                    || l.contains("damsonworks.load")
+                    || l.contains("nightconfig")
+                    || l.contains("damsonworks.site")
+                    || l.contains("damsonworks.fleet")
+                    || l.contains("damsonworks.membership")
+                    || l.contains("damsonworks.shared")
+                    || l.contains("damsonworks.model"));
+    java.nio.file.Files.delete(log);
+  }
 }
--- a/src/test/java/damsonworks/control/ControlRulesTest.java
+++ b/src/test/java/damsonworks/control/ControlRulesTest.java
@@ -13,53 +13,81 @@
 
 /** The control's rules: the log of calls, who holds how much while two processes run. */
 class ControlRulesTest {
-    /** Calls at random, cut off at any byte by a crash and gone on with: all but the one that was cut hold. */
-    @Test
-    void aLogThatWasCutOffAnywhereLosesNoOtherCall() {
-        for (long seed = 1; seed <= 200; seed++) {
-            SplittableRandom random = new SplittableRandom(seed);
-            ByteArrayOutputStream log = new ByteArrayOutputStream();
-            Set<String> out = new LinkedHashSet<>();
-            for (int i = 0; i < 30; i++) {
-                String node = "s-" + random.nextInt(6);
-                boolean down = random.nextBoolean();
-                byte[] record = HandLog.record(node, down);
-                boolean crash = random.nextInt(5) == 0;
-                int bytes = crash ? random.nextInt(record.length - 1) : record.length; // without its end at most
-                log.write(record, 0, bytes);
-                if (!crash && down) {
-                    out.add(node);
-                } else if (!crash) {
-                    out.remove(node);
-                }
-            }
-            assertThat(HandLog.out(log.toByteArray())).as("seed " + seed).isEqualTo(out);
-            assertThat(HandLog.out(HandLog.whole(out))).as("seed " + seed).isEqualTo(out);
+  /**
+   * Calls at random, cut off at any byte by a crash and gone on with: all but the one that was cut
+   * hold.
+   */
+  @Test
+  void aLogThatWasCutOffAnywhereLosesNoOtherCall() {
+    for (long seed = 1; seed <= 200; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      ByteArrayOutputStream log = new ByteArrayOutputStream();
+      Set<String> out = new LinkedHashSet<>();
+      for (int i = 0; i < 30; i++) {
+        String node = "s-" + random.nextInt(6);
+        boolean down = random.nextBoolean();
+        byte[] record = HandLog.record(node, down);
+        boolean crash = random.nextInt(5) == 0;
+        int bytes =
+            crash ? random.nextInt(record.length - 1) : record.length; // without its end at most
+        log.write(record, 0, bytes);
+        if (!crash && down) {
+          out.add(node);
+        } else if (!crash) {
+          out.remove(node);
         }
-        byte[] spoilt = HandLog.record("s-1", true);
-        spoilt[spoilt.length - 2] ^= 1;
-        assertThat(HandLog.out(spoilt)).isEmpty();
-        assertThat(Arrays.asList(HandLog.isName("s-1"), HandLog.isName(""), HandLog.isName("a b"), HandLog.isName("a\n")))
-                .containsExactly(true, false, false, false);
+      }
+      assertThat(HandLog.out(log.toByteArray())).as("seed " + seed).isEqualTo(out);
+      assertThat(HandLog.out(HandLog.whole(out))).as("seed " + seed).isEqualTo(out);
     }
+    byte[] spoilt = HandLog.record("s-1", true);
+    spoilt[spoilt.length - 2] ^= 1;
+    assertThat(HandLog.out(spoilt)).isEmpty();
+    assertThat(
+            Arrays.asList(
+                HandLog.isName("s-1"),
+                HandLog.isName(""),
+                HandLog.isName("a b"),
+                HandLog.isName("a\n")))
+        .containsExactly(true, false, false, false);
+  }
 
-    /** Sockets, places, own servers, the other's clients and servers: places left to the other. */
-    @ParameterizedTest
-    @CsvSource({"384, 192, 40, 0, 0, 0", "384, 192, 40, 1, 0, 0", "384, 192, 40, 60, 40, 60", "384, 192, 40, 90, 60, 110",
-        "384, 192, 128, 192, 128, 144", "256, 107, 20, 50, 20, 53"})
-    void togetherTheyHoldWhatOneMay(int sockets, int places, int servers, int clients, int itsServers, int left) {
-        Succession.Holds other = new Succession.Holds(clients, itsServers, true);
-        assertThat(Succession.clientsLeft(sockets, places, servers, other)).isEqualTo(left);
-    }
+  /** Sockets, places, own servers, the other's clients and servers: places left to the other. */
+  @ParameterizedTest
+  @CsvSource({
+    "384, 192, 40, 0, 0, 0",
+    "384, 192, 40, 1, 0, 0",
+    "384, 192, 40, 60, 40, 60",
+    "384, 192, 40, 90, 60, 110",
+    "384, 192, 128, 192, 128, 144",
+    "256, 107, 20, 50, 20, 53"
+  })
+  void togetherTheyHoldWhatOneMay(
+      int sockets, int places, int servers, int clients, int itsServers, int left) {
+    Succession.Holds other = new Succession.Holds(clients, itsServers, true);
+    assertThat(Succession.clientsLeft(sockets, places, servers, other)).isEqualTo(left);
+  }
 
-    /** Told to end so long ago, beside nobody, one that starts or one that serves: whether it takes connections. */
-    @ParameterizedTest
-    @CsvSource({"0, nobody, true", "499, nobody, true", "500, nobody, false", "499, serves, true", "500, serves, false",
-        "1199, starts, true", "1200, starts, false"})
-    void itListensUntilSomebodyElseDoes(double ms, String other, boolean listens) {
-        Succession.Holds holds = other.equals("nobody") ? Succession.Holds.NOTHING
-                : new Succession.Holds(1, 0, other.equals("serves"));
-        assertThat(Succession.listens(ms, holds)).isEqualTo(listens);
-        assertThat(Succession.idleMs(holds) > 0).isEqualTo(other.equals("serves"));
-    }
+  /**
+   * Told to end so long ago, beside nobody, one that starts or one that serves: whether it takes
+   * connections.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "0, nobody, true",
+    "499, nobody, true",
+    "500, nobody, false",
+    "499, serves, true",
+    "500, serves, false",
+    "1199, starts, true",
+    "1200, starts, false"
+  })
+  void itListensUntilSomebodyElseDoes(double ms, String other, boolean listens) {
+    Succession.Holds holds =
+        other.equals("nobody")
+            ? Succession.Holds.NOTHING
+            : new Succession.Holds(1, 0, other.equals("serves"));
+    assertThat(Succession.listens(ms, holds)).isEqualTo(listens);
+    assertThat(Succession.idleMs(holds) > 0).isEqualTo(other.equals("serves"));
+  }
 }
--- a/src/test/java/damsonworks/fleet/RigTest.java
+++ b/src/test/java/damsonworks/fleet/RigTest.java
@@ -16,125 +16,167 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** The rig by faults that are known: what it says it does is what it does, and nothing of it outlives it. */
+/**
+ * The rig by faults that are known: what it says it does is what it does, and nothing of it
+ * outlives it.
+ */
 @Timeout(120)
 class RigTest {
-    @Test
-    void aCutCutsOneWayAndALossOf30PercentIs30Percent() {
-        Wire wire = new Wire(3, 7);
-        wire.cut(0, 1, true);
-        wire.quality(new Wire.Quality(0.3, 2, 10, 0.25));
-        int arrived = 0;
-        int doubled = 0;
-        double sum = 0;
-        for (int i = 0; i < 10_000; i++) {
-            assertThat(wire.arrivals(0, 1, 100)).isEmpty();
-            double[] at = wire.arrivals(1, 0, 100);
-            arrived += at.length > 0 ? 1 : 0;
-            doubled += at.length > 1 ? 1 : 0;
-            sum += at.length > 0 ? at[0] : 0;
-        }
-        assertThat(arrived).isBetween(6800, 7200);
-        assertThat(doubled / (double) arrived).isBetween(0.23, 0.27);
-        assertThat(sum / arrived).isBetween(11.5, 12.5);
-        assertThat(wire.lost(0, 1)).isEqualTo(10_000);
-        assertThat(wire.bytes(1)).isEqualTo(1_000_000);
-        wire.heal();
-        wire.quality(Wire.Quality.CLEAN);
-        assertThat(wire.arrivals(0, 1, 1)).containsExactly(0);
+  @Test
+  void aCutCutsOneWayAndALossOf30PercentIs30Percent() {
+    Wire wire = new Wire(3, 7);
+    wire.cut(0, 1, true);
+    wire.quality(new Wire.Quality(0.3, 2, 10, 0.25));
+    int arrived = 0;
+    int doubled = 0;
+    double sum = 0;
+    for (int i = 0; i < 10_000; i++) {
+      assertThat(wire.arrivals(0, 1, 100)).isEmpty();
+      double[] at = wire.arrivals(1, 0, 100);
+      arrived += at.length > 0 ? 1 : 0;
+      doubled += at.length > 1 ? 1 : 0;
+      sum += at.length > 0 ? at[0] : 0;
     }
+    assertThat(arrived).isBetween(6800, 7200);
+    assertThat(doubled / (double) arrived).isBetween(0.23, 0.27);
+    assertThat(sum / arrived).isBetween(11.5, 12.5);
+    assertThat(wire.lost(0, 1)).isEqualTo(10_000);
+    assertThat(wire.bytes(1)).isEqualTo(1_000_000);
+    wire.heal();
+    wire.quality(Wire.Quality.CLEAN);
+    assertThat(wire.arrivals(0, 1, 1)).containsExactly(0);
+  }
 
-    /** One comes back and serves before others have heard of it: they hold its last life for dead, which it is. */
-    @Test
-    void aDeathOfALastLifeIsNoFalseOneUntilItIsFoundAgain() {
-        Beliefs b = new Beliefs(4);
-        List<Boolean> hears = List.of(true, true, true, true);
-        IntStream.range(0, 4).forEach(p -> b.truth(0, p, "serving"));
-        b.truth(10, 0, "down");
-        IntStream.range(1, 4).forEach(p -> b.said(20, p, List.of("dead", "alive", "alive", "alive"), hears));
-        b.truth(30, 0, "starting");
-        b.truth(40, 0, "serving");
-        IntStream.range(1, 4).forEach(p -> b.said(50, p, List.of("dead", "alive", "alive", "alive"), hears));
-        assertThat(b.falseMajorities()).isEmpty();
-        assertThat(b.agreed()).isFalse();
-        IntStream.range(1, 4).forEach(p -> b.said(60, p, List.of("alive", "alive", "alive", "alive"), hears));
-        IntStream.range(1, 4).forEach(p -> b.said(70, p, List.of("dead", "alive", "alive", "alive"), hears));
-        assertThat(b.falseMajorities()).hasSize(1);
-    }
+  /**
+   * One comes back and serves before others have heard of it: they hold its last life for dead,
+   * which it is.
+   */
+  @Test
+  void aDeathOfALastLifeIsNoFalseOneUntilItIsFoundAgain() {
+    Beliefs b = new Beliefs(4);
+    List<Boolean> hears = List.of(true, true, true, true);
+    IntStream.range(0, 4).forEach(p -> b.truth(0, p, "serving"));
+    b.truth(10, 0, "down");
+    IntStream.range(1, 4)
+        .forEach(p -> b.said(20, p, List.of("dead", "alive", "alive", "alive"), hears));
+    b.truth(30, 0, "starting");
+    b.truth(40, 0, "serving");
+    IntStream.range(1, 4)
+        .forEach(p -> b.said(50, p, List.of("dead", "alive", "alive", "alive"), hears));
+    assertThat(b.falseMajorities()).isEmpty();
+    assertThat(b.agreed()).isFalse();
+    IntStream.range(1, 4)
+        .forEach(p -> b.said(60, p, List.of("alive", "alive", "alive", "alive"), hears));
+    IntStream.range(1, 4)
+        .forEach(p -> b.said(70, p, List.of("dead", "alive", "alive", "alive"), hears));
+    assertThat(b.falseMajorities()).hasSize(1);
+  }
 
-    @Test
-    void mostWhoRunDecideAFalseMajorityAndTheDownAreNotAsked() {
-        Beliefs b = new Beliefs(4);
-        for (int p = 0; p < 4; p++) {
-            b.truth(0, p, "serving");
-        }
-        List<Boolean> hears = Collections.nCopies(4, true);
-        b.said(1, 1, List.of("dead", "alive", "alive", "alive"), hears);
-        b.said(2, 2, List.of("dead", "alive", "alive", "alive"), hears);
-        assertThat(b.falseMajorities()).as("two of four").isEmpty();
-        b.said(3, 3, List.of("dead", "alive", "alive", "alive"), hears);
-        assertThat(b.falseMajorities()).hasSize(1).first().satisfies(f -> assertThat(f.of()).isZero());
-        assertThat(b.agreed()).isFalse();
-        b.truth(4, 0, "down");
-        assertThat(b.agreed()).as("now it is so").isTrue();
-        assertThat(b.holding(0, "dead")).isEqualTo(3);
+  @Test
+  void mostWhoRunDecideAFalseMajorityAndTheDownAreNotAsked() {
+    Beliefs b = new Beliefs(4);
+    for (int p = 0; p < 4; p++) {
+      b.truth(0, p, "serving");
     }
+    List<Boolean> hears = Collections.nCopies(4, true);
+    b.said(1, 1, List.of("dead", "alive", "alive", "alive"), hears);
+    b.said(2, 2, List.of("dead", "alive", "alive", "alive"), hears);
+    assertThat(b.falseMajorities()).as("two of four").isEmpty();
+    b.said(3, 3, List.of("dead", "alive", "alive", "alive"), hears);
+    assertThat(b.falseMajorities()).hasSize(1).first().satisfies(f -> assertThat(f.of()).isZero());
+    assertThat(b.agreed()).isFalse();
+    b.truth(4, 0, "down");
+    assertThat(b.agreed()).as("now it is so").isTrue();
+    assertThat(b.holding(0, "dead")).isEqualTo(3);
+  }
 
-    @Test
-    void twoRigsBesideEachOtherHaveAddressesAndPortsOfTheirOwn() throws Exception {
-        try (Loopback one = new Loopback(); Loopback other = new Loopback()) {
-            assertThat(one.host()).isNotEqualTo(other.host());
-            List<Integer> ports = new ArrayList<>();
-            for (int i = 0; i < 100; i++) {
-                ports.add(one.port());
-            }
-            assertThat(ports).doesNotHaveDuplicates();
-        }
+  @Test
+  void twoRigsBesideEachOtherHaveAddressesAndPortsOfTheirOwn() throws Exception {
+    try (Loopback one = new Loopback();
+        Loopback other = new Loopback()) {
+      assertThat(one.host()).isNotEqualTo(other.host());
+      List<Integer> ports = new ArrayList<>();
+      for (int i = 0; i < 100; i++) {
+        ports.add(one.port());
+      }
+      assertThat(ports).doesNotHaveDuplicates();
     }
+  }
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
         "what = 'cut';proxies = [8]|'proxies' [8]: allowed are whole numbers from 0 to 7",
         "what = 'cut';ways = 'roads'|'ways' roads: allowed are [peers, nodes, lists]",
         "what = 'cut';both = 'perhaps'|'both' perhaps: allowed are true and false",
         "what = 'wire';loss = 1.5|'loss' 1.5: allowed are 0.0 to 1.0",
         "what = 'start';folder = 'burnt'|'folder' burnt: allowed are kept and lost",
         "what = 'pause';node = 1|'node': allowed are",
-        "what = 'slow';proxies = [1];part = 0.5|'proxies' and 'part': one of them is allowed"})
-    void aFaultThatCantBeIsOneLine(String text, String says) {
-        Assertions.assertThatThrownBy(() -> Scenario.parse("f.toml", "[[fault]]\nat_s = 1\n" + text.replace(";", "\n"), 12, 8, 1))
-                .isInstanceOf(Scenario.BadScenario.class).hasMessageContaining("f.toml, fault 1: " + says);
-    }
+        "what = 'slow';proxies = [1];part = 0.5|'proxies' and 'part': one of them is allowed"
+      })
+  void aFaultThatCantBeIsOneLine(String text, String says) {
+    Assertions.assertThatThrownBy(
+            () ->
+                Scenario.parse(
+                    "f.toml", "[[fault]]\nat_s = 1\n" + text.replace(";", "\n"), 12, 8, 1))
+        .isInstanceOf(Scenario.BadScenario.class)
+        .hasMessageContaining("f.toml, fault 1: " + says);
+  }
 
-    @Test
-    void aCutOfAnyFromAnyIsReadAsItIsMeant() throws Exception {
-        List<Scenario.Event> all = Scenario.parse("f", "[[fault]]\nat_s = 1\nwhat = 'cut'\nproxies = [1, 2]\nboth = false\nfor_ms = 500\n"
-                + "[[fault]]\nat_s = 2\nwhat = 'kill'\npart = 0.5\nevery_s = 1\nuntil_s = 3\n", 12, 4, 1).events();
-        assertThat(all).hasSize(3);
-        assertThat(all.get(0).between()).satisfies(b -> {
-            assertThat(b.proxies()).containsExactly(1, 2);
-            assertThat(b.to()).containsExactly(0, 3);
-            assertThat(b.both()).isFalse();
-            assertThat(b.ways()).containsExactly("peers");
-        });
-        assertThat(all.get(1).between().proxies()).hasSize(2);
-    }
+  @Test
+  void aCutOfAnyFromAnyIsReadAsItIsMeant() throws Exception {
+    List<Scenario.Event> all =
+        Scenario.parse(
+                "f",
+                "[[fault]]\nat_s = 1\nwhat = 'cut'\nproxies = [1, 2]\nboth = false\nfor_ms = 500\n"
+                    + "[[fault]]\nat_s = 2\nwhat = 'kill'\npart = 0.5\nevery_s = 1\nuntil_s = 3\n",
+                12,
+                4,
+                1)
+            .events();
+    assertThat(all).hasSize(3);
+    assertThat(all.get(0).between())
+        .satisfies(
+            b -> {
+              assertThat(b.proxies()).containsExactly(1, 2);
+              assertThat(b.to()).containsExactly(0, 3);
+              assertThat(b.both()).isFalse();
+              assertThat(b.ways()).containsExactly("peers");
+            });
+    assertThat(all.get(1).between().proxies()).hasSize(2);
+  }
 
-    /** Killed outright, as no hook runs then: its proxies end, and its folder goes. */
-    @Test
-    void whatARigHasStartedEndsWithItHoweverItEnds() throws Exception {
-        Process rig = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "damsonworks.Main", "fleet", "--proxies", "2", "--nodes", "2", "--seconds",
-                "600").redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
-        List<ProcessHandle> children = List.of();
-        for (int i = 0; i < 600 && children.size() < 3 && rig.isAlive(); i++) { // two proxies and the guardian
-            Thread.sleep(100);
-            children = rig.descendants().filter(p -> p.info().command().isPresent()).toList();
-        }
-        assertThat(children).hasSizeGreaterThanOrEqualTo(3);
-        rig.destroyForcibly().waitFor();
-        for (ProcessHandle child : children) {
-            child.onExit().get(30, TimeUnit.SECONDS);
-        }
+  /** Killed outright, as no hook runs then: its proxies end, and its folder goes. */
+  @Test
+  void whatARigHasStartedEndsWithItHoweverItEnds() throws Exception {
+    Process rig =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "damsonworks.Main",
+                "fleet",
+                "--proxies",
+                "2",
+                "--nodes",
+                "2",
+                "--seconds",
+                "600")
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    List<ProcessHandle> children = List.of();
+    for (int i = 0;
+        i < 600 && children.size() < 3 && rig.isAlive();
+        i++) { // two proxies and the guardian
+      Thread.sleep(100);
+      children = rig.descendants().filter(p -> p.info().command().isPresent()).toList();
+    }
+    assertThat(children).hasSizeGreaterThanOrEqualTo(3);
+    rig.destroyForcibly().waitFor();
+    for (ProcessHandle child : children) {
+      child.onExit().get(30, TimeUnit.SECONDS);
     }
+  }
 }
--- a/src/test/java/damsonworks/limits/PassWindowTest.java
+++ b/src/test/java/damsonworks/limits/PassWindowTest.java
@@ -7,10 +7,21 @@
 
 /** How much of a long value may be in hand. */
 class PassWindowTest {
-    @ParameterizedTest
-    @CsvSource({"0, 0, 99, true", "65535, 0, 0, true", "65536, 0, 0, false", "65536, 1, 0, true", "65536, 1, 50, false",
-        "1048575, 1, 49, true", "1048576, 1, 0, false", "1, 1, 75, false", "1, 0, 74, true", "0, 1, 200, true"})
-    void aValueGoesOnWhateverOthersHold(long pending, int behind, long heldPercent, boolean reads) {
-        assertThat(PassWindow.reads(pending, behind, heldPercent * 100_000, 10_000_000)).isEqualTo(reads);
-    }
+  @ParameterizedTest
+  @CsvSource({
+    "0, 0, 99, true",
+    "65535, 0, 0, true",
+    "65536, 0, 0, false",
+    "65536, 1, 0, true",
+    "65536, 1, 50, false",
+    "1048575, 1, 49, true",
+    "1048576, 1, 0, false",
+    "1, 1, 75, false",
+    "1, 0, 74, true",
+    "0, 1, 200, true"
+  })
+  void aValueGoesOnWhateverOthersHold(long pending, int behind, long heldPercent, boolean reads) {
+    assertThat(PassWindow.reads(pending, behind, heldPercent * 100_000, 10_000_000))
+        .isEqualTo(reads);
+  }
 }
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -10,10 +10,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
-import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -28,224 +28,302 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** The generator against targets that misbehave in one way each. Reads alone, so that a line is a request. */
+/**
+ * The generator against targets that misbehave in one way each. Reads alone, so that a line is a
+ * request.
+ */
 @Timeout(60)
 class GeneratorTest {
-    private static final List<Kind> READS = List.of(Kind.USUAL.get(0));
+  private static final List<Kind> READS = List.of(Kind.USUAL.get(0));
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-    @AfterEach
-    void end() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
+  @AfterEach
+  void end() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
 
-    /** What a target does with the n-th request, from 1. */
-    interface Script {
-        void asked(ChannelHandlerContext ctx, int n, String id);
-    }
+  /** What a target does with the n-th request, from 1. */
+  interface Script {
+    void asked(ChannelHandlerContext ctx, int n, String id);
+  }
 
-    private InetSocketAddress target(Script script) {
-        AtomicInteger n = new AtomicInteger();
-        return (InetSocketAddress) new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new LineBasedFrameDecoder(4096), new SimpleChannelInboundHandler<ByteBuf>() {
-                            @Override
-                            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+  private InetSocketAddress target(Script script) {
+    AtomicInteger n = new AtomicInteger();
+    return (InetSocketAddress)
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel ch) {
+                    ch.pipeline()
+                        .addLast(
+                            new LineBasedFrameDecoder(4096),
+                            new SimpleChannelInboundHandler<ByteBuf>() {
+                              @Override
+                              protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
                                 String text = line.toString(StandardCharsets.ISO_8859_1);
-                                String id = text.substring(text.indexOf(" O") + 2, text.indexOf(" P"));
+                                String id =
+                                    text.substring(text.indexOf(" O") + 2, text.indexOf(" P"));
                                 script.asked(ctx, n.incrementAndGet(), id);
-                            }
-                        });
-                    }
-                }).bind("127.0.0.1", 0).syncUninterruptibly().channel().localAddress();
-    }
+                              }
+                            });
+                  }
+                })
+            .bind("127.0.0.1", 0)
+            .syncUninterruptibly()
+            .channel()
+            .localAddress();
+  }
 
-    private static void say(ChannelHandlerContext ctx, String text) {
-        ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-    }
+  private static void say(ChannelHandlerContext ctx, String text) {
+    ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
 
-    private static void serve(ChannelHandlerContext ctx, String id) {
-        say(ctx, "VA 2 O" + id + " h1\r\nhi\r\n");
-    }
+  private static void serve(ChannelHandlerContext ctx, String id) {
+    say(ctx, "VA 2 O" + id + " h1\r\nhi\r\n");
+  }
 
-    private static Supplier<Iterator<Ask>> plan(double rate, double seconds) {
-        return () -> new Plan(READS, new Arrivals(rate, new Shape.Steady(), false, 1), new Keys(100, 0.9, 0, Keys.Hot.NONE, 1), 1,
-                Plan.Overtaken.NONE, 0, seconds * 1000, 1);
-    }
+  private static Supplier<Iterator<Ask>> plan(double rate, double seconds) {
+    return () ->
+        new Plan(
+            READS,
+            new Arrivals(rate, new Shape.Steady(), false, 1),
+            new Keys(100, 0.9, 0, Keys.Hot.NONE, 1),
+            1,
+            Plan.Overtaken.NONE,
+            0,
+            seconds * 1000,
+            1);
+  }
 
-    private static Generator generator(InetSocketAddress to, double rate, double seconds, Patience patience) {
-        return new Generator(new Generator.Settings(List.of(to), READS, plan(rate, seconds), patience, 1, 256, "t", 1));
-    }
-
-    private static Tally play(InetSocketAddress to, Patience patience) throws InterruptedException {
-        return generator(to, 200, 1, patience).run();
-    }
+  private static Generator generator(
+      InetSocketAddress to, double rate, double seconds, Patience patience) {
+    return new Generator(
+        new Generator.Settings(List.of(to), READS, plan(rate, seconds), patience, 1, 256, "t", 1));
+  }
 
-    private static final Patience ONCE = new Patience(0, 1, 10, 0, 1);
-    /** Clients that wait ten seconds. */
-    private static final Patience LONG = new Patience(0, 1, 10, 0, 10);
+  private static Tally play(InetSocketAddress to, Patience patience) throws InterruptedException {
+    return generator(to, 200, 1, patience).run();
+  }
 
-    @Test
-    void aStallOfTheWholeTargetShowsInAllThatWasDueMeanwhile() throws Exception {
-        Tally t = generator(target((ctx, n, id) -> {
-            if (n == 50) {
-                try {
-                    Thread.sleep(2000); // its one thread
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-            serve(ctx, id);
-        }), 100, 4, LONG).run();
-        Tally.Part all = t.whole();
-        assertThat(all.served()).isEqualTo(400);
-        assertThat(all.servedMs(99.9)).isBetween(1900.0, 2600.0);
-        // 200 of 400 were due within the stall, one each 10 ms: a closed loop would show one slow answer.
-        assertThat(all.servedMs(55)).isGreaterThan(50);
-        assertThat(all.servedMs(75)).isGreaterThan(800);
-        assertThat(new Report(t, 4, false).trusted()).isEqualTo(t.lagMs(100) <= 100 && t.lagMs(99) <= 10);
-    }
+  private static final Patience ONCE = new Patience(0, 1, 10, 0, 1);
 
-    @Test
-    void aStallOfTheGeneratorIsSaidInTheFirstLineAndItsTimesCount() throws Exception {
-        InetSocketAddress to = target((ctx, n, id) -> serve(ctx, id));
-        boolean[] slept = new boolean[1];
-        Supplier<Iterator<Ask>> plan = () -> {
-            Iterator<Ask> of = plan(100, 3).get();
-            return new Iterator<>() {
-                @Override
-                public boolean hasNext() {
-                    return of.hasNext();
-                }
+  /** Clients that wait ten seconds. */
+  private static final Patience LONG = new Patience(0, 1, 10, 0, 10);
 
-                @Override
-                public Ask next() {
-                    Ask ask = of.next();
-                    if (ask.number() == 100 && !slept[0]) {
-                        slept[0] = true;
+  @Test
+  void aStallOfTheWholeTargetShowsInAllThatWasDueMeanwhile() throws Exception {
+    Tally t =
+        generator(
+                target(
+                    (ctx, n, id) -> {
+                      if (n == 50) {
                         try {
-                            Thread.sleep(1000);
+                          Thread.sleep(2000); // its one thread
                         } catch (InterruptedException e) {
-                            Thread.currentThread().interrupt();
+                          Thread.currentThread().interrupt();
                         }
-                    }
-                    return ask;
+                      }
+                      serve(ctx, id);
+                    }),
+                100,
+                4,
+                LONG)
+            .run();
+    Tally.Part all = t.whole();
+    assertThat(all.served()).isEqualTo(400);
+    assertThat(all.servedMs(99.9)).isBetween(1900.0, 2600.0);
+    // 200 of 400 were due within the stall, one each 10 ms: a closed loop would show one slow
+    // answer.
+    assertThat(all.servedMs(55)).isGreaterThan(50);
+    assertThat(all.servedMs(75)).isGreaterThan(800);
+    assertThat(new Report(t, 4, false).trusted())
+        .isEqualTo(t.lagMs(100) <= 100 && t.lagMs(99) <= 10);
+  }
+
+  @Test
+  void aStallOfTheGeneratorIsSaidInTheFirstLineAndItsTimesCount() throws Exception {
+    InetSocketAddress to = target((ctx, n, id) -> serve(ctx, id));
+    boolean[] slept = new boolean[1];
+    Supplier<Iterator<Ask>> plan =
+        () -> {
+          Iterator<Ask> of = plan(100, 3).get();
+          return new Iterator<>() {
+            @Override
+            public boolean hasNext() {
+              return of.hasNext();
+            }
+
+            @Override
+            public Ask next() {
+              Ask ask = of.next();
+              if (ask.number() == 100 && !slept[0]) {
+                slept[0] = true;
+                try {
+                  Thread.sleep(1000);
+                } catch (InterruptedException e) {
+                  Thread.currentThread().interrupt();
                 }
-            };
+              }
+              return ask;
+            }
+          };
         };
-        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan, LONG, 1, 256, "t", 1)).run();
-        assertThat(t.whole().served()).isEqualTo(300);
-        assertThat(t.whole().servedMs(99.9)).isGreaterThan(900);
-        assertThat(new Report(t, 3, false).text()).startsWith("FELL BEHIND: requests were written up to ");
-        assertThat(JsonParser.parseString(new Report(t, 3, false).json()).getAsJsonObject().get("trusted").getAsBoolean()).isFalse();
-    }
+    Tally t =
+        new Generator(new Generator.Settings(List.of(to), READS, plan, LONG, 1, 256, "t", 1)).run();
+    assertThat(t.whole().served()).isEqualTo(300);
+    assertThat(t.whole().servedMs(99.9)).isGreaterThan(900);
+    assertThat(new Report(t, 3, false).text())
+        .startsWith("FELL BEHIND: requests were written up to ");
+    assertThat(
+            JsonParser.parseString(new Report(t, 3, false).json())
+                .getAsJsonObject()
+                .get("trusted")
+                .getAsBoolean())
+        .isFalse();
+  }
 
-    @Test
-    void whatHasNoFormNoConnectionOrNoAnswerIsCountedAsSuchAndOnce() throws Exception {
-        int port;
-        try (ServerSocket gone = new ServerSocket(0)) {
-            port = gone.getLocalPort();
-        }
-        Tally refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
-        assertThat(refused.unconnected).isEqualTo(200);
-        assertThat(refused.whole().of(Tally.Last.FAILED)).isEqualTo(200);
-
-        Tally never = play(target((ctx, n, id) -> { }), new Patience(0, 1, 10, 0, 0.2));
-        assertThat(never.whole().of(Tally.Last.LOST)).isEqualTo(200);
-
-        Tally half = play(target((ctx, n, id) -> {
-            say(ctx, "VA 20 O" + id + "\r\nhal");
-            ctx.close();
-        }), ONCE);
-        assertThat(half.whole().of(Tally.Last.LOST)).isEqualTo(200);
-
-        Tally other = play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
-        assertThat(other.whole().of(Tally.Last.FAILED)).isEqualTo(100);
-        assertThat(other.whole().served()).isEqualTo(100);
-
-        Tally twice = play(target((ctx, n, id) -> {
-            serve(ctx, id);
-            serve(ctx, id);
-        }), ONCE);
-        assertThat(twice.whole().served()).isEqualTo(200);
-        assertThat(twice.strays).isPositive();
+  @Test
+  void whatHasNoFormNoConnectionOrNoAnswerIsCountedAsSuchAndOnce() throws Exception {
+    int port;
+    try (ServerSocket gone = new ServerSocket(0)) {
+      port = gone.getLocalPort();
     }
+    Tally refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
+    assertThat(refused.unconnected).isEqualTo(200);
+    assertThat(refused.whole().of(Tally.Last.FAILED)).isEqualTo(200);
+
+    Tally never = play(target((ctx, n, id) -> {}), new Patience(0, 1, 10, 0, 0.2));
+    assertThat(never.whole().of(Tally.Last.LOST)).isEqualTo(200);
+
+    Tally half =
+        play(
+            target(
+                (ctx, n, id) -> {
+                  say(ctx, "VA 20 O" + id + "\r\nhal");
+                  ctx.close();
+                }),
+            ONCE);
+    assertThat(half.whole().of(Tally.Last.LOST)).isEqualTo(200);
 
-    @Test
-    void aConnectionThatEndsBetweenTwoRequestsCostsNeither() throws Exception {
-        AtomicInteger closed = new AtomicInteger();
-        InetSocketAddress to = target((ctx, n, id) -> {
-            if (n % 10 == 0 && n % 20 != 0) { // never the first on its connection
+    Tally other = play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
+    assertThat(other.whole().of(Tally.Last.FAILED)).isEqualTo(100);
+    assertThat(other.whole().served()).isEqualTo(100);
+
+    Tally twice =
+        play(
+            target(
+                (ctx, n, id) -> {
+                  serve(ctx, id);
+                  serve(ctx, id);
+                }),
+            ONCE);
+    assertThat(twice.whole().served()).isEqualTo(200);
+    assertThat(twice.strays).isPositive();
+  }
+
+  @Test
+  void aConnectionThatEndsBetweenTwoRequestsCostsNeither() throws Exception {
+    AtomicInteger closed = new AtomicInteger();
+    InetSocketAddress to =
+        target(
+            (ctx, n, id) -> {
+              if (n % 10 == 0 && n % 20 != 0) { // never the first on its connection
                 closed.incrementAndGet();
                 ctx.close();
-            } else {
+              } else {
                 serve(ctx, id);
-            }
-        });
-        AtomicInteger crossed = new AtomicInteger();
-        AtomicInteger ended = new AtomicInteger();
-        Witness witness = new Witness() {
-            @Override
-            public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) { }
+              }
+            });
+    AtomicInteger crossed = new AtomicInteger();
+    AtomicInteger ended = new AtomicInteger();
+    Witness witness =
+        new Witness() {
+          @Override
+          public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) {}
 
-            @Override
-            public void ended(String id, Patience.End end, boolean gaveUp) {
-                ended.incrementAndGet();
-            }
+          @Override
+          public void ended(String id, Patience.End end, boolean gaveUp) {
+            ended.incrementAndGet();
+          }
 
-            @Override
-            public void crossed(String id) {
-                crossed.incrementAndGet();
-            }
+          @Override
+          public void crossed(String id) {
+            crossed.incrementAndGet();
+          }
         };
-        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), ONCE, 1, 256, "t", 1, witness, Lane.SLACK_MS)).run();
-        assertThat(t.whole().served()).isEqualTo(200);
-        assertThat(crossed.get()).isEqualTo(closed.get()); // nobody has taken those: no account is owed of them
-        assertThat(ended.get()).isEqualTo(200);
-        assertThat(t.resent).isEqualTo(closed.get()).isPositive();
-    }
+    Tally t =
+        new Generator(
+                new Generator.Settings(
+                    List.of(to), READS, plan(200, 1), ONCE, 1, 256, "t", 1, witness, Lane.SLACK_MS))
+            .run();
+    assertThat(t.whole().served()).isEqualTo(200);
+    assertThat(crossed.get())
+        .isEqualTo(closed.get()); // nobody has taken those: no account is owed of them
+    assertThat(ended.get()).isEqualTo(200);
+    assertThat(t.resent).isEqualTo(closed.get()).isPositive();
+  }
 
-    /** Its client has gone, and the judge of the target still learns that it came, late, and was not lost. */
-    @Test
-    void anAnswerThatComesTooLateIsLostToItsClientAndToldToTheWitnessAsWhatItIs() throws Exception {
-        InetSocketAddress to = target((ctx, n, id) -> ctx.executor().schedule(() -> serve(ctx, id), n % 2 == 0 ? 300 : 0, TimeUnit.MILLISECONDS));
-        Map<Patience.End, Integer> told = new EnumMap<>(Patience.End.class);
-        Witness witness = new Witness() {
-            @Override
-            public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) { }
+  /**
+   * Its client has gone, and the judge of the target still learns that it came, late, and was not
+   * lost.
+   */
+  @Test
+  void anAnswerThatComesTooLateIsLostToItsClientAndToldToTheWitnessAsWhatItIs() throws Exception {
+    InetSocketAddress to =
+        target(
+            (ctx, n, id) ->
+                ctx.executor()
+                    .schedule(() -> serve(ctx, id), n % 2 == 0 ? 300 : 0, TimeUnit.MILLISECONDS));
+    Map<Patience.End, Integer> told = new EnumMap<>(Patience.End.class);
+    Witness witness =
+        new Witness() {
+          @Override
+          public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) {}
 
-            @Override
-            public void ended(String id, Patience.End end, boolean gaveUp) {
-                told.merge(end, 1, Integer::sum);
-            }
+          @Override
+          public void ended(String id, Patience.End end, boolean gaveUp) {
+            told.merge(end, 1, Integer::sum);
+          }
 
-            @Override
-            public void crossed(String id) { }
+          @Override
+          public void crossed(String id) {}
         };
-        Patience brief = new Patience(0, 1, 10, 0, 0.1);
-        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), brief, 1, 256, "t", 1, witness, 5000)).run();
-        assertThat(t.whole().of(Tally.Last.LOST)).isEqualTo(100);
-        assertThat(t.whole().served()).isEqualTo(100);
-        assertThat(told).containsExactly(Map.entry(Patience.End.SERVED, 200));
-    }
+    Patience brief = new Patience(0, 1, 10, 0, 0.1);
+    Tally t =
+        new Generator(
+                new Generator.Settings(
+                    List.of(to), READS, plan(200, 1), brief, 1, 256, "t", 1, witness, 5000))
+            .run();
+    assertThat(t.whole().of(Tally.Last.LOST)).isEqualTo(100);
+    assertThat(t.whole().served()).isEqualTo(100);
+    assertThat(told).containsExactly(Map.entry(Patience.End.SERVED, 200));
+  }
 
-    @Test
-    void aLoadThatIsEndedReportsWhatWasDone() throws Exception {
-        Generator generator = generator(target((ctx, n, id) -> {
-            serve(ctx, id);
-            if (n == 50) {
-                stop.run();
-            }
-        }), 100, 3600, ONCE);
-        stop = generator::stop;
-        Tally t = generator.run();
-        assertThat(t.whole().served()).isBetween(40L, 60L);
-        assertThat(new Report(t, 1, true).text()).contains("CUT SHORT");
-        assertThat(new Report(t, 1, true).html()).contains("<svg").doesNotContain("http");
-    }
+  @Test
+  void aLoadThatIsEndedReportsWhatWasDone() throws Exception {
+    Generator generator =
+        generator(
+            target(
+                (ctx, n, id) -> {
+                  serve(ctx, id);
+                  if (n == 50) {
+                    stop.run();
+                  }
+                }),
+            100,
+            3600,
+            ONCE);
+    stop = generator::stop;
+    Tally t = generator.run();
+    assertThat(t.whole().served()).isBetween(40L, 60L);
+    assertThat(new Report(t, 1, true).text()).contains("CUT SHORT");
+    assertThat(new Report(t, 1, true).html()).contains("<svg").doesNotContain("http");
+  }
 
-    private volatile Runnable stop;
+  private volatile Runnable stop;
 }
--- a/src/test/java/damsonworks/proxy/ClientTest.java
+++ b/src/test/java/damsonworks/proxy/ClientTest.java
@@ -10,10 +10,11 @@
 
 /** Clients that send what can't be used, and those beside them. */
 class ClientTest {
-    private static final String DEAD = "127.0.0.1:1";
+  private static final String DEAD = "127.0.0.1:1";
 
-    @ParameterizedTest
-    @ValueSource(strings = {
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
         "hello\r\n",
         "\u0000\u00ff\u0007\r\n",
         "mg a v O1 Pc=nothing,t=a,d=480\r\n",
@@ -36,125 +37,146 @@
         "ms a 1 O1 Pc=pay,t=a,d=480\r\nxx\r\n",
         "ms a 2 O1 Pc=nothing,t=a,d=480\r\nxx\r\n",
         "ms a 2 O1 Pc=save,t=a,d=480\r\nxx\r\n",
-        "", "mg a v O1 Pc=re", "ms a 9 O1 Pc=pay,t=a,d=480\r\nxx",
-    })
-    void whatCantBeUsedIsAnErrorOrACloseAndGoesNowhere(String text) throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.fullCache();
-            Peer origin = stage.peer(Peer.Line::head);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line bad = stage.client();
-            bad.write(text);
-            String answer = bad.read();
-            if (answer != null) {
-                assertThat(answer).startsWith(answer.startsWith("CLIENT_ERROR") ? "CLIENT_ERROR " : "ERROR");
-            }
-            Stage.serves(stage.client(), "2");
-            assertThat(cache.heard).hasSize(1);
-            assertThat(origin.heard).isEmpty();
-        }
+        "",
+        "mg a v O1 Pc=re",
+        "ms a 9 O1 Pc=pay,t=a,d=480\r\nxx",
+      })
+  void whatCantBeUsedIsAnErrorOrACloseAndGoesNowhere(String text) throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache = stage.fullCache();
+      Peer origin = stage.peer(Peer.Line::head);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line bad = stage.client();
+      bad.write(text);
+      String answer = bad.read();
+      if (answer != null) {
+        assertThat(answer)
+            .startsWith(answer.startsWith("CLIENT_ERROR") ? "CLIENT_ERROR " : "ERROR");
+      }
+      Stage.serves(stage.client(), "2");
+      assertThat(cache.heard).hasSize(1);
+      assertThat(origin.heard).isEmpty();
     }
+  }
 
-    @Test
-    void aFloodOfCommandsIsTurnedAwayWhole() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.fullCache();
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
-            Peer.Line bad = stage.client();
-            StringBuilder flood = new StringBuilder();
-            for (int i = 0; i < 100; i++) {
-                flood.append(Stage.read("a", "flood" + i));
-            }
-            bad.write(flood.toString());
-            assertThat(bad.read()).startsWith("CLIENT_ERROR");
-            assertThat(bad.read()).isNull();
-            assertThat(cache.heard).isEmpty();
-        }
+  @Test
+  void aFloodOfCommandsIsTurnedAwayWhole() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache = stage.fullCache();
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      Peer.Line bad = stage.client();
+      StringBuilder flood = new StringBuilder();
+      for (int i = 0; i < 100; i++) {
+        flood.append(Stage.read("a", "flood" + i));
+      }
+      bad.write(flood.toString());
+      assertThat(bad.read()).startsWith("CLIENT_ERROR");
+      assertThat(bad.read()).isNull();
+      assertThat(cache.heard).isEmpty();
     }
+  }
 
-    /** A client that comes again in the last moment of its time rounds what is left of it down to nothing. */
-    @ParameterizedTest
-    @ValueSource(strings = {"mg a v O1 Pc=read,t=a,d=0\r\n", "mg a v O1 Pc=read,t=a,d=0,r=1\r\n",
-        "ms a 2 O1 Pc=pay,t=a,d=0\r\nxx\r\n", "ms a 2 O1 Pc=save,t=a,d=0.0,k=1\r\nxx\r\n"})
-    void whoseTimeIsUpIsRefusedAtOnceAndNothingIsSent(String text) throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.fullCache();
-            Peer origin = stage.peer(Peer.Line::head);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            client.write(text);
-            assertThat(client.read()).isEqualTo("SERVER_ERROR busy");
-            Stage.serves(client, "2");
-            assertThat(cache.heard).hasSize(1);
-            assertThat(origin.heard).isEmpty();
-        }
+  /**
+   * A client that comes again in the last moment of its time rounds what is left of it down to
+   * nothing.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "mg a v O1 Pc=read,t=a,d=0\r\n",
+        "mg a v O1 Pc=read,t=a,d=0,r=1\r\n",
+        "ms a 2 O1 Pc=pay,t=a,d=0\r\nxx\r\n",
+        "ms a 2 O1 Pc=save,t=a,d=0.0,k=1\r\nxx\r\n"
+      })
+  void whoseTimeIsUpIsRefusedAtOnceAndNothingIsSent(String text) throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache = stage.fullCache();
+      Peer origin = stage.peer(Peer.Line::head);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      client.write(text);
+      assertThat(client.read()).isEqualTo("SERVER_ERROR busy");
+      Stage.serves(client, "2");
+      assertThat(cache.heard).hasSize(1);
+      assertThat(origin.heard).isEmpty();
     }
+  }
 
-    /** Who of two that bear one id is the true one can't be told: the later is answered while it still waits, too. */
-    @Test
-    void theErrorOfAnIdThatIsInUseComesWhileItsClientWaits() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.peer(Peer.Line::read);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
-            stage.client().write(Stage.read("a", "same"));
-            Stage.await(() -> !cache.heard.isEmpty());
-            Peer.Line second = stage.client();
-            long began = System.nanoTime();
-            second.write("mg a v Osame Pc=read,t=a,d=50\r\n");
-            assertThat(second.read()).startsWith("CLIENT_ERROR");
-            assertThat(System.nanoTime() - began).isLessThan(900_000_000L); // other errors take a second
-        }
+  /**
+   * Who of two that bear one id is the true one can't be told: the later is answered while it still
+   * waits, too.
+   */
+  @Test
+  void theErrorOfAnIdThatIsInUseComesWhileItsClientWaits() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache = stage.peer(Peer.Line::read);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      stage.client().write(Stage.read("a", "same"));
+      Stage.await(() -> !cache.heard.isEmpty());
+      Peer.Line second = stage.client();
+      long began = System.nanoTime();
+      second.write("mg a v Osame Pc=read,t=a,d=50\r\n");
+      assertThat(second.read()).startsWith("CLIENT_ERROR");
+      assertThat(System.nanoTime() - began).isLessThan(900_000_000L); // other errors take a second
     }
+  }
 
-    @Test
-    void theIdOfAnOpenRequestIsTurnedDownAndTheRequestServed() throws Exception {
-        try (Stage stage = new Stage()) {
-            Object gate = new Object();
-            boolean[] go = new boolean[1];
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    synchronized (gate) {
-                        while (!go[0]) {
-                            gate.wait();
-                        }
+  @Test
+  void theIdOfAnOpenRequestIsTurnedDownAndTheRequestServed() throws Exception {
+    try (Stage stage = new Stage()) {
+      Object gate = new Object();
+      boolean[] go = new boolean[1];
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  synchronized (gate) {
+                    while (!go[0]) {
+                      gate.wait();
                     }
-                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                  }
+                  line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
-            Peer.Line first = stage.client();
-            first.write(Stage.read("a", "same"));
-            Stage.await(() -> !cache.heard.isEmpty());
-            Peer.Line second = stage.client();
-            second.write(Stage.read("a", "same"));
-            assertThat(second.read()).startsWith("CLIENT_ERROR");
-            synchronized (gate) {
-                go[0] = true;
-                gate.notifyAll();
-            }
-            assertThat(first.read()).isEqualTo("VA 2 Osame");
-            assertThat(first.read()).isEqualTo("hi");
-            Stage.serves(first, "same"); // no longer open
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      Peer.Line first = stage.client();
+      first.write(Stage.read("a", "same"));
+      Stage.await(() -> !cache.heard.isEmpty());
+      Peer.Line second = stage.client();
+      second.write(Stage.read("a", "same"));
+      assertThat(second.read()).startsWith("CLIENT_ERROR");
+      synchronized (gate) {
+        go[0] = true;
+        gate.notifyAll();
+      }
+      assertThat(first.read()).isEqualTo("VA 2 Osame");
+      assertThat(first.read()).isEqualTo("hi");
+      Stage.serves(first, "same"); // no longer open
     }
+  }
 
-    /** Those who connect and say nothing make room before a client whose connection only stands idle. */
-    @Test
-    void silentConnectionsAreSacrificedFirst() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.sockets = 128;
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()), Stage.host("s-2", "origin", DEAD, "up"));
-            Peer.Line usual = stage.client();
-            Stage.serves(usual, "1");
-            List<Peer.Line> silent = new ArrayList<>();
-            for (int i = 0; i < 200; i++) {
-                silent.add(stage.client());
-            }
-            Stage.serves(stage.client(), "2");
-            Stage.serves(usual, "3");
-            for (Peer.Line line : silent) {
-                assertThat(line.read()).isNull();
-            }
-        }
+  /**
+   * Those who connect and say nothing make room before a client whose connection only stands idle.
+   */
+  @Test
+  void silentConnectionsAreSacrificedFirst() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.sockets = 128;
+      stage.start(
+          stage.quietDiscovery(),
+          Stage.cache("s-1", stage.fullCache()),
+          Stage.host("s-2", "origin", DEAD, "up"));
+      Peer.Line usual = stage.client();
+      Stage.serves(usual, "1");
+      List<Peer.Line> silent = new ArrayList<>();
+      for (int i = 0; i < 200; i++) {
+        silent.add(stage.client());
+      }
+      Stage.serves(stage.client(), "2");
+      Stage.serves(usual, "3");
+      for (Peer.Line line : silent) {
+        assertThat(line.read()).isNull();
+      }
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/CrowdTest.java
+++ b/src/test/java/damsonworks/proxy/CrowdTest.java
@@ -19,159 +19,182 @@
 /** The program with crowds and slow peers around it: few descriptors, little memory, signals. */
 @Timeout(120)
 class CrowdTest {
-    /** A JVM cut as deploy/serve.sh cuts it for 32 MB. */
-    private static final String SMALL = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms10m -Xmx10m"
-            + " -XX:MaxDirectMemorySize=4m -XX:MaxMetaspaceSize=20m -XX:ReservedCodeCacheSize=8m -Xss512k"
-            + " -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1"
-            + " -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4";
+  /** A JVM cut as deploy/serve.sh cuts it for 32 MB. */
+  private static final String SMALL =
+      "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms10m -Xmx10m"
+          + " -XX:MaxDirectMemorySize=4m -XX:MaxMetaspaceSize=20m -XX:ReservedCodeCacheSize=8m -Xss512k"
+          + " -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1"
+          + " -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4";
 
-    @TempDir
-    Path folder;
+  @TempDir Path folder;
 
-    private static SocketChannel connect(Stage stage, int port, String text) throws IOException {
-        SocketChannel c = stage.keep(SocketChannel.open());
-        c.setOption(java.net.StandardSocketOptions.SO_RCVBUF, 4 << 10);
-        c.connect(new InetSocketAddress("127.0.0.1", port));
-        try {
-            c.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
-        } catch (IOException e) {
-            // shown out already
-        }
-        return c;
+  private static SocketChannel connect(Stage stage, int port, String text) throws IOException {
+    SocketChannel c = stage.keep(SocketChannel.open());
+    c.setOption(java.net.StandardSocketOptions.SO_RCVBUF, 4 << 10);
+    c.connect(new InetSocketAddress("127.0.0.1", port));
+    try {
+      c.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    } catch (IOException e) {
+      // shown out already
     }
+    return c;
+  }
 
-    /** Half of a value, or sixteen long answers that nobody reads. */
-    private static void slowPeers(Stage stage, int port, int n) throws IOException {
-        for (int i = 0; i < n; i++) {
-            StringBuilder text = new StringBuilder();
-            if (i % 2 == 0) {
-                text.append("ms a 60000 Osl").append(i).append(" Pc=pay,t=a,d=8000,k=1\r\nxxx");
-            } else {
-                for (int k = 0; k < 16; k++) {
-                    text.append(Stage.read("long" + k, "sl" + i + "-" + k));
-                }
-            }
-            connect(stage, port, text.toString());
+  /** Half of a value, or sixteen long answers that nobody reads. */
+  private static void slowPeers(Stage stage, int port, int n) throws IOException {
+    for (int i = 0; i < n; i++) {
+      StringBuilder text = new StringBuilder();
+      if (i % 2 == 0) {
+        text.append("ms a 60000 Osl").append(i).append(" Pc=pay,t=a,d=8000,k=1\r\nxxx");
+      } else {
+        for (int k = 0; k < 16; k++) {
+          text.append(Stage.read("long" + k, "sl" + i + "-" + k));
         }
+      }
+      connect(stage, port, text.toString());
     }
+  }
 
-    /** Hard case: thousands that come and say nothing, ask once and stay, or close and come again. */
-    @Test
-    void thousandsThatCrowdTheDoorLeaveRoomForTheUsual() throws Exception {
-        try (Stage stage = new Stage()) {
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-            Program program = stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
-            // From an address of their own: the crowd's is held off for up to 0.8 s, the slower this machine the more often.
-            Peer.Line usual = stage.keep(program.connect("127.0.0.7"));
-            Stage.serves(usual, "u");
-            int most = 0;
-            List<Double> waits = new ArrayList<>();
-            for (int i = 0; i < 3000; i++) {
-                switch (i % 3) {
-                    case 0 -> connect(stage, program.port, "");
-                    case 1 -> connect(stage, program.port, Stage.read("a", "once" + i));
-                    default -> connect(stage, program.port, "nonsense\r\n").close();
-                }
-                if (i % 100 == 99) {
-                    long asked = System.nanoTime();
-                    Stage.serves(stage.keep(program.connect("127.0.0.7")), "new" + i);
-                    waits.add((System.nanoTime() - asked) / 1e6);
-                    most = Math.max(most, program.descriptors());
-                }
-            }
-            Stage.serves(stage.keep(program.connect("127.0.0.7")), "last");
-            assertThat(waits.stream().sorted().toList().get(waits.size() / 2)).isLessThan(500); // silent ones wait longer
-            assertThat(most).isLessThan(256);
-            assertThat(program.log()).noneMatch(l -> l.contains("fault") || l.contains("could not be taken"));
+  /** Hard case: thousands that come and say nothing, ask once and stay, or close and come again. */
+  @Test
+  void thousandsThatCrowdTheDoorLeaveRoomForTheUsual() throws Exception {
+    try (Stage stage = new Stage()) {
+      String config =
+          stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
+      Program program =
+          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+      // From an address of their own: the crowd's is held off for up to 0.8 s, the slower this
+      // machine the more often.
+      Peer.Line usual = stage.keep(program.connect("127.0.0.7"));
+      Stage.serves(usual, "u");
+      int most = 0;
+      List<Double> waits = new ArrayList<>();
+      for (int i = 0; i < 3000; i++) {
+        switch (i % 3) {
+          case 0 -> connect(stage, program.port, "");
+          case 1 -> connect(stage, program.port, Stage.read("a", "once" + i));
+          default -> connect(stage, program.port, "nonsense\r\n").close();
         }
+        if (i % 100 == 99) {
+          long asked = System.nanoTime();
+          Stage.serves(stage.keep(program.connect("127.0.0.7")), "new" + i);
+          waits.add((System.nanoTime() - asked) / 1e6);
+          most = Math.max(most, program.descriptors());
+        }
+      }
+      Stage.serves(stage.keep(program.connect("127.0.0.7")), "last");
+      assertThat(waits.stream().sorted().toList().get(waits.size() / 2))
+          .isLessThan(500); // silent ones wait longer
+      assertThat(most).isLessThan(256);
+      assertThat(program.log())
+          .noneMatch(l -> l.contains("fault") || l.contains("could not be taken"));
     }
+  }
 
-    /** What a slow client has not taken yet when SIGTERM comes is not cut off: it is a kept rate, if a low one. */
-    @Test
-    void termLetsAClientTakeTheAnswersThatItIsOwed() throws Exception {
-        try (Stage stage = new Stage()) {
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-            Program program = stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
-            Stage.serves(stage.keep(program.connect()), "u");
-            StringBuilder text = new StringBuilder();
-            for (int k = 0; k < 16; k++) {
-                text.append(Stage.read("long" + k, "w" + k));
-            }
-            SocketChannel slow = connect(stage, program.port, text.toString());
-            Thread.sleep(300); // let the proxy come to hold what the system does not take
-            program.signal("TERM");
-            Thread.sleep(700); // past the time for which it still takes connections, when it ends those between requests
-            long got = 0;
-            ByteBuffer some = ByteBuffer.allocate(64 << 10);
-            for (int n; (n = slow.read(some)) >= 0; some.clear()) {
-                got += n;
-            }
-            long heads = 0;
-            for (int k = 0; k < 16; k++) {
-                heads += ("VA 65536 Ow" + k + "\r\n\r\n").length();
-            }
-            assertThat(got).isEqualTo(16L * Stage.LONG.length() + heads);
-            assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-        }
+  /**
+   * What a slow client has not taken yet when SIGTERM comes is not cut off: it is a kept rate, if a
+   * low one.
+   */
+  @Test
+  void termLetsAClientTakeTheAnswersThatItIsOwed() throws Exception {
+    try (Stage stage = new Stage()) {
+      String config =
+          stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
+      Program program =
+          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+      Stage.serves(stage.keep(program.connect()), "u");
+      StringBuilder text = new StringBuilder();
+      for (int k = 0; k < 16; k++) {
+        text.append(Stage.read("long" + k, "w" + k));
+      }
+      SocketChannel slow = connect(stage, program.port, text.toString());
+      Thread.sleep(300); // let the proxy come to hold what the system does not take
+      program.signal("TERM");
+      Thread.sleep(
+          700); // past the time for which it still takes connections, when it ends those between
+      // requests
+      long got = 0;
+      ByteBuffer some = ByteBuffer.allocate(64 << 10);
+      for (int n; (n = slow.read(some)) >= 0; some.clear()) {
+        got += n;
+      }
+      long heads = 0;
+      for (int k = 0; k < 16; k++) {
+        heads += ("VA 65536 Ow" + k + "\r\n\r\n").length();
+      }
+      assertThat(got).isEqualTo(16L * Stage.LONG.length() + heads);
+      assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
     }
+  }
 
-    /** Hard case: a proxy at 32 MB and 256 descriptors, with slow peers in a good part of its places. */
-    @Test
-    void aSmallProxyStaysWithinItsMemoryAndServesBesideSlowPeers() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.memoryMb = 32;
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-            Program program = stage.keep(new Program(folder, config, 256, SMALL, "damsonworks.Main", "serve"));
-            Peer.Line usual = stage.keep(program.connect());
-            Stage.serves(usual, "u");
-            for (int round = 0; round < 3; round++) {
-                slowPeers(stage, program.port, 50);
-                for (int i = 0; i < 50; i++) {
-                    Stage.serves(stage.keep(program.connect()), "n" + round + "-" + i);
-                }
-            }
-            assertThat(program.process.isAlive()).isTrue();
-            assertThat(program.log()).noneMatch(l -> l.contains("OutOfMemory") || l.contains("OutOfDirectMemory"));
+  /**
+   * Hard case: a proxy at 32 MB and 256 descriptors, with slow peers in a good part of its places.
+   */
+  @Test
+  void aSmallProxyStaysWithinItsMemoryAndServesBesideSlowPeers() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.memoryMb = 32;
+      String config =
+          stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
+      Program program =
+          stage.keep(new Program(folder, config, 256, SMALL, "damsonworks.Main", "serve"));
+      Peer.Line usual = stage.keep(program.connect());
+      Stage.serves(usual, "u");
+      for (int round = 0; round < 3; round++) {
+        slowPeers(stage, program.port, 50);
+        for (int i = 0; i < 50; i++) {
+          Stage.serves(stage.keep(program.connect()), "n" + round + "-" + i);
         }
+      }
+      assertThat(program.process.isAlive()).isTrue();
+      assertThat(program.log())
+          .noneMatch(l -> l.contains("OutOfMemory") || l.contains("OutOfDirectMemory"));
     }
+  }
 
-    /** Hard case: reload and SIGTERM while slow peers stand. What was taken is answered, and the end is in time. */
-    @Test
-    void reloadAndTermWhileSlowPeersStandLoseNothing() throws Exception {
-        try (Stage stage = new Stage()) {
-            AtomicBoolean hold = new AtomicBoolean(true);
-            Peer slowly = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    while (text.startsWith("mg held") && hold.get()) {
-                        Thread.sleep(5);
-                    }
-                    Stage.answer(line, text);
+  /**
+   * Hard case: reload and SIGTERM while slow peers stand. What was taken is answered, and the end
+   * is in time.
+   */
+  @Test
+  void reloadAndTermWhileSlowPeersStandLoseNothing() throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicBoolean hold = new AtomicBoolean(true);
+      Peer slowly =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  while (text.startsWith("mg held") && hold.get()) {
+                    Thread.sleep(5);
+                  }
+                  Stage.answer(line, text);
                 }
-            });
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", slowly));
-            Program program = stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
-            Peer.Line usual = stage.keep(program.connect());
-            Stage.serves(usual, "u");
-            slowPeers(stage, program.port, 40);
-            program.signal("HUP");
-            Stage.await(() -> program.hasLogged("configuration read again"));
-            Stage.serves(usual, "after-reload");
-            List<Peer.Line> open = new ArrayList<>();
-            for (int i = 0; i < 10; i++) {
-                Peer.Line line = stage.keep(program.connect());
-                line.write(Stage.read("held" + i, "t" + i));
-                open.add(line);
-            }
-            Stage.await(() -> slowly.heard.stream().anyMatch(l -> l.startsWith("mg held")));
-            program.signal("TERM");
-            Thread.sleep(100); // that the signal comes first; the answers may come at any time after it
-            hold.set(false);
-            for (int i = 0; i < 10; i++) {
-                assertThat(open.get(i).read()).isEqualTo("VA 2 Ot" + i);
-                assertThat(open.get(i).read()).isEqualTo("hi");
-            }
-            assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-            assertThat(program.process.exitValue()).isEqualTo(143);
-        }
+              });
+      String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", slowly));
+      Program program =
+          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+      Peer.Line usual = stage.keep(program.connect());
+      Stage.serves(usual, "u");
+      slowPeers(stage, program.port, 40);
+      program.signal("HUP");
+      Stage.await(() -> program.hasLogged("configuration read again"));
+      Stage.serves(usual, "after-reload");
+      List<Peer.Line> open = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        Peer.Line line = stage.keep(program.connect());
+        line.write(Stage.read("held" + i, "t" + i));
+        open.add(line);
+      }
+      Stage.await(() -> slowly.heard.stream().anyMatch(l -> l.startsWith("mg held")));
+      program.signal("TERM");
+      Thread.sleep(100); // that the signal comes first; the answers may come at any time after it
+      hold.set(false);
+      for (int i = 0; i < 10; i++) {
+        assertThat(open.get(i).read()).isEqualTo("VA 2 Ot" + i);
+        assertThat(open.get(i).read()).isEqualTo("hi");
+      }
+      assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+      assertThat(program.process.exitValue()).isEqualTo(143);
     }
+  }
 }
