--- a/src/test/java/damsonworks/proxy/DiscoveryTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryTest.java
@@ -13,95 +13,109 @@
 
 /** The list under discoveries that move or answer what can't be used. */
 class DiscoveryTest {
-    /** The old watch, given up, must not count as a failure of the new one or begin a second. */
-    @Test
-    void aMoveBeginsOneWatchAtTheNewAddress() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.emptyCache();
-            Peer old = stage.peer(line -> line.head());
-            Peer next = stage.quietDiscovery();
-            stage.start(old, Stage.cache("s-1", cache));
-            java.nio.file.Path file = java.nio.file.Files.createTempFile("config", ".json");
-            stage.keep(() -> java.nio.file.Files.delete(file));
-            java.nio.file.Files.writeString(file, stage.config(next.address()));
-            stage.proxy.reload(file.toString());
-            Stage.await(() -> next.heard.stream().anyMatch(l -> l.startsWith("GET")));
-            assertThat(next.lines).hasSize(1);
-        }
+  /** The old watch, given up, must not count as a failure of the new one or begin a second. */
+  @Test
+  void aMoveBeginsOneWatchAtTheNewAddress() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache = stage.emptyCache();
+      Peer old = stage.peer(line -> line.head());
+      Peer next = stage.quietDiscovery();
+      stage.start(old, Stage.cache("s-1", cache));
+      java.nio.file.Path file = java.nio.file.Files.createTempFile("config", ".json");
+      stage.keep(() -> java.nio.file.Files.delete(file));
+      java.nio.file.Files.writeString(file, stage.config(next.address()));
+      stage.proxy.reload(file.toString());
+      Stage.await(() -> next.heard.stream().anyMatch(l -> l.startsWith("GET")));
+      assertThat(next.lines).hasSize(1);
     }
+  }
 
-    /** Hard case: the watch falls silent. It was waited for to its end while others knew of nodes that had gone. */
-    @Test
-    void aSilentWatchIsBegunAgainOnceAPeerKnowsANewerList() throws Exception {
-        try (Stage stage = new Stage(); DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
-            stage.peers = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:%1$d\"],\"peers_all\":\"127.0.0.1:%1$d\","
-                    .formatted(peer.getLocalPort());
-            Peer cache = stage.fullCache();
-            AtomicInteger calls = new AtomicInteger();
-            Peer discovery = stage.peer(line -> {
+  /**
+   * Hard case: the watch falls silent. It was waited for to its end while others knew of nodes that
+   * had gone.
+   */
+  @Test
+  void aSilentWatchIsBegunAgainOnceAPeerKnowsANewerList() throws Exception {
+    try (Stage stage = new Stage();
+        DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+      stage.peers =
+          "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:%1$d\"],\"peers_all\":\"127.0.0.1:%1$d\","
+              .formatted(peer.getLocalPort());
+      Peer cache = stage.fullCache();
+      AtomicInteger calls = new AtomicInteger();
+      Peer discovery =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    if (calls.incrementAndGet() == 2) {
-                        line.http("200 OK", "", Stage.list(5, Stage.cache("s-2", cache)));
-                    } else {
-                        Thread.sleep(Stage.PATIENCE.toMillis() * 3);
-                    }
+                  if (calls.incrementAndGet() == 2) {
+                    line.http("200 OK", "", Stage.list(5, Stage.cache("s-2", cache)));
+                  } else {
+                    Thread.sleep(Stage.PATIENCE.toMillis() * 3);
+                  }
                 }
-            });
-            stage.start(discovery, Stage.cache("s-1", cache));
-            Stage.await(() -> calls.get() == 1);
-            long hintedNanos = System.nanoTime();
-            byte[] hint = {(byte) 0xC1, 'v', 0, 0, 0, 0, 0, 0, 0, 5};
-            peer.send(new DatagramPacket(hint, hint.length, stage.proxy.peerAddress()));
-            Stage.await(() -> calls.get() >= 2);
-            // By itself it would have been left after 8 s at the soonest.
-            assertThat((System.nanoTime() - hintedNanos) / 1e9).isLessThan(6);
-            peer.setSoTimeout((int) Stage.PATIENCE.toMillis());
-            DatagramPacket told = new DatagramPacket(new byte[256], 256);
-            do {
-                peer.receive(told); // questions of the start come as well
-            } while (told.getLength() != hint.length);
-            assertThat(Arrays.copyOf(told.getData(), hint.length)).isEqualTo(hint);
-        }
+              });
+      stage.start(discovery, Stage.cache("s-1", cache));
+      Stage.await(() -> calls.get() == 1);
+      long hintedNanos = System.nanoTime();
+      byte[] hint = {(byte) 0xC1, 'v', 0, 0, 0, 0, 0, 0, 0, 5};
+      peer.send(new DatagramPacket(hint, hint.length, stage.proxy.peerAddress()));
+      Stage.await(() -> calls.get() >= 2);
+      // By itself it would have been left after 8 s at the soonest.
+      assertThat((System.nanoTime() - hintedNanos) / 1e9).isLessThan(6);
+      peer.setSoTimeout((int) Stage.PATIENCE.toMillis());
+      DatagramPacket told = new DatagramPacket(new byte[256], 256);
+      do {
+        peer.receive(told); // questions of the start come as well
+      } while (told.getLength() != hint.length);
+      assertThat(Arrays.copyOf(told.getData(), hint.length)).isEqualTo(hint);
     }
+  }
 
-    /** A list that can't be used is a failed call: the hosts held go on being asked. */
-    @Test
-    void anUnusableListLeavesTheOneHeld() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+  /** A list that can't be used is a failed call: the hosts held go on being asked. */
+  @Test
+  void anUnusableListLeavesTheOneHeld() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
                 }
-            });
-            CountDownLatch answered = new CountDownLatch(1);
-            Peer discovery = stage.peer(line -> {
+              });
+      CountDownLatch answered = new CountDownLatch(1);
+      Peer discovery =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    if (answered.getCount() > 0) {
-                        line.http("200 OK", "", Stage.list(2, "{\"host\":\"s-1\",\"health\":\"gone fishing\"}"));
-                        answered.countDown();
-                    } else {
-                        Thread.sleep(60_000);
-                    }
+                  if (answered.getCount() > 0) {
+                    line.http(
+                        "200 OK",
+                        "",
+                        Stage.list(2, "{\"host\":\"s-1\",\"health\":\"gone fishing\"}"));
+                    answered.countDown();
+                  } else {
+                    Thread.sleep(60_000);
+                  }
                 }
-            });
-            stage.start(discovery, Stage.cache("s-1", cache));
-            answered.await();
-            // The failed call is followed by another one, for what is newer than the list held.
-            Stage.await(() -> discovery.heard.stream().filter(l -> l.contains("since=1&")).count() >= 2);
-            Peer.Line client = stage.client();
-            client.write(Stage.read("a", "1"));
-            assertThat(client.read()).isEqualTo("VA 2 O1");
-        }
+              });
+      stage.start(discovery, Stage.cache("s-1", cache));
+      answered.await();
+      // The failed call is followed by another one, for what is newer than the list held.
+      Stage.await(() -> discovery.heard.stream().filter(l -> l.contains("since=1&")).count() >= 2);
+      Peer.Line client = stage.client();
+      client.write(Stage.read("a", "1"));
+      assertThat(client.read()).isEqualTo("VA 2 O1");
     }
+  }
 
-    @Test
-    void aConfigurationWithoutLimitsIsUsable() {
-        try (Stage stage = new Stage()) {
-            var json = JsonParser.parseString(stage.config("127.0.0.1:1")).getAsJsonObject();
-            json.remove("limits");
-            assertThat(Config.parse(json).sockets()).isEqualTo(1024);
-        } catch (Exception e) {
-            throw new AssertionError(e);
-        }
+  @Test
+  void aConfigurationWithoutLimitsIsUsable() {
+    try (Stage stage = new Stage()) {
+      var json = JsonParser.parseString(stage.config("127.0.0.1:1")).getAsJsonObject();
+      json.remove("limits");
+      assertThat(Config.parse(json).sockets()).isEqualTo(1024);
+    } catch (Exception e) {
+      throw new AssertionError(e);
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/DoorTest.java
+++ b/src/test/java/damsonworks/proxy/DoorTest.java
@@ -23,183 +23,214 @@
 /** The bound on clients' descriptors, and what the loop survives. */
 @Timeout(60)
 class DoorTest {
-    @TempDir
-    Path folder;
+  @TempDir Path folder;
 
-    /** Begins so many connections at once, as fast as the system takes them, and leaves them silent. */
-    private static List<SocketChannel> burst(Stage stage, int port, int n) throws Exception {
-        List<SocketChannel> all = new ArrayList<>();
-        for (int i = 0; i < n; i++) {
-            SocketChannel c = stage.keep(SocketChannel.open());
-            c.configureBlocking(false);
-            c.connect(new InetSocketAddress("127.0.0.1", port));
-            all.add(c);
-        }
-        return all;
+  /**
+   * Begins so many connections at once, as fast as the system takes them, and leaves them silent.
+   */
+  private static List<SocketChannel> burst(Stage stage, int port, int n) throws Exception {
+    List<SocketChannel> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      SocketChannel c = stage.keep(SocketChannel.open());
+      c.configureBlocking(false);
+      c.connect(new InetSocketAddress("127.0.0.1", port));
+      all.add(c);
     }
+    return all;
+  }
 
-    /** The loop is held up while the burst comes, so that all of it stands in one row of batches. */
-    @Test
-    void aBurstOfAcceptsAtTheBoundNeverPassesIt() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.sockets = 128;
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
-            Door door = stage.proxy.door();
-            EventLoop loop = stage.proxy.loop();
-            for (int round = 0; round < 4; round++) {
-                CompletableFuture<Void> go = new CompletableFuture<>();
-                loop.execute(go::join);
-                burst(stage, stage.proxy.address().getPort(), 200);
-                go.complete(null);
-            }
-            Stage.serves(stage.client(), "1");
-            assertThat(loop.submit(door::most).get()).isBetween(door.places() / 2, door.places());
-        }
+  /** The loop is held up while the burst comes, so that all of it stands in one row of batches. */
+  @Test
+  void aBurstOfAcceptsAtTheBoundNeverPassesIt() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.sockets = 128;
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      Door door = stage.proxy.door();
+      EventLoop loop = stage.proxy.loop();
+      for (int round = 0; round < 4; round++) {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        loop.execute(go::join);
+        burst(stage, stage.proxy.address().getPort(), 200);
+        go.complete(null);
+      }
+      Stage.serves(stage.client(), "1");
+      assertThat(loop.submit(door::most).get()).isBetween(door.places() / 2, door.places());
     }
+  }
 
-    /**
-     * The incident's clients over sockets: each asks once and keeps its connection, and together they hold a third
-     * of the descriptors at most. The idle make way while they come, so that all get in; without that the third
-     * would be full of connections that nobody uses after the first 42.
-     */
-    @Test
-    void clientsThatAskOnceAndStayMakeWayForThoseThatCome() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.sockets = 128;
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
-            List<Peer.Line> held = new ArrayList<>();
-            for (int i = 0; i < 200; i++) {
-                Stage.await(() -> {
-                    held.removeIf(DoorTest::ended);
-                    return held.size() < 20; // of 22 places
-                });
-                Peer.Line client = stage.client();
-                Stage.serves(client, "c" + i);
-                held.add(client);
-            }
-        }
+  /**
+   * The incident's clients over sockets: each asks once and keeps its connection, and together they
+   * hold a third of the descriptors at most. The idle make way while they come, so that all get in;
+   * without that the third would be full of connections that nobody uses after the first 42.
+   */
+  @Test
+  void clientsThatAskOnceAndStayMakeWayForThoseThatCome() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.sockets = 128;
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      List<Peer.Line> held = new ArrayList<>();
+      for (int i = 0; i < 200; i++) {
+        Stage.await(
+            () -> {
+              held.removeIf(DoorTest::ended);
+              return held.size() < 20; // of 22 places
+            });
+        Peer.Line client = stage.client();
+        Stage.serves(client, "c" + i);
+        held.add(client);
+      }
     }
+  }
 
-    private static boolean ended(Peer.Line line) {
-        try {
-            line.socket.setSoTimeout(1);
-            return line.socket.getInputStream().read() < 0;
-        } catch (java.net.SocketTimeoutException e) {
-            return false;
-        } catch (java.io.IOException e) {
-            return true;
-        }
+  private static boolean ended(Peer.Line line) {
+    try {
+      line.socket.setSoTimeout(1);
+      return line.socket.getInputStream().read() < 0;
+    } catch (java.net.SocketTimeoutException e) {
+      return false;
+    } catch (java.io.IOException e) {
+      return true;
     }
+  }
 
-    /** As the platform bounds it: 256 descriptors, kept by the system, with a burst of connections on top. */
-    @Test
-    void aBurstLeavesTheProcessWithinItsDescriptorsAndServing() throws Exception {
-        try (Stage stage = new Stage()) {
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-            Program program = stage.keep(new Program(folder, config, 256, "damsonworks.Main", "serve"));
-            stage.keep(program.connect());
-            int most = 0;
-            for (int round = 0; round < 5; round++) {
-                burst(stage, program.port, 400);
-                most = Math.max(most, program.descriptors());
-                Stage.serves(stage.keep(program.connect()), "r" + round);
-                most = Math.max(most, program.descriptors());
-            }
-            assertThat(most).isLessThan(256);
-            assertThat(program.process.isAlive()).isTrue();
-            assertThat(program.log()).noneMatch(l -> l.contains("could not be taken"));
-        }
+  /**
+   * As the platform bounds it: 256 descriptors, kept by the system, with a burst of connections on
+   * top.
+   */
+  @Test
+  void aBurstLeavesTheProcessWithinItsDescriptorsAndServing() throws Exception {
+    try (Stage stage = new Stage()) {
+      String config =
+          stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
+      Program program = stage.keep(new Program(folder, config, 256, "damsonworks.Main", "serve"));
+      stage.keep(program.connect());
+      int most = 0;
+      for (int round = 0; round < 5; round++) {
+        burst(stage, program.port, 400);
+        most = Math.max(most, program.descriptors());
+        Stage.serves(stage.keep(program.connect()), "r" + round);
+        most = Math.max(most, program.descriptors());
+      }
+      assertThat(most).isLessThan(256);
+      assertThat(program.process.isAlive()).isTrue();
+      assertThat(program.log()).noneMatch(l -> l.contains("could not be taken"));
     }
+  }
 
-    /** The system gives fewer descriptors than the configuration says: taking fails, and nothing else does. */
-    @Test
-    void withNoDescriptorLeftTheProcessGoesOnAndServesAgain() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.sockets = 1024;
-            String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-            Program program = stage.keep(new Program(folder, config, 100, "damsonworks.Main", "serve"));
-            Stage.serves(stage.keep(program.connect()), "before"); // also opens the connection to the cache node
-            List<SocketChannel> silent = burst(stage, program.port, 300);
-            Stage.await(() -> {
-                try {
-                    return program.log().stream().anyMatch(l -> l.contains("could not be taken"));
-                } catch (java.io.IOException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
-            for (SocketChannel c : silent) {
-                c.close();
+  /**
+   * The system gives fewer descriptors than the configuration says: taking fails, and nothing else
+   * does.
+   */
+  @Test
+  void withNoDescriptorLeftTheProcessGoesOnAndServesAgain() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.sockets = 1024;
+      String config =
+          stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
+      Program program = stage.keep(new Program(folder, config, 100, "damsonworks.Main", "serve"));
+      Stage.serves(
+          stage.keep(program.connect()), "before"); // also opens the connection to the cache node
+      List<SocketChannel> silent = burst(stage, program.port, 300);
+      Stage.await(
+          () -> {
+            try {
+              return program.log().stream().anyMatch(l -> l.contains("could not be taken"));
+            } catch (java.io.IOException e) {
+              throw new IllegalStateException(e);
             }
-            Stage.serves(stage.keep(program.connect()), "after");
-            assertThat(program.process.isAlive()).isTrue();
-        }
+          });
+      for (SocketChannel c : silent) {
+        c.close();
+      }
+      Stage.serves(stage.keep(program.connect()), "after");
+      assertThat(program.process.isAlive()).isTrue();
     }
+  }
 
-    @Test
-    void aLoopThatHasEndedUnplannedEndsTheProgramWithAnErrorsCode() throws Exception {
-        try (Stage stage = new Stage()) {
-            Program program = stage.keep(new Program(folder, stage.config("127.0.0.1:1"), 0, "damsonworks.proxy.LoopEnds"));
-            assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-            assertThat(program.process.exitValue()).isEqualTo(1);
-            assertThat(program.log()).contains("the event loop has ended unplanned");
-        }
+  @Test
+  void aLoopThatHasEndedUnplannedEndsTheProgramWithAnErrorsCode() throws Exception {
+    try (Stage stage = new Stage()) {
+      Program program =
+          stage.keep(
+              new Program(folder, stage.config("127.0.0.1:1"), 0, "damsonworks.proxy.LoopEnds"));
+      assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+      assertThat(program.process.exitValue()).isEqualTo(1);
+      assertThat(program.log()).contains("the event loop has ended unplanned");
     }
+  }
 
-    /** An {@code Error} out of reading, as the JDK's logger threw it, ends the round and not the loop. */
-    @Test
-    void anErrorInAnIoRoundDoesNotEndTheLoop() throws Exception {
-        AtomicInteger rounds = new AtomicInteger();
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, GuardedIo.factory(executor -> new IoHandler() {
-            @Override
-            public int run(IoHandlerContext context) {
-                if (rounds.incrementAndGet() <= 3) {
-                    throw new NoClassDefFoundError("as with no descriptor left");
-                }
-                return 0;
-            }
+  /**
+   * An {@code Error} out of reading, as the JDK's logger threw it, ends the round and not the loop.
+   */
+  @Test
+  void anErrorInAnIoRoundDoesNotEndTheLoop() throws Exception {
+    AtomicInteger rounds = new AtomicInteger();
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(
+            1,
+            GuardedIo.factory(
+                executor ->
+                    new IoHandler() {
+                      @Override
+                      public int run(IoHandlerContext context) {
+                        if (rounds.incrementAndGet() <= 3) {
+                          throw new NoClassDefFoundError("as with no descriptor left");
+                        }
+                        return 0;
+                      }
 
-            @Override
-            public IoRegistration register(IoHandle handle) {
-                throw new UnsupportedOperationException();
-            }
+                      @Override
+                      public IoRegistration register(IoHandle handle) {
+                        throw new UnsupportedOperationException();
+                      }
 
-            @Override
-            public void wakeup() { }
+                      @Override
+                      public void wakeup() {}
 
-            @Override
-            public boolean isCompatible(Class<? extends IoHandle> type) {
-                return false;
-            }
-        }));
-        try {
-            for (int i = 0; i < 6; i++) {
-                assertThat(group.next().submit(() -> "done").get(10, TimeUnit.SECONDS)).isEqualTo("done");
-            }
-            Stage.await(() -> rounds.get() > 3);
-            assertThat(group.next().submit(() -> "done").get(10, TimeUnit.SECONDS)).isEqualTo("done");
-        } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        }
+                      @Override
+                      public boolean isCompatible(Class<? extends IoHandle> type) {
+                        return false;
+                      }
+                    }));
+    try {
+      for (int i = 0; i < 6; i++) {
+        assertThat(group.next().submit(() -> "done").get(10, TimeUnit.SECONDS)).isEqualTo("done");
+      }
+      Stage.await(() -> rounds.get() > 3);
+      assertThat(group.next().submit(() -> "done").get(10, TimeUnit.SECONDS)).isEqualTo("done");
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
+  }
 
-    /** A task that throws an {@code Error} takes no other of its tick with it, nor the timers after it. */
-    @Test
-    void anErrorInATimerLeavesTheOthersRunning() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
-            CompletableFuture<Void> same = new CompletableFuture<>();
-            CompletableFuture<Void> later = new CompletableFuture<>();
-            stage.proxy.loop().submit(() -> {
+  /**
+   * A task that throws an {@code Error} takes no other of its tick with it, nor the timers after
+   * it.
+   */
+  @Test
+  void anErrorInATimerLeavesTheOthersRunning() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      CompletableFuture<Void> same = new CompletableFuture<>();
+      CompletableFuture<Void> later = new CompletableFuture<>();
+      stage
+          .proxy
+          .loop()
+          .submit(
+              () -> {
                 Dispatcher dispatcher = stage.proxy.dispatcher();
-                dispatcher.after(8, () -> {
-                    throw new StackOverflowError("in a timer");
-                });
+                dispatcher.after(
+                    8,
+                    () -> {
+                      throw new StackOverflowError("in a timer");
+                    });
                 dispatcher.after(8, () -> same.complete(null));
                 dispatcher.after(60, () -> later.complete(null));
-            }).get();
-            same.get(10, TimeUnit.SECONDS);
-            later.get(10, TimeUnit.SECONDS);
-            Stage.serves(stage.client(), "1");
-        }
+              })
+          .get();
+      same.get(10, TimeUnit.SECONDS);
+      later.get(10, TimeUnit.SECONDS);
+      Stage.serves(stage.client(), "1");
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/LongValueTest.java
+++ b/src/test/java/damsonworks/proxy/LongValueTest.java
@@ -16,139 +16,189 @@
 /** Values that are too long to be held: passed on as they come, whole or seen not to be. */
 @Timeout(60)
 class LongValueTest {
-    private static final int BYTES = 3 << 20;
+  private static final int BYTES = 3 << 20;
 
-    /** No two parts alike, and the end of a line within. */
-    private static String value(int bytes) {
-        StringBuilder text = new StringBuilder(bytes + 16);
-        for (int i = 0; text.length() < bytes; i++) {
-            text.append(i).append("\r\n");
-        }
-        return text.substring(0, bytes);
+  /** No two parts alike, and the end of a line within. */
+  private static String value(int bytes) {
+    StringBuilder text = new StringBuilder(bytes + 16);
+    for (int i = 0; text.length() < bytes; i++) {
+      text.append(i).append("\r\n");
     }
+    return text.substring(0, bytes);
+  }
 
-    /** A cache node that begins the value and then does this. */
-    private static Peer node(Stage stage, int told, Peer.Script then) {
-        return stage.peer(line -> {
-            for (String text; (text = line.read()) != null;) {
-                line.write("VA " + told + " O" + Stage.id(text) + "\r\n");
-                then.run(line);
-            }
+  /** A cache node that begins the value and then does this. */
+  private static Peer node(Stage stage, int told, Peer.Script then) {
+    return stage.peer(
+        line -> {
+          for (String text; (text = line.read()) != null; ) {
+            line.write("VA " + told + " O" + Stage.id(text) + "\r\n");
+            then.run(line);
+          }
         });
-    }
+  }
 
-    @ParameterizedTest
-    @CsvSource({"node, 65537", "node, 4194304", "origin, 65537", "origin, 4194304", "closing, 65537", "closing, 262144"})
-    void itComesWholeAndTheConnectionGoesOn(String from, int bytes) throws Exception {
-        String value = value(bytes);
-        try (Stage stage = new Stage()) {
-            String end = from.equals("closing") ? "Connection: close\r\n\r\n" : "Content-Length: " + bytes + "\r\n\r\n";
-            Peer origin = stage.peer(line -> {
+  @ParameterizedTest
+  @CsvSource({
+    "node, 65537",
+    "node, 4194304",
+    "origin, 65537",
+    "origin, 4194304",
+    "closing, 65537",
+    "closing, 262144"
+  })
+  void itComesWholeAndTheConnectionGoesOn(String from, int bytes) throws Exception {
+    String value = value(bytes);
+    try (Stage stage = new Stage()) {
+      String end =
+          from.equals("closing")
+              ? "Connection: close\r\n\r\n"
+              : "Content-Length: " + bytes + "\r\n\r\n";
+      Peer origin =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    line.write("HTTP/1.1 200 OK\r\n" + end + value);
-                    if (from.equals("closing")) {
-                        line.socket.shutdownOutput();
-                    }
+                  line.write("HTTP/1.1 200 OK\r\n" + end + value);
+                  if (from.equals("closing")) {
+                    line.socket.shutdownOutput();
+                  }
                 }
-            });
-            Peer cache = from.equals("node") ? node(stage, bytes, line -> line.write(value + "\r\n")) : stage.emptyCache();
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 2; i++) {
-                client.write(Stage.read("a" + i, "x" + i));
-                assertThat(client.read()).isEqualTo("VA " + bytes + " Ox" + i);
-                assertThat(client.bytes(bytes + 2).equals(value + "\r\n")).isTrue();
-            }
-            Stage.await(() -> stage.held(Holding.PASSING) == 0);
-        }
+              });
+      Peer cache =
+          from.equals("node")
+              ? node(stage, bytes, line -> line.write(value + "\r\n"))
+              : stage.emptyCache();
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 2; i++) {
+        client.write(Stage.read("a" + i, "x" + i));
+        assertThat(client.read()).isEqualTo("VA " + bytes + " Ox" + i);
+        assertThat(client.bytes(bytes + 2).equals(value + "\r\n")).isTrue();
+      }
+      Stage.await(() -> stage.held(Holding.PASSING) == 0);
     }
+  }
 
-    /** More at once than memory holds, for clients that take none of it: what is in hand stays within its bound. */
-    @Test
-    void clientsThatTakeNothingHoldTheirServersBack() throws Exception {
-        String value = value(BYTES);
-        try (Stage stage = new Stage()) {
-            stage.memoryMb = 96;
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    line.write("VA " + BYTES + " O" + Stage.id(text) + "\r\n" + value + "\r\n");
+  /**
+   * More at once than memory holds, for clients that take none of it: what is in hand stays within
+   * its bound.
+   */
+  @Test
+  void clientsThatTakeNothingHoldTheirServersBack() throws Exception {
+    String value = value(BYTES);
+    try (Stage stage = new Stage()) {
+      stage.memoryMb = 96;
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  line.write("VA " + BYTES + " O" + Stage.id(text) + "\r\n" + value + "\r\n");
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.cache("s-2", cache));
-            List<Peer.Line> clients = new ArrayList<>();
-            for (int i = 0; i < 16; i++) {
-                Peer.Line client = stage.narrowClient();
-                client.write(Stage.read("k" + i, "x" + i));
-                assertThat(client.read()).isEqualTo("VA " + BYTES + " Ox" + i);
-                clients.add(client);
-            }
-            for (int i = 0; i < 16; i++) {
-                assertThat(clients.get(i).bytes(BYTES + 2).equals(value + "\r\n")).as("client " + i).isTrue();
-            }
-            assertThat(stage.mostHeld(Holding.PASSING)).isLessThan(16L * 3 * PassWindow.LEAST_BYTES);
-            Stage.await(() -> stage.held(Holding.PASSING) == 0);
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.cache("s-2", cache));
+      List<Peer.Line> clients = new ArrayList<>();
+      for (int i = 0; i < 16; i++) {
+        Peer.Line client = stage.narrowClient();
+        client.write(Stage.read("k" + i, "x" + i));
+        assertThat(client.read()).isEqualTo("VA " + BYTES + " Ox" + i);
+        clients.add(client);
+      }
+      for (int i = 0; i < 16; i++) {
+        assertThat(clients.get(i).bytes(BYTES + 2).equals(value + "\r\n"))
+            .as("client " + i)
+            .isTrue();
+      }
+      assertThat(stage.mostHeld(Holding.PASSING)).isLessThan(16L * 3 * PassWindow.LEAST_BYTES);
+      Stage.await(() -> stage.held(Holding.PASSING) == 0);
     }
+  }
 
-    /** The server goes, or its value has no end where it should: the client sees that it is not whole. */
-    @ParameterizedTest
-    @ValueSource(strings = {"breaks", "no end"})
-    void whatCannotBeFinishedEndsTheClientsConnectionBeforeTheValue(String how) throws Exception {
-        String value = value(BYTES);
-        try (Stage stage = new Stage()) {
-            Peer cache = node(stage, BYTES, line -> {
+  /**
+   * The server goes, or its value has no end where it should: the client sees that it is not whole.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"breaks", "no end"})
+  void whatCannotBeFinishedEndsTheClientsConnectionBeforeTheValue(String how) throws Exception {
+    String value = value(BYTES);
+    try (Stage stage = new Stage()) {
+      Peer cache =
+          node(
+              stage,
+              BYTES,
+              line -> {
                 line.write(how.equals("breaks") ? value.substring(0, BYTES / 2) : value + "no");
                 if (how.equals("breaks")) {
-                    line.close();
+                  line.close();
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.cache("s-2", cache));
-            Peer.Line client = stage.client();
-            client.write(Stage.read("a", "1"));
-            assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
-            assertThat(client.bytes(BYTES + 2).length()).isLessThan(BYTES);
-            assertThat(cache.heard).as("no second attempt").hasSize(1);
-            Stage.await(() -> stage.held(Holding.PASSING) == 0);
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.cache("s-2", cache));
+      Peer.Line client = stage.client();
+      client.write(Stage.read("a", "1"));
+      assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
+      assertThat(client.bytes(BYTES + 2).length()).isLessThan(BYTES);
+      assertThat(cache.heard).as("no second attempt").hasSize(1);
+      Stage.await(() -> stage.held(Holding.PASSING) == 0);
     }
+  }
 
-    /** It goes on past the request's deadline, and whoever waits behind it on its connection comes after it. */
-    @Test
-    void aServerThatGivesInPartsIsWaitedFor() throws Exception {
-        try (Stage stage = new Stage()) {
-            CountDownLatch go = new CountDownLatch(1);
-            Peer cache = node(stage, BYTES, line -> {
+  /**
+   * It goes on past the request's deadline, and whoever waits behind it on its connection comes
+   * after it.
+   */
+  @Test
+  void aServerThatGivesInPartsIsWaitedFor() throws Exception {
+    try (Stage stage = new Stage()) {
+      CountDownLatch go = new CountDownLatch(1);
+      Peer cache =
+          node(
+              stage,
+              BYTES,
+              line -> {
                 line.write(value(BYTES).substring(0, 100_000));
                 go.await();
                 line.write(value(BYTES).substring(100_000) + "\r\n");
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
-            Peer.Line client = stage.client();
-            client.write("mg a v O1 Pc=read,t=a,d=2000\r\n"); // its first bytes are to be in time on a slow machine too
-            assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
-            assertThat(client.bytes(90_000)).isEqualTo(value(BYTES).substring(0, 90_000));
-            Thread.sleep(2200); // past its deadline: what is asserted is that nothing happens
-            go.countDown();
-            assertThat(client.bytes(BYTES - 90_000 + 2).equals(value(BYTES).substring(90_000) + "\r\n")).isTrue();
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      Peer.Line client = stage.client();
+      client.write(
+          "mg a v O1 Pc=read,t=a,d=2000\r\n"); // its first bytes are to be in time on a slow
+      // machine too
+      assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
+      assertThat(client.bytes(90_000)).isEqualTo(value(BYTES).substring(0, 90_000));
+      Thread.sleep(2200); // past its deadline: what is asserted is that nothing happens
+      go.countDown();
+      assertThat(client.bytes(BYTES - 90_000 + 2).equals(value(BYTES).substring(90_000) + "\r\n"))
+          .isTrue();
     }
+  }
 
-    /** Its client leaves: the rest is not waited for, and nothing is kept. */
-    @Test
-    void aClientThatLeavesTakesItsValueAlong() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = node(stage, BYTES, line -> {
+  /** Its client leaves: the rest is not waited for, and nothing is kept. */
+  @Test
+  void aClientThatLeavesTakesItsValueAlong() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache =
+          node(
+              stage,
+              BYTES,
+              line -> {
                 line.write(value(BYTES).substring(0, 200_000));
                 line.read(); // until the proxy ends it
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
-            Peer.Line client = stage.client();
-            client.write(Stage.read("a", "1"));
-            assertThat(client.read()).startsWith("VA ");
-            client.close();
-            Stage.await(() -> stage.held(Holding.PASSING) == 0);
-            Stage.await(() -> stage.proxy.loop().submit(stage.proxy.dispatcher()::upstreamInUse).syncUninterruptibly()
-                    .getNow() == 0);
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      Peer.Line client = stage.client();
+      client.write(Stage.read("a", "1"));
+      assertThat(client.read()).startsWith("VA ");
+      client.close();
+      Stage.await(() -> stage.held(Holding.PASSING) == 0);
+      Stage.await(
+          () ->
+              stage
+                      .proxy
+                      .loop()
+                      .submit(stage.proxy.dispatcher()::upstreamInUse)
+                      .syncUninterruptibly()
+                      .getNow()
+                  == 0);
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/LoopEnds.java
+++ b/src/test/java/damsonworks/proxy/LoopEnds.java
@@ -1,12 +1,15 @@
 package damsonworks.proxy;
 
-/** A program of its own for {@link DoorTest}: a proxy whose event loop ends without anybody having asked for it. */
+/**
+ * A program of its own for {@link DoorTest}: a proxy whose event loop ends without anybody having
+ * asked for it.
+ */
 final class LoopEnds {
-    private LoopEnds() { }
+  private LoopEnds() {}
 
-    public static void main(String[] args) throws Exception {
-        Proxy proxy = Proxy.start(Config.read(System.getenv("BALANCER_CONFIG")));
-        proxy.endWithLoop();
-        proxy.close();
-    }
+  public static void main(String[] args) throws Exception {
+    Proxy proxy = Proxy.start(Config.read(System.getenv("BALANCER_CONFIG")));
+    proxy.endWithLoop();
+    proxy.close();
+  }
 }
--- a/src/test/java/damsonworks/proxy/OverloadTest.java
+++ b/src/test/java/damsonworks/proxy/OverloadTest.java
@@ -12,108 +12,128 @@
 /** A proxy whose loop is slowed on purpose; judged by what the cache nodes were sent. */
 @Timeout(60)
 class OverloadTest {
-    /** Each read on the loop that is let through this takes so long: the time between selecting and reading. */
-    private static final class SlowReads extends AbstractByteBufAllocator {
-        final AtomicInteger ms = new AtomicInteger();
-        private volatile Thread loop;
+  /**
+   * Each read on the loop that is let through this takes so long: the time between selecting and
+   * reading.
+   */
+  private static final class SlowReads extends AbstractByteBufAllocator {
+    final AtomicInteger ms = new AtomicInteger();
+    private volatile Thread loop;
 
-        SlowReads() {
-            super(true);
-        }
+    SlowReads() {
+      super(true);
+    }
 
-        @Override
-        protected ByteBuf newDirectBuffer(int initial, int most) {
-            if (Thread.currentThread() == loop && ms.get() > 0) {
-                try {
-                    Thread.sleep(ms.get());
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-            return UnpooledByteBufAllocator.DEFAULT.directBuffer(initial, most);
+    @Override
+    protected ByteBuf newDirectBuffer(int initial, int most) {
+      if (Thread.currentThread() == loop && ms.get() > 0) {
+        try {
+          Thread.sleep(ms.get());
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
         }
+      }
+      return UnpooledByteBufAllocator.DEFAULT.directBuffer(initial, most);
+    }
 
-        @Override
-        protected ByteBuf newHeapBuffer(int initial, int most) {
-            return UnpooledByteBufAllocator.DEFAULT.heapBuffer(initial, most);
-        }
+    @Override
+    protected ByteBuf newHeapBuffer(int initial, int most) {
+      return UnpooledByteBufAllocator.DEFAULT.heapBuffer(initial, most);
+    }
 
-        @Override
-        public boolean isDirectBufferPooled() {
-            return false;
-        }
+    @Override
+    public boolean isDirectBufferPooled() {
+      return false;
+    }
 
-        void of(Stage stage) {
-            stage.proxy.loop().submit(() -> loop = Thread.currentThread()).syncUninterruptibly();
-        }
+    void of(Stage stage) {
+      stage.proxy.loop().submit(() -> loop = Thread.currentThread()).syncUninterruptibly();
     }
+  }
 
-    /** Counts what a cache node is sent. */
-    private static Peer counting(Stage stage, AtomicInteger sent) {
-        return stage.peer(line -> {
-            for (String text; (text = line.read()) != null;) {
-                if (text.startsWith("m")) {
-                    sent.incrementAndGet();
-                    Stage.answer(line, text);
-                }
+  /** Counts what a cache node is sent. */
+  private static Peer counting(Stage stage, AtomicInteger sent) {
+    return stage.peer(
+        line -> {
+          for (String text; (text = line.read()) != null; ) {
+            if (text.startsWith("m")) {
+              sent.incrementAndGet();
+              Stage.answer(line, text);
             }
+          }
         });
-    }
+  }
 
-    /** With every read slowed to 30 ms a wait of 5 ms is not to be had: most are turned away and nothing is sent for them. */
-    @Test
-    void whatTheProcessorHasNoTimeForIsRefusedAtOnceAndNothingIsSentForIt() throws Exception {
-        try (Stage stage = new Stage()) {
-            SlowReads slow = new SlowReads();
-            stage.allocator = slow;
-            stage.waitMs = 5;
-            AtomicInteger sent = new AtomicInteger();
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
-            slow.of(stage);
-            slow.ms.set(30);
-            Peer.Line client = stage.client();
-            int served = 0;
-            int refused = 0;
-            for (int i = 0; refused < 20; i++) {
-                client.write(Stage.read("a" + i, "r" + i));
-                String answer = client.read();
-                if (answer.startsWith("VA ")) {
-                    client.read();
-                    served++;
-                } else {
-                    // Advice: at least half of what the settings allow, 500 ms, where almost all is refused.
-                    assertThat(answer).matches("SERVER_ERROR busy [1-9][0-9]{0,2}");
-                    refused++;
-                }
-            }
-            assertThat(sent).hasValue(served);
-            client.write(Stage.write("a", "w", "read", "value"));
-            String written = client.read();
-            assertThat(written).matches("HD Ow .*|VA 2 Ow|SERVER_ERROR busy.*");
-            slow.ms.set(0);
-            Stage.await(() -> stage.proxy.loop().submit(() -> stage.proxy.dispatcher().budget()
-                    .excess(stage.proxy.dispatcher().now())).syncUninterruptibly().getNow() == 0);
-            Peer.Line other = stage.client();
-            Stage.serves(other, "later");
+  /**
+   * With every read slowed to 30 ms a wait of 5 ms is not to be had: most are turned away and
+   * nothing is sent for them.
+   */
+  @Test
+  void whatTheProcessorHasNoTimeForIsRefusedAtOnceAndNothingIsSentForIt() throws Exception {
+    try (Stage stage = new Stage()) {
+      SlowReads slow = new SlowReads();
+      stage.allocator = slow;
+      stage.waitMs = 5;
+      AtomicInteger sent = new AtomicInteger();
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
+      slow.of(stage);
+      slow.ms.set(30);
+      Peer.Line client = stage.client();
+      int served = 0;
+      int refused = 0;
+      for (int i = 0; refused < 20; i++) {
+        client.write(Stage.read("a" + i, "r" + i));
+        String answer = client.read();
+        if (answer.startsWith("VA ")) {
+          client.read();
+          served++;
+        } else {
+          // Advice: at least half of what the settings allow, 500 ms, where almost all is refused.
+          assertThat(answer).matches("SERVER_ERROR busy [1-9][0-9]{0,2}");
+          refused++;
         }
+      }
+      assertThat(sent).hasValue(served);
+      client.write(Stage.write("a", "w", "read", "value"));
+      String written = client.read();
+      assertThat(written).matches("HD Ow .*|VA 2 Ow|SERVER_ERROR busy.*");
+      slow.ms.set(0);
+      Stage.await(
+          () ->
+              stage
+                      .proxy
+                      .loop()
+                      .submit(
+                          () ->
+                              stage
+                                  .proxy
+                                  .dispatcher()
+                                  .budget()
+                                  .excess(stage.proxy.dispatcher().now()))
+                      .syncUninterruptibly()
+                      .getNow()
+                  == 0);
+      Peer.Line other = stage.client();
+      Stage.serves(other, "later");
     }
+  }
 
-    @Test
-    void whereItIsSwitchedOffAllIsServedHoweverLate() throws Exception {
-        try (Stage stage = new Stage()) {
-            SlowReads slow = new SlowReads();
-            stage.allocator = slow;
-            stage.waitMs = 0;
-            AtomicInteger sent = new AtomicInteger();
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
-            slow.of(stage);
-            slow.ms.set(30);
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 30; i++) {
-                Stage.serves(client, "r" + i);
-            }
-            assertThat(sent).hasValue(30);
-            assertThat(stage.proxy.dispatcher().budget()).isNull();
-        }
+  @Test
+  void whereItIsSwitchedOffAllIsServedHoweverLate() throws Exception {
+    try (Stage stage = new Stage()) {
+      SlowReads slow = new SlowReads();
+      stage.allocator = slow;
+      stage.waitMs = 0;
+      AtomicInteger sent = new AtomicInteger();
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
+      slow.of(stage);
+      slow.ms.set(30);
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 30; i++) {
+        Stage.serves(client, "r" + i);
+      }
+      assertThat(sent).hasValue(30);
+      assertThat(stage.proxy.dispatcher().budget()).isNull();
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/RequestBench.java
+++ b/src/test/java/damsonworks/proxy/RequestBench.java
@@ -23,80 +23,102 @@
 import org.openjdk.jmh.annotations.Warmup;
 
 /**
- * What a request costs without sockets: a command of docs/overload-measured.md, not a test. In the JVM's settings of
- * deploy/serve.sh that decide on code, as the figures of another compiler say nothing of the proxy.
+ * What a request costs without sockets: a command of docs/overload-measured.md, not a test. In the
+ * JVM's settings of deploy/serve.sh that decide on code, as the figures of another compiler say
+ * nothing of the proxy.
  */
 @org.openjdk.jmh.annotations.State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 5, time = 1)
-@Fork(value = 1, jvmArgsAppend = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:C1MaxInlineLevel=3",
-    "-XX:C1MaxInlineSize=20", "-Xms32m", "-Xmx32m", "-Xmn10m"})
+@Fork(
+    value = 1,
+    jvmArgsAppend = {
+      "-XX:+UseSerialGC",
+      "-XX:TieredStopAtLevel=1",
+      "-XX:C1MaxInlineLevel=3",
+      "-XX:C1MaxInlineSize=20",
+      "-Xms32m",
+      "-Xmx32m",
+      "-Xmn10m"
+    })
 public class RequestBench {
-    private static final String FLAGS = " v O7f3a9c21e0b4d655 Pc=read,t=acme,d=480";
-    private static final int SERVERS = 12;
+  private static final String FLAGS = " v O7f3a9c21e0b4d655 Pc=read,t=acme,d=480";
+  private static final int SERVERS = 12;
 
-    private final List<EmbeddedChannel> upstream = new ArrayList<>();
-    private Dispatcher dispatcher;
-    private EmbeddedChannel client;
-    private int asked;
+  private final List<EmbeddedChannel> upstream = new ArrayList<>();
+  private Dispatcher dispatcher;
+  private EmbeddedChannel client;
+  private int asked;
 
-    @Setup
-    public void start() throws Exception {
-        try (Stage stage = new Stage()) {
-            Config config = Config.parse(JsonParser.parseString(stage.config("127.0.0.1:1")).getAsJsonObject());
-            client = new EmbeddedChannel();
-            dispatcher = new Dispatcher(client.eventLoop(), config, (to, handlers) -> {
+  @Setup
+  public void start() throws Exception {
+    try (Stage stage = new Stage()) {
+      Config config =
+          Config.parse(JsonParser.parseString(stage.config("127.0.0.1:1")).getAsJsonObject());
+      client = new EmbeddedChannel();
+      dispatcher =
+          new Dispatcher(
+              client.eventLoop(),
+              config,
+              (to, handlers) -> {
                 EmbeddedChannel channel = new EmbeddedChannel(handlers);
                 upstream.add(channel);
                 return channel.newSucceededFuture();
-            });
-            dispatcher.start(null, null, c -> { });
-            List<DiscoveryClient.Host> hosts = new ArrayList<>();
-            for (int id = 1; id <= SERVERS; id++) {
-                hosts.add(new DiscoveryClient.Host(new Member(id, 0, 0, 0, State.READY, 1, 0),
-                        new InetSocketAddress("127.0.0.1", 1)));
-            }
-            dispatcher.listed(ListKind.CHANGES, hosts);
-            client.pipeline().addLast(new ClientConnection(dispatcher, new Door(client.eventLoop(), dispatcher)));
-        }
+              });
+      dispatcher.start(null, null, c -> {});
+      List<DiscoveryClient.Host> hosts = new ArrayList<>();
+      for (int id = 1; id <= SERVERS; id++) {
+        hosts.add(
+            new DiscoveryClient.Host(
+                new Member(id, 0, 0, 0, State.READY, 1, 0), new InetSocketAddress("127.0.0.1", 1)));
+      }
+      dispatcher.listed(ListKind.CHANGES, hosts);
+      client
+          .pipeline()
+          .addLast(new ClientConnection(dispatcher, new Door(client.eventLoop(), dispatcher)));
     }
+  }
 
-    /** A command's line, taken apart. */
-    @Benchmark
-    public Object command() {
-        return MetaCodec.command("mg 9b1f03aa5c7e2d41" + FLAGS, false);
-    }
+  /** A command's line, taken apart. */
+  @Benchmark
+  public Object command() {
+    return MetaCodec.command("mg 9b1f03aa5c7e2d41" + FLAGS, false);
+  }
 
-    /** From a client's bytes to its answer's, through codec, dispatcher, module and codec, and back. */
-    @Benchmark
-    public Object served() {
-        String id = "x" + ++asked;
-        client.writeInbound(bytes("mg " + Integer.toHexString(asked * 7919) + " v O" + id + " Pc=read,t=acme,d=480\r\n"));
-        for (EmbeddedChannel u : upstream) {
-            for (ByteBuf sent; (sent = u.readOutbound()) != null;) {
-                sent.release();
-                u.writeInbound(bytes("VA 2 O" + id + " h1\r\nhi\r\n"));
-            }
-        }
-        return answer();
+  /**
+   * From a client's bytes to its answer's, through codec, dispatcher, module and codec, and back.
+   */
+  @Benchmark
+  public Object served() {
+    String id = "x" + ++asked;
+    client.writeInbound(
+        bytes(
+            "mg " + Integer.toHexString(asked * 7919) + " v O" + id + " Pc=read,t=acme,d=480\r\n"));
+    for (EmbeddedChannel u : upstream) {
+      for (ByteBuf sent; (sent = u.readOutbound()) != null; ) {
+        sent.release();
+        u.writeInbound(bytes("VA 2 O" + id + " h1\r\nhi\r\n"));
+      }
     }
+    return answer();
+  }
 
-    private Object answer() {
-        client.runScheduledPendingTasks();
-        int bytes = 0;
-        for (ByteBuf part; (part = client.readOutbound()) != null;) {
-            bytes += part.readableBytes();
-            part.release();
-        }
-        if (bytes == 0) {
-            throw new IllegalStateException("no answer to request " + asked);
-        }
-        return bytes;
+  private Object answer() {
+    client.runScheduledPendingTasks();
+    int bytes = 0;
+    for (ByteBuf part; (part = client.readOutbound()) != null; ) {
+      bytes += part.readableBytes();
+      part.release();
     }
-
-    private static ByteBuf bytes(String text) {
-        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    if (bytes == 0) {
+      throw new IllegalStateException("no answer to request " + asked);
     }
+    return bytes;
+  }
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+  }
 }
--- a/src/test/java/damsonworks/proxy/ServeScriptTest.java
+++ b/src/test/java/damsonworks/proxy/ServeScriptTest.java
@@ -12,13 +12,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** deploy/serve.sh where no other program can be started: {@code PATH} holds a stand-in for java and nothing else. */
+/**
+ * deploy/serve.sh where no other program can be started: {@code PATH} holds a stand-in for java and
+ * nothing else.
+ */
 class ServeScriptTest {
-    @TempDir
-    Path folder;
+  @TempDir Path folder;
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', textBlock = """
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
             {"limits":{"cores":1.0,"memory_mb":192,"sockets":4}} | -Xmx32m -XX:MaxDirectMemorySize=48m
             {"limits":{"memory_mb" : 96}}                        | -Xmx32m -XX:MaxDirectMemorySize=24m
             {"limits":{"memory_mb":95}}                          | -Xmx20m -XX:MaxDirectMemorySize=10m
@@ -28,39 +33,56 @@
             {"limits":{"sockets":4}}                             | -Xmx32m -XX:MaxDirectMemorySize=32m
             no file                                              | -Xmx32m -XX:MaxDirectMemorySize=32m
             """)
-    void startsWithTheSizesOfItsLimitAndWithNoOtherProgram(String config, String sizes) throws Exception {
-        assertThat(started(config.replace("{\"limits", "{\n \"name\":\"memory\",\n \"limits"), config.startsWith("{")))
-                .contains(sizes.split(" "));
-    }
+  void startsWithTheSizesOfItsLimitAndWithNoOtherProgram(String config, String sizes)
+      throws Exception {
+    assertThat(
+            started(
+                config.replace("{\"limits", "{\n \"name\":\"memory\",\n \"limits"),
+                config.startsWith("{")))
+        .contains(sizes.split(" "));
+  }
 
-    /** A thousand nodes on one line, ahead of the limits: a start that took the square of that would take half a minute. */
-    @Test
-    void isNotHeldUpByALongList() throws Exception {
-        String host = "{\"host\":\"s-5be2a07c\",\"dial\":\"10.1.0.18:11211\",\"site\":\"a\",\"class\":\"fast\",\"block\":3,"
-                + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0},";
-        long began = System.nanoTime();
-        assertThat(started("{\"known\":{\"hosts\":[" + host.repeat(1000) + "{}]},\"limits\":{\"memory_mb\":96,\"cores\":1}}", true))
-                .contains("-Xmx32m", "-XX:MaxDirectMemorySize=24m");
-        assertThat(System.nanoTime() - began).isLessThan(10_000_000_000L);
-    }
+  /**
+   * A thousand nodes on one line, ahead of the limits: a start that took the square of that would
+   * take half a minute.
+   */
+  @Test
+  void isNotHeldUpByALongList() throws Exception {
+    String host =
+        "{\"host\":\"s-5be2a07c\",\"dial\":\"10.1.0.18:11211\",\"site\":\"a\",\"class\":\"fast\",\"block\":3,"
+            + "\"health\":\"up\",\"share\":1.0,\"born_ms\":0},";
+    long began = System.nanoTime();
+    assertThat(
+            started(
+                "{\"known\":{\"hosts\":["
+                    + host.repeat(1000)
+                    + "{}]},\"limits\":{\"memory_mb\":96,\"cores\":1}}",
+                true))
+        .contains("-Xmx32m", "-XX:MaxDirectMemorySize=24m");
+    assertThat(System.nanoTime() - began).isLessThan(10_000_000_000L);
+  }
 
-    /** What java is started with, in a folder where there is nothing else to start. */
-    private String started(String config, boolean written) throws Exception {
-        Path java = Files.createFile(folder.resolve("java"),
-                PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwxr-xr-x")));
-        Files.writeString(java, "#!/bin/sh\necho \"$*\"\n");
-        Path file = folder.resolve("config.json");
-        if (written) {
-            Files.writeString(file, config);
-        }
-        ProcessBuilder script = new ProcessBuilder("/bin/sh", "deploy/serve.sh", "--settings", "x").redirectErrorStream(true);
-        script.environment().put("PATH", folder.toString());
-        script.environment().put("BALANCER_CONFIG", file.toString());
-        script.environment().remove("REHEARSAL");
-        Process started = script.start();
-        String said = new String(started.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertThat(started.waitFor(20, TimeUnit.SECONDS)).isTrue();
-        assertThat(said).endsWith("serve --settings x\n").doesNotContain("not found");
-        return said;
+  /** What java is started with, in a folder where there is nothing else to start. */
+  private String started(String config, boolean written) throws Exception {
+    Path java =
+        Files.createFile(
+            folder.resolve("java"),
+            PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwxr-xr-x")));
+    Files.writeString(java, "#!/bin/sh\necho \"$*\"\n");
+    Path file = folder.resolve("config.json");
+    if (written) {
+      Files.writeString(file, config);
     }
+    ProcessBuilder script =
+        new ProcessBuilder("/bin/sh", "deploy/serve.sh", "--settings", "x")
+            .redirectErrorStream(true);
+    script.environment().put("PATH", folder.toString());
+    script.environment().put("BALANCER_CONFIG", file.toString());
+    script.environment().remove("REHEARSAL");
+    Process started = script.start();
+    String said = new String(started.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertThat(started.waitFor(20, TimeUnit.SECONDS)).isTrue();
+    assertThat(said).endsWith("serve --settings x\n").doesNotContain("not found");
+    return said;
+  }
 }
--- a/src/test/java/damsonworks/proxy/TimersTest.java
+++ b/src/test/java/damsonworks/proxy/TimersTest.java
@@ -15,57 +15,73 @@
 
 /** Timers of a loop of their own. */
 class TimersTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
-    private final Timers timers = new Timers(loop);
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Timers timers = new Timers(loop);
 
-    @AfterEach
-    void end() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    }
+  @AfterEach
+  void end() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
 
-    @Test
-    void timersRunInTheOrderOfTheirTicksNeverEarlyAndStoppedOnesNever() throws Exception {
-        List<String> ran = new ArrayList<>();
-        CompletableFuture<Void> last = new CompletableFuture<>();
-        long[] at = new long[2];
-        loop.execute(() -> {
-            at[0] = System.nanoTime();
-            timers.after(60, () -> {
+  @Test
+  void timersRunInTheOrderOfTheirTicksNeverEarlyAndStoppedOnesNever() throws Exception {
+    List<String> ran = new ArrayList<>();
+    CompletableFuture<Void> last = new CompletableFuture<>();
+    long[] at = new long[2];
+    loop.execute(
+        () -> {
+          at[0] = System.nanoTime();
+          timers.after(
+              60,
+              () -> {
                 at[1] = System.nanoTime();
                 ran.add("late");
                 last.complete(null);
-            });
-            timers.after(20, () -> ran.add("first"));
-            Timers.Timer stopped = timers.after(20, () -> ran.add("stopped"));
-            timers.after(20, () -> {
+              });
+          timers.after(20, () -> ran.add("first"));
+          Timers.Timer stopped = timers.after(20, () -> ran.add("stopped"));
+          timers.after(
+              20,
+              () -> {
                 ran.add("second");
                 timers.after(0, () -> ran.add("set by a timer"));
-            });
-            stopped.stop();
+              });
+          stopped.stop();
         });
-        last.get(20, TimeUnit.SECONDS);
-        assertThat(ran).containsExactly("first", "second", "set by a timer", "late");
-        assertThat(at[1] - at[0]).isGreaterThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(60));
-    }
+    last.get(20, TimeUnit.SECONDS);
+    assertThat(ran).containsExactly("first", "second", "set by a timer", "late");
+    assertThat(at[1] - at[0]).isGreaterThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(60));
+  }
 
-    /** Thousands of timers, each at its own instant, kept the loop from ever sleeping. */
-    @Test
-    void manyTimersWakeTheLoopOnceATick() throws Exception {
-        int[] batches = new int[1];
-        boolean[] within = new boolean[1];
-        CompletableFuture<Void> last = new CompletableFuture<>();
-        loop.execute(() -> IntStream.range(0, 5000).forEach(i -> timers.after(i / 50.0, () -> {
-            if (!within[0]) { // the loop has done something else since the last one
-                within[0] = true;
-                batches[0]++;
-                loop.execute(() -> within[0] = false);
-            }
-            if (i == 4999) {
-                last.complete(null);
-            }
-        })));
-        last.get(20, TimeUnit.SECONDS);
-        assertThat(batches[0]).as("ticks of 4 ms in 100 ms, and what setting them took").isBetween(1, 60);
-    }
+  /** Thousands of timers, each at its own instant, kept the loop from ever sleeping. */
+  @Test
+  void manyTimersWakeTheLoopOnceATick() throws Exception {
+    int[] batches = new int[1];
+    boolean[] within = new boolean[1];
+    CompletableFuture<Void> last = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            IntStream.range(0, 5000)
+                .forEach(
+                    i ->
+                        timers.after(
+                            i / 50.0,
+                            () -> {
+                              if (!within[
+                                  0]) { // the loop has done something else since the last one
+                                within[0] = true;
+                                batches[0]++;
+                                loop.execute(() -> within[0] = false);
+                              }
+                              if (i == 4999) {
+                                last.complete(null);
+                              }
+                            })));
+    last.get(20, TimeUnit.SECONDS);
+    assertThat(batches[0])
+        .as("ticks of 4 ms in 100 ms, and what setting them took")
+        .isBetween(1, 60);
+  }
 }
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -13,9 +13,10 @@
 
 /** Cache nodes and origins that answer otherwise than they should. */
 class UpstreamTest {
-    /** The first answer is spoilt in this way; all others are good. %s: the request's id. */
-    @ParameterizedTest
-    @ValueSource(strings = {
+  /** The first answer is spoilt in this way; all others are good. %s: the request's id. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
         "\u0001\u0002noise\r\n",
         "VA two O%s\r\nhi\r\n",
         "VA -2 O%s\r\nhi\r\n",
@@ -28,310 +29,373 @@
         "SERVER_ERROR busybody\r\n",
         "ENd O%s\r\n",
         "LINE WITHOUT END",
-    })
-    void aSpoiltAnswerCostsAnAttemptAndItsConnection(String spoilt) throws Exception {
-        try (Stage stage = new Stage()) {
-            AtomicInteger asked = new AtomicInteger();
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    String good = "VA 2 O%s\r\nhi\r\n";
-                    line.write((asked.getAndIncrement() == 0 ? spoilt : good).replace("%s", Stage.id(text)));
+      })
+  void aSpoiltAnswerCostsAnAttemptAndItsConnection(String spoilt) throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicInteger asked = new AtomicInteger();
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  String good = "VA 2 O%s\r\nhi\r\n";
+                  line.write(
+                      (asked.getAndIncrement() == 0 ? spoilt : good).replace("%s", Stage.id(text)));
                 }
-            });
-            Peer origin = stage.peer(Peer.Line::head);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            client.write(Stage.read("a", "1"));
-            assertThat(client.read()).isEqualTo("VA 2 O1");
-            assertThat(client.read()).isEqualTo("hi");
-            Stage.await(() -> cache.lines.iterator().next().ended);
-            assertThat(origin.heard).isEmpty();
-        }
+              });
+      Peer origin = stage.peer(Peer.Line::head);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      client.write(Stage.read("a", "1"));
+      assertThat(client.read()).isEqualTo("VA 2 O1");
+      assertThat(client.read()).isEqualTo("hi");
+      Stage.await(() -> cache.lines.iterator().next().ended);
+      assertThat(origin.heard).isEmpty();
     }
+  }
 
-    /** Each node resets each second request that comes to it first, as on a bad network: it was passed over for it. */
-    @Test
-    void aNodeThatLosesConnectionsKeepsItsKeys() throws Exception {
-        try (Stage stage = new Stage()) {
-            Map<String, String> firstSentTo = new ConcurrentHashMap<>();
-            List<String> hosts = new ArrayList<>();
-            for (String name : List.of("s-1", "s-2", "s-3")) {
-                AtomicInteger cameFirst = new AtomicInteger();
-                hosts.add(Stage.cache(name, stage.peer(line -> {
-                    for (String text; (text = line.read()) != null;) {
+  /**
+   * Each node resets each second request that comes to it first, as on a bad network: it was passed
+   * over for it.
+   */
+  @Test
+  void aNodeThatLosesConnectionsKeepsItsKeys() throws Exception {
+    try (Stage stage = new Stage()) {
+      Map<String, String> firstSentTo = new ConcurrentHashMap<>();
+      List<String> hosts = new ArrayList<>();
+      for (String name : List.of("s-1", "s-2", "s-3")) {
+        AtomicInteger cameFirst = new AtomicInteger();
+        hosts.add(
+            Stage.cache(
+                name,
+                stage.peer(
+                    line -> {
+                      for (String text; (text = line.read()) != null; ) {
                         String id = Stage.id(text);
-                        if (firstSentTo.putIfAbsent(id, name) == null && cameFirst.getAndIncrement() % 2 == 1) {
-                            line.socket.setSoLinger(true, 0);
-                            line.close();
-                            return;
+                        if (firstSentTo.putIfAbsent(id, name) == null
+                            && cameFirst.getAndIncrement() % 2 == 1) {
+                          line.socket.setSoLinger(true, 0);
+                          line.close();
+                          return;
                         }
                         line.write("VA 2 O" + id + "\r\nhi\r\n");
-                    }
-                })));
-            }
-            stage.start(stage.quietDiscovery(), hosts.toArray(new String[0]));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 48; i++) {
-                client.write(Stage.read("key" + i % 12, "" + i));
-                assertThat(client.read()).isEqualTo("VA 2 O" + i);
-                assertThat(client.read()).isEqualTo("hi");
-                assertThat(firstSentTo.get("" + i)).as("request %d", i).isEqualTo(firstSentTo.get("" + i % 12));
-            }
-        }
+                      }
+                    })));
+      }
+      stage.start(stage.quietDiscovery(), hosts.toArray(new String[0]));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 48; i++) {
+        client.write(Stage.read("key" + i % 12, "" + i));
+        assertThat(client.read()).isEqualTo("VA 2 O" + i);
+        assertThat(client.read()).isEqualTo("hi");
+        assertThat(firstSentTo.get("" + i))
+            .as("request %d", i)
+            .isEqualTo(firstSentTo.get("" + i % 12));
+      }
     }
+  }
 
-    /**
-     * A node without a place for one more connection turns the first request away and closes; one whose queue is full
-     * does not close. The first was asked again by each request, the second must be.
-     */
-    @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void aNodeWithoutAPlaceIsNotAskedForOneAgainAndAgain(boolean noPlace) throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer full = stage.peer(line -> {
+  /**
+   * A node without a place for one more connection turns the first request away and closes; one
+   * whose queue is full does not close. The first was asked again by each request, the second must
+   * be.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aNodeWithoutAPlaceIsNotAskedForOneAgainAndAgain(boolean noPlace) throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer full =
+          stage.peer(
+              line -> {
                 while (line.read() != null) {
-                    line.write("SERVER_ERROR busy\r\n");
-                    if (noPlace) {
-                        line.close();
-                    }
+                  line.write("SERVER_ERROR busy\r\n");
+                  if (noPlace) {
+                    line.close();
+                  }
                 }
-            });
-            Peer origin = stage.peer(Peer.Line::head);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", full), Stage.cache("s-2", stage.fullCache()),
-                    Stage.origin(origin));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 20; i++) {
-                client.write(Stage.read("key" + i, "id" + i));
-                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
-                assertThat(client.read()).isEqualTo("hi");
-            }
-            assertThat(origin.heard).isEmpty();
-            if (noPlace) {
-                assertThat(full.lines).hasSize(1);
-            } else {
-                assertThat(full.heard).hasSizeGreaterThan(1);
-                assertThat(full.open()).isPositive();
-            }
-        }
+              });
+      Peer origin = stage.peer(Peer.Line::head);
+      stage.start(
+          stage.quietDiscovery(),
+          Stage.cache("s-1", full),
+          Stage.cache("s-2", stage.fullCache()),
+          Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 20; i++) {
+        client.write(Stage.read("key" + i, "id" + i));
+        assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+        assertThat(client.read()).isEqualTo("hi");
+      }
+      assertThat(origin.heard).isEmpty();
+      if (noPlace) {
+        assertThat(full.lines).hasSize(1);
+      } else {
+        assertThat(full.heard).hasSizeGreaterThan(1);
+        assertThat(full.open()).isPositive();
+      }
     }
+  }
 
-    /** An answer over HTTP carries no id: a second copy was served to whoever asked next on that connection. */
-    @ParameterizedTest
-    @ValueSource(strings = {"copy", "noise"})
-    void whatComesBehindAnOriginsAnswerIsNobodys(String surplus) throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer origin = stage.peer(line -> {
-                for (String head; (head = line.head()) != null;) {
-                    String value = head.split("[ /]")[2];
-                    String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value;
-                    line.write(answer + (surplus.equals("copy") ? answer : "\u0000\u0001 no HTTP\r\n\r\n"));
+  /**
+   * An answer over HTTP carries no id: a second copy was served to whoever asked next on that
+   * connection.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"copy", "noise"})
+  void whatComesBehindAnOriginsAnswerIsNobodys(String surplus) throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer origin =
+          stage.peer(
+              line -> {
+                for (String head; (head = line.head()) != null; ) {
+                  String value = head.split("[ /]")[2];
+                  String answer =
+                      "HTTP/1.1 200 OK\r\nContent-Length: " + value.length() + "\r\n\r\n" + value;
+                  line.write(
+                      answer + (surplus.equals("copy") ? answer : "\u0000\u0001 no HTTP\r\n\r\n"));
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 20; i++) {
-                client.write(Stage.read("key" + i, "id" + i));
-                assertThat(client.read()).isEqualTo("VA " + ("key" + i).length() + " Oid" + i);
-                assertThat(client.read()).isEqualTo("key" + i);
-            }
-        }
+              });
+      stage.start(
+          stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 20; i++) {
+        client.write(Stage.read("key" + i, "id" + i));
+        assertThat(client.read()).isEqualTo("VA " + ("key" + i).length() + " Oid" + i);
+        assertThat(client.read()).isEqualTo("key" + i);
+      }
     }
+  }
 
-    @Test
-    void surplusBehindACacheNodesAnswerCostsOnlyTheConnection() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    String answer = "VA 2 O" + Stage.id(text) + " h1 Lutil=what?\r\nhi\r\n";
-                    line.write(answer + answer);
+  @Test
+  void surplusBehindACacheNodesAnswerCostsOnlyTheConnection() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  String answer = "VA 2 O" + Stage.id(text) + " h1 Lutil=what?\r\nhi\r\n";
+                  line.write(answer + answer);
                 }
-            });
-            Peer origin = stage.peer(Peer.Line::head);
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 10; i++) {
-                client.write(Stage.read("a", "id" + i));
-                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
-                assertThat(client.read()).isEqualTo("hi");
-            }
-            assertThat(cache.heard.stream().filter(l -> !l.isEmpty())).hasSize(10);
-            Stage.await(() -> cache.open() == 0);
-        }
+              });
+      Peer origin = stage.peer(Peer.Line::head);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 10; i++) {
+        client.write(Stage.read("a", "id" + i));
+        assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+        assertThat(client.read()).isEqualTo("hi");
+      }
+      assertThat(cache.heard.stream().filter(l -> !l.isEmpty())).hasSize(10);
+      Stage.await(() -> cache.open() == 0);
     }
+  }
 
-    /** It has run, whatever came back: it fails, is not sent again, and nothing of what came is passed on. */
-    @ParameterizedTest
-    @ValueSource(strings = {"", "a b", "a\r\nHD O7 c1", "no HTTP", "3 GB", "no length", "another's",
-        "no header"})
-    void aSpoiltReceiptFailsAnUnsafeWriteOnce(String body) throws Exception {
-        try (Stage stage = new Stage()) {
-            AtomicInteger puts = new AtomicInteger();
-            Peer origin = stage.peer(line -> {
+  /**
+   * It has run, whatever came back: it fails, is not sent again, and nothing of what came is passed
+   * on.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "a b",
+        "a\r\nHD O7 c1",
+        "no HTTP",
+        "3 GB",
+        "no length",
+        "another's",
+        "no header"
+      })
+  void aSpoiltReceiptFailsAnUnsafeWriteOnce(String body) throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicInteger puts = new AtomicInteger();
+      Peer origin =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    line.bytes(3);
-                    puts.incrementAndGet();
-                    switch (body) {
-                        case "no HTTP" -> line.write("SMTP ready\r\n\r\n");
-                        case "3 GB" -> line.write("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc");
-                        case "no length" -> line.write("HTTP/1.1 200 OK\r\n\r\nabc");
-                        case "no header" -> line.http("200 OK", "no colon here\r\n", "abc");
-                        case "another's" -> line.http("200 OK", "Req-Id: 8\r\n", "abc");
-                        default -> line.http("200 OK", "", body);
-                    }
+                  line.bytes(3);
+                  puts.incrementAndGet();
+                  switch (body) {
+                    case "no HTTP" -> line.write("SMTP ready\r\n\r\n");
+                    case "3 GB" ->
+                        line.write("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc");
+                    case "no length" -> line.write("HTTP/1.1 200 OK\r\n\r\nabc");
+                    case "no header" -> line.http("200 OK", "no colon here\r\n", "abc");
+                    case "another's" -> line.http("200 OK", "Req-Id: 8\r\n", "abc");
+                    default -> line.http("200 OK", "", body);
+                  }
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            client.write(Stage.write("a", "7", "pay", "xyz"));
-            assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
-            assertThat(puts).hasValue(1);
-            Stage.await(() -> origin.open() == 0);
-        }
+              });
+      stage.start(
+          stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      client.write(Stage.write("a", "7", "pay", "xyz"));
+      assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
+      assertThat(puts).hasValue(1);
+      Stage.await(() -> origin.open() == 0);
     }
+  }
 
-    /**
-     * Each connection takes one write and resets at the first byte of the next, as a kept connection does that
-     * is dead at the other end. Such a write never ran as a whole: it goes again on a new connection.
-     */
-    @Test
-    void anUnsafeWriteThatMeetsADeadConnectionGoesAgain() throws Exception {
-        try (Stage stage = new Stage()) {
-            AtomicInteger puts = new AtomicInteger();
-            Peer origin = stage.peer(line -> {
+  /**
+   * Each connection takes one write and resets at the first byte of the next, as a kept connection
+   * does that is dead at the other end. Such a write never ran as a whole: it goes again on a new
+   * connection.
+   */
+  @Test
+  void anUnsafeWriteThatMeetsADeadConnectionGoesAgain() throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicInteger puts = new AtomicInteger();
+      Peer origin =
+          stage.peer(
+              line -> {
                 line.head();
                 line.bytes(3);
                 line.http("200 OK", "", "r" + puts.incrementAndGet());
                 line.bytes(1);
                 line.socket.setSoLinger(true, 0);
                 line.close();
-            });
-            stage.start(stage.quietDiscovery(), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            int served = 0;
-            for (int i = 0; i < 40; i++) {
-                client.write(Stage.write("a", "" + i, "pay", "xyz"));
-                String answer = client.read();
-                assertThat(answer).isIn("HD O" + i + " cr" + puts.get(), "SERVER_ERROR failed");
-                served += answer.startsWith("HD") ? 1 : 0;
-                Thread.sleep(5); // past the rest that a connection takes after an answer
-            }
-            // Without the last byte held back none but those on new connections are served. A peer that is slow to
-            // reset may still miss some.
-            assertThat(served).isEqualTo(puts.get()).isGreaterThan(25);
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      int served = 0;
+      for (int i = 0; i < 40; i++) {
+        client.write(Stage.write("a", "" + i, "pay", "xyz"));
+        String answer = client.read();
+        assertThat(answer).isIn("HD O" + i + " cr" + puts.get(), "SERVER_ERROR failed");
+        served += answer.startsWith("HD") ? 1 : 0;
+        Thread.sleep(5); // past the rest that a connection takes after an answer
+      }
+      // Without the last byte held back none but those on new connections are served. A peer that
+      // is slow to
+      // reset may still miss some.
+      assertThat(served).isEqualTo(puts.get()).isGreaterThan(25);
     }
+  }
 
-    /** Nodes hold values that are longer than clients may write; they were taken for spoilt. */
-    @ParameterizedTest
-    @ValueSource(ints = {65_537, 370_000, 1 << 20})
-    void longValuesAreServedWhole(int length) throws Exception {
-        try (Stage stage = new Stage()) {
-            String value = "0123456789abcdef".repeat(length / 16 + 1).substring(0, length);
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    line.write(text.startsWith("mg far") ? "EN O" + Stage.id(text) + "\r\n"
-                            : "VA " + length + " O" + Stage.id(text) + " h1\r\n" + value + "\r\n");
+  /** Nodes hold values that are longer than clients may write; they were taken for spoilt. */
+  @ParameterizedTest
+  @ValueSource(ints = {65_537, 370_000, 1 << 20})
+  void longValuesAreServedWhole(int length) throws Exception {
+    try (Stage stage = new Stage()) {
+      String value = "0123456789abcdef".repeat(length / 16 + 1).substring(0, length);
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  line.write(
+                      text.startsWith("mg far")
+                          ? "EN O" + Stage.id(text) + "\r\n"
+                          : "VA " + length + " O" + Stage.id(text) + " h1\r\n" + value + "\r\n");
                 }
-            });
-            Peer origin = stage.peer(line -> {
+              });
+      Peer origin =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    line.http("200 OK", "", value);
+                  line.http("200 OK", "", value);
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            for (String key : List.of("near", "far", "near", "far")) {
-                String id = key + cache.heard.size();
-                client.write(Stage.read(key, id));
-                assertThat(client.read()).isEqualTo("VA " + length + " O" + id);
-                assertThat(client.read()).isEqualTo(value);
-            }
-            assertThat(cache.open()).as("no connection was given up").isEqualTo(cache.lines.size());
-            assertThat(origin.open()).isEqualTo(origin.lines.size());
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (String key : List.of("near", "far", "near", "far")) {
+        String id = key + cache.heard.size();
+        client.write(Stage.read(key, id));
+        assertThat(client.read()).isEqualTo("VA " + length + " O" + id);
+        assertThat(client.read()).isEqualTo(value);
+      }
+      assertThat(cache.open()).as("no connection was given up").isEqualTo(cache.lines.size());
+      assertThat(origin.open()).isEqualTo(origin.lines.size());
     }
+  }
 
-    @Test
-    void interimAnswersAreSkipped() throws Exception {
-        try (Stage stage = new Stage()) {
-            Peer origin = stage.peer(line -> {
+  @Test
+  void interimAnswersAreSkipped() throws Exception {
+    try (Stage stage = new Stage()) {
+      Peer origin =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    line.bytes(3);
-                    line.write("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
-                    line.http("200 OK", "Srv-Load: util=???\r\n", "r1");
+                  line.bytes(3);
+                  line.write("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+                  line.http("200 OK", "Srv-Load: util=???\r\n", "r1");
                 }
-            });
-            stage.start(stage.quietDiscovery(), Stage.origin(origin));
-            Peer.Line client = stage.client();
-            client.write(Stage.write("a", "7", "pay", "xyz"));
-            assertThat(client.read()).isEqualTo("HD O7 cr1");
-        }
+              });
+      stage.start(stage.quietDiscovery(), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      client.write(Stage.write("a", "7", "pay", "xyz"));
+      assertThat(client.read()).isEqualTo("HD O7 cr1");
     }
+  }
 
-    /** Connections to servers that had gone stayed open for as long as those did not close them. */
-    @Test
-    void aServerThatIsGoneKeepsNoConnection() throws Exception {
-        try (Stage stage = new Stage()) {
-            Object gate = new Object();
-            boolean[] go = new boolean[1];
-            Peer cache = stage.peer(line -> {
-                for (String text; (text = line.read()) != null;) {
-                    synchronized (gate) {
-                        while (!go[0]) {
-                            gate.wait();
-                        }
+  /** Connections to servers that had gone stayed open for as long as those did not close them. */
+  @Test
+  void aServerThatIsGoneKeepsNoConnection() throws Exception {
+    try (Stage stage = new Stage()) {
+      Object gate = new Object();
+      boolean[] go = new boolean[1];
+      Peer cache =
+          stage.peer(
+              line -> {
+                for (String text; (text = line.read()) != null; ) {
+                  synchronized (gate) {
+                    while (!go[0]) {
+                      gate.wait();
                     }
-                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                  }
+                  line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
                 }
-            });
-            Peer other = stage.emptyCache();
-            AtomicInteger calls = new AtomicInteger();
-            Peer discovery = stage.peer(line -> {
+              });
+      Peer other = stage.emptyCache();
+      AtomicInteger calls = new AtomicInteger();
+      Peer discovery =
+          stage.peer(
+              line -> {
                 while (line.head() != null) {
-                    Stage.await(() -> !cache.heard.isEmpty());
-                    if (calls.incrementAndGet() > 1) {
-                        Thread.sleep(60_000);
-                    }
-                    line.http("200 OK", "", Stage.list(2, Stage.cache("s-2", other)));
+                  Stage.await(() -> !cache.heard.isEmpty());
+                  if (calls.incrementAndGet() > 1) {
+                    Thread.sleep(60_000);
+                  }
+                  line.http("200 OK", "", Stage.list(2, Stage.cache("s-2", other)));
                 }
-            });
-            stage.start(discovery, Stage.cache("s-1", cache));
-            Peer.Line client = stage.client();
-            client.write(Stage.read("a", "1"));
-            Stage.await(() -> calls.get() > 1); // the list without the server has been read
-            synchronized (gate) {
-                go[0] = true;
-                gate.notifyAll();
-            }
-            assertThat(client.read()).isEqualTo("VA 2 O1");
-            Stage.await(() -> cache.open() == 0);
-        }
+              });
+      stage.start(discovery, Stage.cache("s-1", cache));
+      Peer.Line client = stage.client();
+      client.write(Stage.read("a", "1"));
+      Stage.await(() -> calls.get() > 1); // the list without the server has been read
+      synchronized (gate) {
+        go[0] = true;
+        gate.notifyAll();
+      }
+      assertThat(client.read()).isEqualTo("VA 2 O1");
+      Stage.await(() -> cache.open() == 0);
     }
+  }
 
-    /** Once idle connections had taken all room, servers without one could not be sent to at all. */
-    @Test
-    void idleConnectionsMakeRoomForOtherServers() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.sockets = 128;
-            List<Peer> caches = new ArrayList<>();
-            List<String> hosts = new ArrayList<>();
-            for (int i = 0; i < 60; i++) {
-                caches.add(stage.peer(line -> {
-                    for (String text; (text = line.read()) != null;) {
-                        line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
-                    }
+  /** Once idle connections had taken all room, servers without one could not be sent to at all. */
+  @Test
+  void idleConnectionsMakeRoomForOtherServers() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.sockets = 128;
+      List<Peer> caches = new ArrayList<>();
+      List<String> hosts = new ArrayList<>();
+      for (int i = 0; i < 60; i++) {
+        caches.add(
+            stage.peer(
+                line -> {
+                  for (String text; (text = line.read()) != null; ) {
+                    line.write("VA 2 O" + Stage.id(text) + "\r\nhi\r\n");
+                  }
                 }));
-                hosts.add(Stage.cache("s-" + Integer.toHexString(i + 1), caches.get(i)));
-            }
-            stage.start(stage.quietDiscovery(), hosts.toArray(new String[0]));
-            Peer.Line client = stage.client();
-            for (int i = 0; i < 400; i++) {
-                client.write(Stage.read("key" + i, "id" + i));
-                assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
-                assertThat(client.read()).isEqualTo("hi");
-            }
-            assertThat(caches.stream().filter(c -> !c.lines.isEmpty()).count()).isGreaterThan(128 / 3);
-            Stage.await(() -> caches.stream().mapToLong(Peer::open).sum() <= 128 / 3);
-        }
+        hosts.add(Stage.cache("s-" + Integer.toHexString(i + 1), caches.get(i)));
+      }
+      stage.start(stage.quietDiscovery(), hosts.toArray(new String[0]));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < 400; i++) {
+        client.write(Stage.read("key" + i, "id" + i));
+        assertThat(client.read()).isEqualTo("VA 2 Oid" + i);
+        assertThat(client.read()).isEqualTo("hi");
+      }
+      assertThat(caches.stream().filter(c -> !c.lines.isEmpty()).count()).isGreaterThan(128 / 3);
+      Stage.await(() -> caches.stream().mapToLong(Peer::open).sum() <= 128 / 3);
     }
+  }
 }
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/damsonworks/proxy/WarmUpTest.java
@@ -21,63 +21,88 @@
 /** The rehearsal before the first client: what it leaves, and whom it asks how long it may take. */
 @Timeout(60)
 class WarmUpTest {
-    private static final byte[] ASKS = {(byte) 0xC1, '?'};
-    private static final byte[] SERVES = {(byte) 0xC1, '!'};
+  private static final byte[] ASKS = {(byte) 0xC1, '?'};
+  private static final byte[] SERVES = {(byte) 0xC1, '!'};
 
-    private static Config config(Stage stage, String part, String by) {
-        return Config.parse(JsonParser.parseString(stage.config("127.0.0.1:1").replace(part, by)).getAsJsonObject());
-    }
+  private static Config config(Stage stage, String part, String by) {
+    return Config.parse(
+        JsonParser.parseString(stage.config("127.0.0.1:1").replace(part, by)).getAsJsonObject());
+  }
 
-    /** What one socket brings back, cut at every byte, goes to the end that did not write it. */
-    @Test
-    void aMirrorHandsEachEndWhatTheOtherWrote() {
-        for (int cut = 0; cut <= 7; cut++) {
-            List<String> far = new ArrayList<>();
-            Mirror mirror = new Mirror((m, text) -> far.add(text));
-            EmbeddedChannel channel = new EmbeddedChannel(mirror);
-            mirror.say("ask");
-            channel.writeOutbound(Unpooled.copiedBuffer("told", StandardCharsets.US_ASCII));
-            ByteBuf socket = Unpooled.wrappedBuffer(channel.<ByteBuf>readOutbound(), channel.<ByteBuf>readOutbound());
-            channel.writeInbound(socket.readRetainedSlice(cut), socket.readRetainedSlice(7 - cut));
-            ByteBuf near = Unpooled.wrappedBuffer(channel.inboundMessages().toArray(new ByteBuf[0]));
-            assertThat(near.toString(StandardCharsets.US_ASCII) + far).as("cut at " + cut).isEqualTo("ask[told]");
-        }
+  /** What one socket brings back, cut at every byte, goes to the end that did not write it. */
+  @Test
+  void aMirrorHandsEachEndWhatTheOtherWrote() {
+    for (int cut = 0; cut <= 7; cut++) {
+      List<String> far = new ArrayList<>();
+      Mirror mirror = new Mirror((m, text) -> far.add(text));
+      EmbeddedChannel channel = new EmbeddedChannel(mirror);
+      mirror.say("ask");
+      channel.writeOutbound(Unpooled.copiedBuffer("told", StandardCharsets.US_ASCII));
+      ByteBuf socket =
+          Unpooled.wrappedBuffer(channel.<ByteBuf>readOutbound(), channel.<ByteBuf>readOutbound());
+      channel.writeInbound(socket.readRetainedSlice(cut), socket.readRetainedSlice(7 - cut));
+      ByteBuf near = Unpooled.wrappedBuffer(channel.inboundMessages().toArray(new ByteBuf[0]));
+      assertThat(near.toString(StandardCharsets.US_ASCII) + far)
+          .as("cut at " + cut)
+          .isEqualTo("ask[told]");
     }
+  }
 
-    /** Also on an address that is not this machine's, where it starts cold and leaves the error to the listener. */
-    @Test
-    void aRehearsalEndsAndLeavesNoConnection() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
-            for (String listen : new String[] {"127.0.0.1", "0.0.0.0", "198.51.100.1"}) {
-                Config config = config(stage, "\"listen\":\"127.0.0.1", "\"listen\":\"" + listen);
-                WarmUp warmUp = new WarmUp(stage.proxy.loop(), config, ByteBufAllocator.DEFAULT,
-                        new PeerSocket(stage.proxy.loop(), config.peerAddresses(), stage.proxy.dispatcher()), false);
-                stage.proxy.loop().submit(warmUp::run).sync().getNow().sync();
-                assertThat(warmUp.toString()).matches(listen.startsWith("198") ? "warm-up: 0 .*, not settled"
-                        : "warm-up: [1-9]\\d\\d+ .*");
-                Stage.await(() -> stage.proxy.loop().submit(warmUp::open).syncUninterruptibly().getNow() == 0);
-            }
-        }
+  /**
+   * Also on an address that is not this machine's, where it starts cold and leaves the error to the
+   * listener.
+   */
+  @Test
+  void aRehearsalEndsAndLeavesNoConnection() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      for (String listen : new String[] {"127.0.0.1", "0.0.0.0", "198.51.100.1"}) {
+        Config config = config(stage, "\"listen\":\"127.0.0.1", "\"listen\":\"" + listen);
+        WarmUp warmUp =
+            new WarmUp(
+                stage.proxy.loop(),
+                config,
+                ByteBufAllocator.DEFAULT,
+                new PeerSocket(
+                    stage.proxy.loop(), config.peerAddresses(), stage.proxy.dispatcher()),
+                false);
+        stage.proxy.loop().submit(warmUp::run).sync().getNow().sync();
+        assertThat(warmUp.toString())
+            .matches(
+                listen.startsWith("198")
+                    ? "warm-up: 0 .*, not settled"
+                    : "warm-up: [1-9]\\d\\d+ .*");
+        Stage.await(
+            () -> stage.proxy.loop().submit(warmUp::open).syncUninterruptibly().getNow() == 0);
+      }
     }
+  }
 
-    @Test
-    void aProxyThatStartsAsksWhoServesAndAnswersOnceItDoes() throws Exception {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (Stage stage = new Stage(); DatagramSocket other = new DatagramSocket(0, loopback)) {
-            Config config = config(stage, "\"settings\":{", "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\","
-                    + "\"127.0.0.1:" + other.getLocalPort() + "\"],\"settings\":{");
-            FutureTask<Proxy> starts = new FutureTask<>(() -> Proxy.start(config));
-            new Thread(starts).start();
-            other.setSoTimeout(20_000);
-            DatagramPacket in = new DatagramPacket(new byte[2], 2);
-            other.receive(in);
-            assertThat(in.getData()).isEqualTo(ASKS);
-            stage.keep(starts.get()::close);
-            other.send(new DatagramPacket(ASKS, 2, in.getSocketAddress()));
-            do {
-                other.receive(in);
-            } while (!java.util.Arrays.equals(in.getData(), SERVES)); // what it asked again may come first
-        }
+  @Test
+  void aProxyThatStartsAsksWhoServesAndAnswersOnceItDoes() throws Exception {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (Stage stage = new Stage();
+        DatagramSocket other = new DatagramSocket(0, loopback)) {
+      Config config =
+          config(
+              stage,
+              "\"settings\":{",
+              "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\","
+                  + "\"127.0.0.1:"
+                  + other.getLocalPort()
+                  + "\"],\"settings\":{");
+      FutureTask<Proxy> starts = new FutureTask<>(() -> Proxy.start(config));
+      new Thread(starts).start();
+      other.setSoTimeout(20_000);
+      DatagramPacket in = new DatagramPacket(new byte[2], 2);
+      other.receive(in);
+      assertThat(in.getData()).isEqualTo(ASKS);
+      stage.keep(starts.get()::close);
+      other.send(new DatagramPacket(ASKS, 2, in.getSocketAddress()));
+      do {
+        other.receive(in);
+      } while (!java.util.Arrays.equals(
+          in.getData(), SERVES)); // what it asked again may come first
     }
+  }
 }
--- a/src/test/java/damsonworks/shared/RightsPropertiesTest.java
+++ b/src/test/java/damsonworks/shared/RightsPropertiesTest.java
@@ -17,71 +17,91 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 
-/** Any history, shrunk to its fewest faults where one breaks an invariant; by fixed seeds, so that the verdict is the same each time. */
+/**
+ * Any history, shrunk to its fewest faults where one breaks an invariant; by fixed seeds, so that
+ * the verdict is the same each time.
+ */
 class RightsPropertiesTest {
-    private static final int N = 4;
-    private static final double WINDOW_MS = 1500;
-    private static final double GUARANTEE = 300;
+  private static final int N = 4;
+  private static final double WINDOW_MS = 1500;
+  private static final double GUARANTEE = 300;
 
-    /** What happens to one proxy, or to all, and for how long it goes on then. */
-    record Step(int what, int proxy, double how, int forMs) {
-        void happen(RightsModel m) {
-            switch (what) {
-                case 0 -> m.wire(how * 0.6, how * 0.1);
-                case 1 -> m.side(proxy, (int) (how * 3));
-                case 2 -> IntStream.range(0, N).forEach(p -> m.side(p, 0));
-                case 3 -> m.pause(proxy, how * 6000);
-                case 4 -> {
-                    m.kill(proxy);
-                    m.run(how * 50);
-                    m.start(proxy);
-                }
-                case 5 -> IntStream.range(0, N).forEach(m::start);
-                default -> m.demand(proxy, how * 2 * GUARANTEE / WINDOW_MS);
-            }
-            m.run(forMs);
+  /** What happens to one proxy, or to all, and for how long it goes on then. */
+  record Step(int what, int proxy, double how, int forMs) {
+    void happen(RightsModel m) {
+      switch (what) {
+        case 0 -> m.wire(how * 0.6, how * 0.1);
+        case 1 -> m.side(proxy, (int) (how * 3));
+        case 2 -> IntStream.range(0, N).forEach(p -> m.side(p, 0));
+        case 3 -> m.pause(proxy, how * 6000);
+        case 4 -> {
+          m.kill(proxy);
+          m.run(how * 50);
+          m.start(proxy);
         }
+        case 5 -> IntStream.range(0, N).forEach(m::start);
+        default -> m.demand(proxy, how * 2 * GUARANTEE / WINDOW_MS);
+      }
+      m.run(forMs);
     }
+  }
 
-    @Provide
-    Arbitrary<List<Step>> histories() {
-        return Combinators.combine(Arbitraries.integers().between(0, 8), Arbitraries.integers().between(0, N - 1),
-                Arbitraries.doubles().between(0, 1).ofScale(3), Arbitraries.integers().between(0, 2500))
-                .as(Step::new).list().ofMinSize(1).ofMaxSize(25);
-    }
+  @Provide
+  Arbitrary<List<Step>> histories() {
+    return Combinators.combine(
+            Arbitraries.integers().between(0, 8),
+            Arbitraries.integers().between(0, N - 1),
+            Arbitraries.doubles().between(0, 1).ofScale(3),
+            Arbitraries.integers().between(0, 2500))
+        .as(Step::new)
+        .list()
+        .ofMinSize(1)
+        .ofMaxSize(25);
+  }
 
-    @Property(tries = 1500, seed = "20261")
-    void noHistoryOverspends(@ForAll("histories") List<Step> history, @ForAll @IntRange(max = 1_000_000) int seed) {
-        RightsModel m = new RightsModel(Terms.ofWindow(N, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
-        long units = 0;
-        for (Step step : history) {
-            step.happen(m);
-            units = Math.max(units, m.units());
-        }
-        assertThat(units).isLessThanOrEqualTo(Rights.WHOLE);
-        assertThat(m.most()).isLessThanOrEqualTo(m.allowed() * 1.0000001);
+  @Property(tries = 1500, seed = "20261")
+  void noHistoryOverspends(
+      @ForAll("histories") List<Step> history, @ForAll @IntRange(max = 1_000_000) int seed) {
+    RightsModel m = new RightsModel(Terms.ofWindow(N, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
+    long units = 0;
+    for (Step step : history) {
+      step.happen(m);
+      units = Math.max(units, m.units());
     }
+    assertThat(units).isLessThanOrEqualTo(Rights.WHOLE);
+    assertThat(m.most()).isLessThanOrEqualTo(m.allowed() * 1.0000001);
+  }
 
-    @Provide
-    Arbitrary<List<Counts.Total>> totals() {
-        return Combinators.combine(Arbitraries.integers().between(1, 4), Arbitraries.integers().between(1, 2),
-                Arbitraries.longs().between(0, 1000)).as(Counts.Total::new).list().ofMaxSize(20);
-    }
+  @Provide
+  Arbitrary<List<Counts.Total>> totals() {
+    return Combinators.combine(
+            Arbitraries.integers().between(1, 4),
+            Arbitraries.integers().between(1, 2),
+            Arbitraries.longs().between(0, 1000))
+        .as(Counts.Total::new)
+        .list()
+        .ofMaxSize(20);
+  }
 
-    /** Commutative, associative, idempotent: what is known does not depend on the order, the grouping or the repetitions. */
-    @Property(tries = 1000, seed = "20262")
-    void mergesDependOnNeitherOrderNorRepetition(@ForAll("totals") List<Counts.Total> told, @ForAll long lot) {
-        List<Counts.Total> other = new ArrayList<>(told);
-        other.addAll(told);
-        Collections.shuffle(other, new Random(lot));
-        Counts one = new Counts(5, 0, 99, 1000, 0);
-        Counts two = new Counts(5, 0, 99, 1000, 0);
-        Counts through = new Counts(5, 0, 98, 1000, 0);
-        told.forEach(t -> one.merge(10, t));
-        other.subList(0, other.size() / 2).forEach(t -> through.merge(10, t));
-        IntStream.range(1, 5).forEach(p -> through.totals(p).forEach(t -> two.merge(20, t)));
-        other.forEach(t -> two.merge(30, t));
-        IntStream.range(1, 5).forEach(p -> assertThat(two.totals(p)).containsExactlyInAnyOrderElementsOf(one.totals(p)));
-        assertThat(two.sum()).isEqualTo(one.sum());
-    }
+  /**
+   * Commutative, associative, idempotent: what is known does not depend on the order, the grouping
+   * or the repetitions.
+   */
+  @Property(tries = 1000, seed = "20262")
+  void mergesDependOnNeitherOrderNorRepetition(
+      @ForAll("totals") List<Counts.Total> told, @ForAll long lot) {
+    List<Counts.Total> other = new ArrayList<>(told);
+    other.addAll(told);
+    Collections.shuffle(other, new Random(lot));
+    Counts one = new Counts(5, 0, 99, 1000, 0);
+    Counts two = new Counts(5, 0, 99, 1000, 0);
+    Counts through = new Counts(5, 0, 98, 1000, 0);
+    told.forEach(t -> one.merge(10, t));
+    other.subList(0, other.size() / 2).forEach(t -> through.merge(10, t));
+    IntStream.range(1, 5).forEach(p -> through.totals(p).forEach(t -> two.merge(20, t)));
+    other.forEach(t -> two.merge(30, t));
+    IntStream.range(1, 5)
+        .forEach(p -> assertThat(two.totals(p)).containsExactlyInAnyOrderElementsOf(one.totals(p)));
+    assertThat(two.sum()).isEqualTo(one.sum());
+  }
 }
--- a/src/test/java/damsonworks/site/SiteTest.java
+++ b/src/test/java/damsonworks/site/SiteTest.java
@@ -22,248 +22,320 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The stand-ins over sockets, and what the ledger finds when a proxy, played by the test, breaks a rule. */
+/**
+ * The stand-ins over sockets, and what the ledger finds when a proxy, played by the test, breaks a
+ * rule.
+ */
 @Timeout(60)
 class SiteTest {
-    private static final class Caller implements AutoCloseable {
-        final Socket socket;
-        final BufferedReader in;
+  private static final class Caller implements AutoCloseable {
+    final Socket socket;
+    final BufferedReader in;
 
-        Caller(InetSocketAddress at) throws IOException {
-            socket = new Socket(at.getAddress(), at.getPort());
-            socket.setTcpNoDelay(true);
-            socket.setSoTimeout(20_000);
-            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-        }
-
-        String ask(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-            return in.readLine();
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
+    Caller(InetSocketAddress at) throws IOException {
+      socket = new Socket(at.getAddress(), at.getPort());
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout(20_000);
+      in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
     }
 
-    private static Site site(int nodes) throws Exception {
-        return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 1000, 3, 7));
+    String ask(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return in.readLine();
     }
 
-    private static InetSocketAddress at(Site site, String name) throws Exception {
-        return JsonParser.parseString(site.config(0, 1, 1, Kind.USUAL)).getAsJsonObject().getAsJsonObject("known")
-                .getAsJsonArray("hosts").asList().stream().map(h -> h.getAsJsonObject())
-                .filter(h -> h.get("host").getAsString().equals(name))
-                .map(h -> h.get("dial").getAsString().split(":"))
-                .map(d -> new InetSocketAddress(d[0], Integer.parseInt(d[1]))).findFirst().orElseThrow();
+    @Override
+    public void close() throws IOException {
+      socket.close();
     }
+  }
 
-    private static void taken(Site site, Ledger.Effect effect, String... ids) {
-        taken(site, 100, effect, ids);
-    }
+  private static Site site(int nodes) throws Exception {
+    return new Site(new Site.Plan(nodes, 0, 2, 100, 1, 1, 3, 4, 10, 1000, 3, 7));
+  }
 
-    private static void taken(Site site, double waitsMs, Ledger.Effect effect, String... ids) {
-        synchronized (site.ledger()) {
-            for (String id : ids) {
-                site.ledger().taken(id, effect, null, site.nowMs(), site.nowMs() + waitsMs);
-            }
-        }
-    }
+  private static InetSocketAddress at(Site site, String name) throws Exception {
+    return JsonParser.parseString(site.config(0, 1, 1, Kind.USUAL))
+        .getAsJsonObject()
+        .getAsJsonObject("known")
+        .getAsJsonArray("hosts")
+        .asList()
+        .stream()
+        .map(h -> h.getAsJsonObject())
+        .filter(h -> h.get("host").getAsString().equals(name))
+        .map(h -> h.get("dial").getAsString().split(":"))
+        .map(d -> new InetSocketAddress(d[0], Integer.parseInt(d[1])))
+        .findFirst()
+        .orElseThrow();
+  }
 
-    private static void told(Site site, String id, Ledger.Told told) {
-        synchronized (site.ledger()) {
-            site.ledger().told(id, told, site.nowMs());
-        }
+  private static void taken(Site site, Ledger.Effect effect, String... ids) {
+    taken(site, 100, effect, ids);
+  }
+
+  private static void taken(Site site, double waitsMs, Ledger.Effect effect, String... ids) {
+    synchronized (site.ledger()) {
+      for (String id : ids) {
+        site.ledger().taken(id, effect, null, site.nowMs(), site.nowMs() + waitsMs);
+      }
     }
+  }
 
-    private static String get(Caller origin, String method, String key, String id) throws IOException {
-        String status = origin.ask(method + " /" + key + " HTTP/1.1\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
-        String line = origin.in.readLine();
-        int length = 0;
-        for (; !line.isEmpty(); line = origin.in.readLine()) {
-            length = line.toLowerCase().startsWith("content-length: ") ? Integer.parseInt(line.substring(16)) : length;
-        }
-        for (int i = 0; i < length; i++) {
-            origin.in.read();
-        }
-        return status;
+  private static void told(Site site, String id, Ledger.Told told) {
+    synchronized (site.ledger()) {
+      site.ledger().told(id, told, site.nowMs());
     }
+  }
 
-    private static List<Breach> judgedAfter(Site site) throws Exception {
-        Thread.sleep((long) (200 + Site.LOST_MS + 2 * Site.ANSWER_GRACE_MS)); // the requests' time, and after it until they count as lost
-        return site.judge();
+  private static String get(Caller origin, String method, String key, String id)
+      throws IOException {
+    String status =
+        origin.ask(
+            method + " /" + key + " HTTP/1.1\r\nReq-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+    String line = origin.in.readLine();
+    int length = 0;
+    for (; !line.isEmpty(); line = origin.in.readLine()) {
+      length =
+          line.toLowerCase().startsWith("content-length: ")
+              ? Integer.parseInt(line.substring(16))
+              : length;
     }
+    for (int i = 0; i < length; i++) {
+      origin.in.read();
+    }
+    return status;
+  }
 
-    @Test
-    void aMissIsStoredWhereItWasOnceTheOriginHasAnsweredAndAWriteDropsIt() throws Exception {
-        try (Site site = site(1); Caller node = new Caller(at(site, "s-0001")); Caller origin = new Caller(at(site, "s-origin"))) {
-            taken(site, 60_000, Ledger.Effect.SAFE, "r1", "r2", "r3", "r4");
-            taken(site, 60_000, Ledger.Effect.UNSAFE, "w1");
-            assertThat(node.ask("mg a v Or1 Pc=text,d=99\r\n")).isEqualTo("EN Or1 h0");
-            assertThat(get(origin, "GET", "a", "r1")).startsWith("HTTP/1.1 200");
-            told(site, "r1", Ledger.Told.SERVED);
-            assertThat(node.ask("mg a v Or2 Pc=text,d=99\r\n")).isEqualTo("VA 512 Or2 h1");
-            node.in.readLine();
-            told(site, "r2", Ledger.Told.SERVED);
-            assertThat(get(origin, "PUT", "a", "w1")).startsWith("HTTP/1.1 200");
-            told(site, "w1", Ledger.Told.SERVED);
-            assertThat(node.ask("mg a v Or3 Pc=text,d=99\r\n")).isEqualTo("EN Or3 h0");
-            told(site, "r3", Ledger.Told.REFUSED);
-            site.spoil("s-0001");
-            assertThat(node.ask("mg a v Or4 Pc=text,d=99\r\n")).contains("spoilt");
-            told(site, "r4", Ledger.Told.FAILED);
-            synchronized (site.ledger()) { // a good proxy
-                site.ledger().settle(site.nowMs() + 120_000);
-                assertThat(site.ledger().judged()).isEqualTo(5);
-                assertThat(site.ledger().breaches()).isEmpty();
-            }
-        }
+  private static List<Breach> judgedAfter(Site site) throws Exception {
+    Thread.sleep(
+        (long)
+            (200
+                + Site.LOST_MS
+                + 2
+                    * Site
+                        .ANSWER_GRACE_MS)); // the requests' time, and after it until they count as
+    // lost
+    return site.judge();
+  }
+
+  @Test
+  void aMissIsStoredWhereItWasOnceTheOriginHasAnsweredAndAWriteDropsIt() throws Exception {
+    try (Site site = site(1);
+        Caller node = new Caller(at(site, "s-0001"));
+        Caller origin = new Caller(at(site, "s-origin"))) {
+      taken(site, 60_000, Ledger.Effect.SAFE, "r1", "r2", "r3", "r4");
+      taken(site, 60_000, Ledger.Effect.UNSAFE, "w1");
+      assertThat(node.ask("mg a v Or1 Pc=text,d=99\r\n")).isEqualTo("EN Or1 h0");
+      assertThat(get(origin, "GET", "a", "r1")).startsWith("HTTP/1.1 200");
+      told(site, "r1", Ledger.Told.SERVED);
+      assertThat(node.ask("mg a v Or2 Pc=text,d=99\r\n")).isEqualTo("VA 512 Or2 h1");
+      node.in.readLine();
+      told(site, "r2", Ledger.Told.SERVED);
+      assertThat(get(origin, "PUT", "a", "w1")).startsWith("HTTP/1.1 200");
+      told(site, "w1", Ledger.Told.SERVED);
+      assertThat(node.ask("mg a v Or3 Pc=text,d=99\r\n")).isEqualTo("EN Or3 h0");
+      told(site, "r3", Ledger.Told.REFUSED);
+      site.spoil("s-0001");
+      assertThat(node.ask("mg a v Or4 Pc=text,d=99\r\n")).contains("spoilt");
+      told(site, "r4", Ledger.Told.FAILED);
+      synchronized (site.ledger()) { // a good proxy
+        site.ledger().settle(site.nowMs() + 120_000);
+        assertThat(site.ledger().judged()).isEqualTo(5);
+        assertThat(site.ledger().breaches()).isEmpty();
+      }
     }
+  }
 
-    @Test
-    void aFullTableAnswersBusyAndClosesAndACrashedNodeRefusesUntilItIsBack() throws Exception {
-        try (Site site = site(1)) {
-            InetSocketAddress port = at(site, "s-0001");
-            Caller[] held = {new Caller(port), new Caller(port), new Caller(port), new Caller(port)};
-            for (int i = 0; i < 3; i++) {
-                assertThat(held[i].ask("mn\r\n")).isEqualTo("MN");
-            }
-            assertThat(held[3].ask("mn\r\n")).isEqualTo("SERVER_ERROR busy");
-            assertThat(held[3].in.readLine()).isNull();
-            site.crash("s-0001");
-            Assertions.assertThatThrownBy(() -> {
+  @Test
+  void aFullTableAnswersBusyAndClosesAndACrashedNodeRefusesUntilItIsBack() throws Exception {
+    try (Site site = site(1)) {
+      InetSocketAddress port = at(site, "s-0001");
+      Caller[] held = {new Caller(port), new Caller(port), new Caller(port), new Caller(port)};
+      for (int i = 0; i < 3; i++) {
+        assertThat(held[i].ask("mn\r\n")).isEqualTo("MN");
+      }
+      assertThat(held[3].ask("mn\r\n")).isEqualTo("SERVER_ERROR busy");
+      assertThat(held[3].in.readLine()).isNull();
+      site.crash("s-0001");
+      Assertions.assertThatThrownBy(
+              () -> {
                 if (held[0].in.readLine() == null) {
-                    throw new SocketException("ended");
+                  throw new SocketException("ended");
                 }
-            }).isInstanceOf(SocketException.class);
-            Assertions.assertThatThrownBy(() -> new Caller(port).close()).isInstanceOf(ConnectException.class);
-            site.restart("s-0001");
-            try (Caller again = new Caller(port)) {
-                assertThat(again.ask("mn\r\n")).isEqualTo("MN");
-            }
-        }
+              })
+          .isInstanceOf(SocketException.class);
+      Assertions.assertThatThrownBy(() -> new Caller(port).close())
+          .isInstanceOf(ConnectException.class);
+      site.restart("s-0001");
+      try (Caller again = new Caller(port)) {
+        assertThat(again.ask("mn\r\n")).isEqualTo("MN");
+      }
     }
+  }
 
-    @Test
-    void theLedgerFindsEachOfTheFourRulesBroken() throws Exception {
-        try (Site site = site(2); Caller node = new Caller(at(site, "s-0001")); Caller origin = new Caller(at(site, "s-origin"))) {
-            taken(site, Ledger.Effect.SAFE, "lost", "unasked");
-            told(site, "unasked", Ledger.Told.SERVED); // rule 1: by nobody; and "lost" is never answered
-            taken(site, Ledger.Effect.UNSAFE, "twice");
-            get(origin, "PUT", "a", "twice");
-            get(origin, "PUT", "a", "twice"); // rule 2
-            told(site, "twice", Ledger.Told.SERVED);
-            assertThat(judgedAfter(site)).extracting(Breach::rule).containsExactlyInAnyOrder(1, 1, 2);
-
-            String cold = site.join();
-            try (Caller burst = new Caller(at(site, cold))) {
-                StringBuilder text = new StringBuilder();
-                for (int i = 0; i < 20_000; i++) {
-                    text.append("mg k").append(i).append(" v Ob").append(i).append(" Pc=text,d=99\r\n");
-                    taken(site, Ledger.Effect.SAFE, "b" + i);
-                    synchronized (site.ledger()) {
-                        site.ledger().left("b" + i); // its client went away: nothing is owed
-                    }
-                }
-                burst.ask(text.toString()); // rule 4
-                assertThat(judgedAfter(site)).extracting(Breach::rule).contains(4);
-            }
+  @Test
+  void theLedgerFindsEachOfTheFourRulesBroken() throws Exception {
+    try (Site site = site(2);
+        Caller node = new Caller(at(site, "s-0001"));
+        Caller origin = new Caller(at(site, "s-origin"))) {
+      taken(site, Ledger.Effect.SAFE, "lost", "unasked");
+      told(site, "unasked", Ledger.Told.SERVED); // rule 1: by nobody; and "lost" is never answered
+      taken(site, Ledger.Effect.UNSAFE, "twice");
+      get(origin, "PUT", "a", "twice");
+      get(origin, "PUT", "a", "twice"); // rule 2
+      told(site, "twice", Ledger.Told.SERVED);
+      assertThat(judgedAfter(site)).extracting(Breach::rule).containsExactlyInAnyOrder(1, 1, 2);
 
-            site.drain("s-0001");
-            Thread.sleep((long) (Site.DRAIN_GRACE_MS + Site.ANSWER_GRACE_MS + 200));
-            taken(site, Ledger.Effect.SAFE, "late");
-            assertThat(node.ask("mg a v Olate Pc=text,d=99\r\n")).isEqualTo("SERVER_ERROR busy"); // rule 3
-            assertThat(site.judge()).extracting(Breach::rule).contains(3);
+      String cold = site.join();
+      try (Caller burst = new Caller(at(site, cold))) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 20_000; i++) {
+          text.append("mg k").append(i).append(" v Ob").append(i).append(" Pc=text,d=99\r\n");
+          taken(site, Ledger.Effect.SAFE, "b" + i);
+          synchronized (site.ledger()) {
+            site.ledger().left("b" + i); // its client went away: nothing is owed
+          }
         }
+        burst.ask(text.toString()); // rule 4
+        assertThat(judgedAfter(site)).extracting(Breach::rule).contains(4);
+      }
+
+      site.drain("s-0001");
+      Thread.sleep((long) (Site.DRAIN_GRACE_MS + Site.ANSWER_GRACE_MS + 200));
+      taken(site, Ledger.Effect.SAFE, "late");
+      assertThat(node.ask("mg a v Olate Pc=text,d=99\r\n"))
+          .isEqualTo("SERVER_ERROR busy"); // rule 3
+      assertThat(site.judge()).extracting(Breach::rule).contains(3);
     }
+  }
 
-    /** Waits for the other one, but not for ever. */
-    private static void pass(CyclicBarrier turn) {
-        try {
-            turn.await(10, TimeUnit.SECONDS);
-        } catch (Exception e) {
-            throw new IllegalStateException(e);
-        }
+  /** Waits for the other one, but not for ever. */
+  private static void pass(CyclicBarrier turn) {
+    try {
+      turn.await(10, TimeUnit.SECONDS);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
     }
+  }
 
-    /** The site's own loop is kept from reading: what came before the final answer is no send after it, what came after it is. */
-    @Test
-    void aSendIsJudgedByWhenItCameAndNotByWhenTheSiteReadIt() throws Exception {
-        try (Site site = site(1); Caller node = new Caller(at(site, "s-0001")); Caller origin = new Caller(at(site, "s-origin"))) {
-            assertThat(node.ask("mn\r\n")).isEqualTo("MN");
-            taken(site, 60_000, Ledger.Effect.SAFE, "before", "ahead");
-            get(origin, "GET", "a", "ahead");
-            InetSocketAddress at = at(site, "s-0001");
-            assertThat(node.ask("mg a v Obefore Pc=text,d=99\r\n")).isEqualTo("EN Obefore h0");
-            CyclicBarrier turn = new CyclicBarrier(2);
-            site.later(0, () -> {
-                pass(turn);
-                pass(turn);
-            });
+  /**
+   * The site's own loop is kept from reading: what came before the final answer is no send after
+   * it, what came after it is.
+   */
+  @Test
+  void aSendIsJudgedByWhenItCameAndNotByWhenTheSiteReadIt() throws Exception {
+    try (Site site = site(1);
+        Caller node = new Caller(at(site, "s-0001"));
+        Caller origin = new Caller(at(site, "s-origin"))) {
+      assertThat(node.ask("mn\r\n")).isEqualTo("MN");
+      taken(site, 60_000, Ledger.Effect.SAFE, "before", "ahead");
+      get(origin, "GET", "a", "ahead");
+      InetSocketAddress at = at(site, "s-0001");
+      assertThat(node.ask("mg a v Obefore Pc=text,d=99\r\n")).isEqualTo("EN Obefore h0");
+      CyclicBarrier turn = new CyclicBarrier(2);
+      site.later(
+          0,
+          () -> {
+            pass(turn);
             pass(turn);
-            try (Caller fresh = new Caller(at)) { // on a new connection and on one that the loop knows
-                fresh.socket.getOutputStream().write("mg a v Obefore Pc=text,d=99\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                origin.socket.getOutputStream().write("GET /a HTTP/1.1\r\nReq-Id: ahead\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                told(site, "before", Ledger.Told.SERVED);
-                told(site, "ahead", Ledger.Told.SERVED);
-                Thread.sleep((long) (3 * Site.ANSWER_GRACE_MS));
-                pass(turn);
-                assertThat(fresh.in.readLine()).isEqualTo("EN Obefore h0");
-                assertThat(origin.in.readLine()).startsWith("HTTP/1.1 200");
-            }
-            assertThat(site.judge()).isEmpty();
-            synchronized (site.ledger()) {
-                assertThat(site.ledger().notKnown()).isEqualTo(2);
-            }
+          });
+      pass(turn);
+      try (Caller fresh = new Caller(at)) { // on a new connection and on one that the loop knows
+        fresh
+            .socket
+            .getOutputStream()
+            .write("mg a v Obefore Pc=text,d=99\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        origin
+            .socket
+            .getOutputStream()
+            .write(
+                "GET /a HTTP/1.1\r\nReq-Id: ahead\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        told(site, "before", Ledger.Told.SERVED);
+        told(site, "ahead", Ledger.Told.SERVED);
+        Thread.sleep((long) (3 * Site.ANSWER_GRACE_MS));
+        pass(turn);
+        assertThat(fresh.in.readLine()).isEqualTo("EN Obefore h0");
+        assertThat(origin.in.readLine()).startsWith("HTTP/1.1 200");
+      }
+      assertThat(site.judge()).isEmpty();
+      synchronized (site.ledger()) {
+        assertThat(site.ledger().notKnown()).isEqualTo(2);
+      }
 
-            int tries = 0;
-            for (; site.judge().isEmpty() && tries < 100; tries++) { // again where the machine stood still just then
-                taken(site, 60_000, Ledger.Effect.SAFE, "after" + tries);
-                told(site, "after" + tries, Ledger.Told.REFUSED);
-                Thread.sleep((long) (2 * Site.ANSWER_GRACE_MS));
-                assertThat(node.ask("mg a v Oafter" + tries + " Pc=text,d=99\r\n")).startsWith("EN");
-            }
-            assertThat(site.judge()).extracting(Breach::rule).containsExactly(1);
-        }
+      int tries = 0;
+      for (;
+          site.judge().isEmpty() && tries < 100;
+          tries++) { // again where the machine stood still just then
+        taken(site, 60_000, Ledger.Effect.SAFE, "after" + tries);
+        told(site, "after" + tries, Ledger.Told.REFUSED);
+        Thread.sleep((long) (2 * Site.ANSWER_GRACE_MS));
+        assertThat(node.ask("mg a v Oafter" + tries + " Pc=text,d=99\r\n")).startsWith("EN");
+      }
+      assertThat(site.judge()).extracting(Breach::rule).containsExactly(1);
     }
+  }
 
-    @Test
-    void discoveryWorksThroughCallsInTurnAndGoesOutOfReach() throws Exception {
-        try (Site site = site(60)) {
-            String call = "GET /discovery/hosts HTTP/1.1\r\n\r\n";
-            Caller[] callers = new Caller[30];
-            for (int i = 0; i < callers.length; i++) { // 92 lines each, 1,000 a second: those that would wait over 2 s are sent away
-                callers[i] = new Caller(site.discovery());
-                callers[i].socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
-            }
-            long began = System.nanoTime();
-            int sentAway = 0;
-            for (Caller c : callers) {
-                sentAway += c.in.readLine().contains("503") ? 1 : 0;
-                c.close();
-            }
-            assertThat(sentAway).isBetween(4, 9);
-            assertThat(System.nanoTime() - began).isGreaterThan(1_500_000_000L);
-            Caller watch = new Caller(site.discovery());
-            watch.socket.getOutputStream().write("GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n".getBytes());
-            site.lists(true);
-            assertThat(watch.in.readLine()).isNull();
-            site.lists(false);
-            assertThat(new Caller(site.discovery()).ask(call)).isEqualTo("HTTP/1.1 200 OK");
-        }
+  @Test
+  void discoveryWorksThroughCallsInTurnAndGoesOutOfReach() throws Exception {
+    try (Site site = site(60)) {
+      String call = "GET /discovery/hosts HTTP/1.1\r\n\r\n";
+      Caller[] callers = new Caller[30];
+      for (int i = 0;
+          i < callers.length;
+          i++) { // 92 lines each, 1,000 a second: those that would wait over 2 s are sent away
+        callers[i] = new Caller(site.discovery());
+        callers[i].socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
+      }
+      long began = System.nanoTime();
+      int sentAway = 0;
+      for (Caller c : callers) {
+        sentAway += c.in.readLine().contains("503") ? 1 : 0;
+        c.close();
+      }
+      assertThat(sentAway).isBetween(4, 9);
+      assertThat(System.nanoTime() - began).isGreaterThan(1_500_000_000L);
+      Caller watch = new Caller(site.discovery());
+      watch
+          .socket
+          .getOutputStream()
+          .write("GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n".getBytes());
+      site.lists(true);
+      assertThat(watch.in.readLine()).isNull();
+      site.lists(false);
+      assertThat(new Caller(site.discovery()).ask(call)).isEqualTo("HTTP/1.1 200 OK");
     }
+  }
 
-    /** The whole of it, with real proxies as processes: no rule is broken by one that crashes in the middle. */
-    @Test
-    void theDemoEndsWithAVerdict(@TempDir Path folder) throws IOException {
-        Path file = Files.writeString(folder.resolve("s.toml"), "[[fault]]\nat_s = 0.5\nwhat = 'crash'\nnode = 1\n[[fault]]\nat_s = 1\n"
+  /**
+   * The whole of it, with real proxies as processes: no rule is broken by one that crashes in the
+   * middle.
+   */
+  @Test
+  void theDemoEndsWithAVerdict(@TempDir Path folder) throws IOException {
+    Path file =
+        Files.writeString(
+            folder.resolve("s.toml"),
+            "[[fault]]\nat_s = 0.5\nwhat = 'crash'\nnode = 1\n[[fault]]\nat_s = 1\n"
                 + "what = 'restart'\nnode = 1\n[[fault]]\nat_s = 0.2\nwhat = 'spoil'\n[[fault]]\nat_s = 1.5\nwhat = 'join'\n"
                 + "[[fault]]\nat_s = 2\nwhat = 'lists_out'\n[[fault]]\nat_s = 2\nwhat = 'drain'\nnode = 2\n");
-        assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "4", "--seconds", "3", "--rate", "50", "--scenario", file.toString())).isZero();
-        Files.writeString(file, "[[fault]]\nat_s = 'now'\n");
-        assertThat(damsonworks.fleet.FleetCommand.run(true, "--scenario", file.toString())).isEqualTo(2);
-        assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "0")).isEqualTo(2);
-        assertThat(damsonworks.fleet.FleetCommand.run(true, "--fault", "earthquake")).isEqualTo(2);
-    }
+    assertThat(
+            damsonworks.fleet.FleetCommand.run(
+                true,
+                "--nodes",
+                "4",
+                "--seconds",
+                "3",
+                "--rate",
+                "50",
+                "--scenario",
+                file.toString()))
+        .isZero();
+    Files.writeString(file, "[[fault]]\nat_s = 'now'\n");
+    assertThat(damsonworks.fleet.FleetCommand.run(true, "--scenario", file.toString()))
+        .isEqualTo(2);
+    assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "0")).isEqualTo(2);
+    assertThat(damsonworks.fleet.FleetCommand.run(true, "--fault", "earthquake")).isEqualTo(2);
+  }
 }
