--- a/deploy/Rehearsal.java
+++ b/deploy/Rehearsal.java
@@ -89,7 +89,7 @@
             .formatted(port, discovery, list.replace("\"seq\":2", "\"seq\":1"), control));
     ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh");
     builder.environment().put("BALANCER_CONFIG", config.toString());
-    builder.environment().put("REHEARSAL", "target/damsonworks.jsa");
+    builder.environment().put("REHEARSAL", "target/cacheproxy.jsa");
     Process proxy = builder.inheritIO().start();
     try {
       for (int i = 0; i < REQUESTS; i += 10) {
--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -31,7 +31,7 @@
 else
     heap=$((mb / 3)) direct=$((mb / 8)) meta=20 code=8
 fi
-archive="-XX:SharedArchiveFile=target/damsonworks.jsa"
+archive="-XX:SharedArchiveFile=target/cacheproxy.jsa"
 if [ -n "$REHEARSAL" ]; then
     archive="-XX:ArchiveClassesAtExit=$REHEARSAL"
 fi
@@ -44,4 +44,4 @@
     -XX:ReservedCodeCacheSize=${code}m -Xss512k -XX:-UsePerfData -Dio.netty.jfr.enabled=false \
     -Djava.nio.channels.spi.SelectorProvider=sun.nio.ch.EPollSelectorProvider -Dio.netty.allocator.type=pooled \
     -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=4 \
-    -jar target/damsonworks.jar serve "$@"
+    -jar target/cacheproxy.jar serve "$@"
--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/cacheproxy/Main.java
@@ -1,10 +1,10 @@
-package damsonworks;
+package cacheproxy;
 
-import damsonworks.fleet.FleetCommand;
-import damsonworks.load.LoadCommand;
-import damsonworks.proxy.Proxy;
-import damsonworks.settings.CheckCommand;
-import damsonworks.wire.Drill;
+import cacheproxy.fleet.FleetCommand;
+import cacheproxy.load.LoadCommand;
+import cacheproxy.proxy.Proxy;
+import cacheproxy.settings.CheckCommand;
+import cacheproxy.wire.Drill;
 import java.util.Arrays;
 
 /**
@@ -32,7 +32,7 @@
       case "check" -> System.exit(CheckCommand.run(rest));
       default -> {
         System.err.println(
-            "usage: java -jar damsonworks.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
+            "usage: java -jar cacheproxy.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
         System.exit(2);
       }
     }
--- a/src/main/java/damsonworks/budget/Admission.java
+++ b/src/main/java/cacheproxy/budget/Admission.java
@@ -1,4 +1,4 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 /**
  * The part of what comes that the processor can't serve, from how long what comes has to wait for
--- a/src/main/java/damsonworks/budget/Budget.java
+++ b/src/main/java/cacheproxy/budget/Budget.java
@@ -1,4 +1,4 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 import java.util.Locale;
 
--- a/src/main/java/damsonworks/budget/Costs.java
+++ b/src/main/java/cacheproxy/budget/Costs.java
@@ -1,4 +1,4 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 /**
  * Processor time of a request that is served and of one that is turned away, learnt: a refusal is
--- a/src/main/java/damsonworks/budget/ThreadTime.java
+++ b/src/main/java/cacheproxy/budget/ThreadTime.java
@@ -1,4 +1,4 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 /**
  * A thread's processor time from what the system tells of it (Linux, {@code schedstat}: nanoseconds
--- a/src/main/java/damsonworks/control/HandLog.java
+++ b/src/main/java/cacheproxy/control/HandLog.java
@@ -1,4 +1,4 @@
-package damsonworks.control;
+package cacheproxy.control;
 
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
--- a/src/main/java/damsonworks/control/Succession.java
+++ b/src/main/java/cacheproxy/control/Succession.java
@@ -1,4 +1,4 @@
-package damsonworks.control;
+package cacheproxy.control;
 
 /**
  * Two processes of one proxy at the same addresses, an old and a new version: who holds how much
--- a/src/main/java/damsonworks/fleet/Fleet.java
+++ b/src/main/java/cacheproxy/fleet/Fleet.java
@@ -1,23 +1,23 @@
-package damsonworks.fleet;
-
+package cacheproxy.fleet;
+
+import cacheproxy.load.Arrivals;
+import cacheproxy.load.Generator;
+import cacheproxy.load.Keys;
+import cacheproxy.load.Kind;
+import cacheproxy.load.Patience;
+import cacheproxy.load.Plan;
+import cacheproxy.load.Shape;
+import cacheproxy.load.Tally;
+import cacheproxy.load.Witness;
+import cacheproxy.site.Breach;
+import cacheproxy.site.Ledger;
+import cacheproxy.site.Loopback;
+import cacheproxy.site.Scenario;
+import cacheproxy.site.Site;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import damsonworks.load.Arrivals;
-import damsonworks.load.Generator;
-import damsonworks.load.Keys;
-import damsonworks.load.Kind;
-import damsonworks.load.Patience;
-import damsonworks.load.Plan;
-import damsonworks.load.Shape;
-import damsonworks.load.Tally;
-import damsonworks.load.Witness;
-import damsonworks.site.Breach;
-import damsonworks.site.Ledger;
-import damsonworks.site.Loopback;
-import damsonworks.site.Scenario;
-import damsonworks.site.Site;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -70,7 +70,7 @@
       double fallsAt,
       String main) {
     public static final int MOST_PROXIES = 32;
-    static final String PROGRAM = "damsonworks.Main";
+    static final String PROGRAM = "cacheproxy.Main";
     static final String MEMBERSHIP = "[membership]\non = true\n";
     static final String SHARED = MEMBERSHIP + "[shared]\non = true\n";
 
@@ -236,12 +236,12 @@
                 targets,
                 Kind.USUAL,
                 () ->
-                    new damsonworks.load.Plan(
+                    new cacheproxy.load.Plan(
                         Kind.USUAL,
                         new Arrivals(plan.rate(), new Shape.Steady(), true, plan.seed()),
                         new Keys(KEYS, 0.95, 0, Keys.Hot.NONE, plan.seed() + 1),
                         targets.size(),
-                        damsonworks.load.Plan.Overtaken.NONE,
+                        cacheproxy.load.Plan.Overtaken.NONE,
                         64,
                         seconds * 1000,
                         plan.seed() + 2),
--- a/src/main/java/damsonworks/fleet/FleetCommand.java
+++ b/src/main/java/cacheproxy/fleet/FleetCommand.java
@@ -1,8 +1,8 @@
-package damsonworks.fleet;
+package cacheproxy.fleet;
 
-import damsonworks.load.Report;
-import damsonworks.load.Tally;
-import damsonworks.site.Scenario;
+import cacheproxy.load.Report;
+import cacheproxy.load.Tally;
+import cacheproxy.site.Scenario;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -201,7 +201,7 @@
       StringBuilder controls = new StringBuilder();
       fleet.controls().forEach(c -> controls.append(' ').append(Fleet.text(c)));
       System.out.println(
-          "their views as they change: java -jar target/damsonworks.jar fleet watch" + controls);
+          "their views as they change: java -jar target/cacheproxy.jar fleet watch" + controls);
     }
     fleet.load(seconds);
     double began = fleet.nowMs();
--- a/src/main/java/damsonworks/fleet/FleetReport.java
+++ b/src/main/java/cacheproxy/fleet/FleetReport.java
@@ -1,10 +1,10 @@
-package damsonworks.fleet;
+package cacheproxy.fleet;
 
+import cacheproxy.site.Scenario;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import damsonworks.site.Scenario;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
--- a/src/main/java/damsonworks/gossip/package-info.java
+++ b/src/main/java/cacheproxy/gossip/package-info.java
@@ -1,4 +1,4 @@
 /**
  * What proxies of a tier tell one another, as rules without I/O: hints with an age, never a proof.
  */
-package damsonworks.gossip;
+package cacheproxy.gossip;
--- a/src/main/java/damsonworks/limits/Account.java
+++ b/src/main/java/cacheproxy/limits/Account.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * What one peer holds: bytes by what they are held for, and how often it was served. Opened by
--- a/src/main/java/damsonworks/limits/Cut.java
+++ b/src/main/java/cacheproxy/limits/Cut.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /** Why a peer was cut off or made to wait. */
 public enum Cut {
--- a/src/main/java/damsonworks/limits/Cuts.java
+++ b/src/main/java/cacheproxy/limits/Cuts.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * Who was cut off and why, counted since the start; {@link #news} says what has come since it was
--- a/src/main/java/damsonworks/limits/Holding.java
+++ b/src/main/java/cacheproxy/limits/Holding.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * What bytes are held for. Each buffer of the program is held for one of these, by one {@link
--- a/src/main/java/damsonworks/limits/LeastRate.java
+++ b/src/main/java/cacheproxy/limits/LeastRate.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * The slowest that a peer may be while it owes bytes or is owed some.
--- a/src/main/java/damsonworks/limits/Limits.java
+++ b/src/main/java/cacheproxy/limits/Limits.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 import java.util.EnumMap;
 import java.util.Map;
--- a/src/main/java/damsonworks/limits/LoopLag.java
+++ b/src/main/java/cacheproxy/limits/LoopLag.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * How late the event loop comes to what is due: the most of the last second, from a tick that is
--- a/src/main/java/damsonworks/limits/Pace.java
+++ b/src/main/java/cacheproxy/limits/Pace.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * How far one peer has fallen behind its least rate, as a time: the time that has passed while
--- a/src/main/java/damsonworks/limits/PassWindow.java
+++ b/src/main/java/cacheproxy/limits/PassWindow.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * How much of a long value may wait for its client before no more of it is read from its server.
--- a/src/main/java/damsonworks/limits/Pressure.java
+++ b/src/main/java/cacheproxy/limits/Pressure.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * How short the room is, in three levels with a gap between going up and coming down, so that a
--- a/src/main/java/damsonworks/limits/Rate.java
+++ b/src/main/java/cacheproxy/limits/Rate.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * Events over a sliding window, in slots: exact to a slot, of constant size and without a timer. A
--- a/src/main/java/damsonworks/limits/Settling.java
+++ b/src/main/java/cacheproxy/limits/Settling.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * Whether a start is warm, told by what a request costs and not by a span: a batch of requests
--- a/src/main/java/damsonworks/limits/StartSpan.java
+++ b/src/main/java/cacheproxy/limits/StartSpan.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 /**
  * How long a start may take to get warm, by who is kept waiting. Where others of the tier serve,
--- a/src/main/java/damsonworks/limits/package-info.java
+++ b/src/main/java/cacheproxy/limits/package-info.java
@@ -3,4 +3,4 @@
  * as rules in virtual time without I/O, threads or a clock. {@code proxy} carries out what they
  * decide.
  */
-package damsonworks.limits;
+package cacheproxy.limits;
--- a/src/main/java/damsonworks/load/Ask.java
+++ b/src/main/java/cacheproxy/load/Ask.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 /**
  * One request as it is due, before any try.
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/cacheproxy/load/Generator.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/src/main/java/damsonworks/load/Lane.java
+++ b/src/main/java/cacheproxy/load/Lane.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/damsonworks/load/Line.java
+++ b/src/main/java/cacheproxy/load/Line.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/main/java/damsonworks/load/Patience.java
+++ b/src/main/java/cacheproxy/load/Patience.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 /**
  * How long a client waits and when it comes again: the rules of a client that is neither kind nor
--- a/src/main/java/damsonworks/load/Report.java
+++ b/src/main/java/cacheproxy/load/Report.java
@@ -1,9 +1,9 @@
-package damsonworks.load;
+package cacheproxy.load;
 
+import cacheproxy.load.Tally.Last;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import damsonworks.load.Tally.Last;
 import java.util.Locale;
 
 /**
--- a/src/main/java/damsonworks/load/UsageException.java
+++ b/src/main/java/cacheproxy/load/UsageException.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 /**
  * What was asked for can't be done; the message is one line that says what is wrong and what is
--- a/src/main/java/damsonworks/load/Witness.java
+++ b/src/main/java/cacheproxy/load/Witness.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 /**
  * Is told of each try as its client has it, from the generator's threads: for who keeps account of
--- a/src/main/java/damsonworks/membership/Incarnation.java
+++ b/src/main/java/cacheproxy/membership/Incarnation.java
@@ -1,4 +1,4 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
 /**
  * Numbers that order what is said of one member. They live on a circle of 8,192, compared by the
--- a/src/main/java/damsonworks/membership/Members.java
+++ b/src/main/java/cacheproxy/membership/Members.java
@@ -1,6 +1,6 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
-import damsonworks.membership.Message.Entry;
+import cacheproxy.membership.Message.Entry;
 import java.util.Arrays;
 
 /**
--- a/src/main/java/damsonworks/membership/Membership.java
+++ b/src/main/java/cacheproxy/membership/Membership.java
@@ -1,8 +1,8 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
-import damsonworks.membership.Message.Entry;
-import damsonworks.membership.Message.Kind;
-import damsonworks.membership.Message.News;
+import cacheproxy.membership.Message.Entry;
+import cacheproxy.membership.Message.Kind;
+import cacheproxy.membership.Message.News;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/damsonworks/membership/State.java
+++ b/src/main/java/cacheproxy/membership/State.java
@@ -1,4 +1,4 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
 /**
  * How a member of the tier stands in somebody's view. At one incarnation the later of these
--- a/src/main/java/damsonworks/membership/Timing.java
+++ b/src/main/java/cacheproxy/membership/Timing.java
@@ -1,4 +1,4 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
 /**
  * Times in milliseconds, of one proxy's own clock, and the bytes it may send.
--- a/src/main/java/damsonworks/membership/View.java
+++ b/src/main/java/cacheproxy/membership/View.java
@@ -1,4 +1,4 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
 import java.util.List;
 
--- a/src/main/java/damsonworks/membership/package-info.java
+++ b/src/main/java/cacheproxy/membership/package-info.java
@@ -2,4 +2,4 @@
  * Who of the tier's proxies is there: rules alone, in times that the caller gives. Hints with an
  * age, never more.
  */
-package damsonworks.membership;
+package cacheproxy.membership;
--- a/src/main/java/damsonworks/model/LoopModel.java
+++ b/src/main/java/cacheproxy/model/LoopModel.java
@@ -1,13 +1,13 @@
-package damsonworks.model;
-
-import damsonworks.Policy;
-import damsonworks.RoutingApi.Effect;
-import damsonworks.RoutingApi.Glance;
-import damsonworks.RoutingApi.Group;
-import damsonworks.RoutingApi.Reports;
-import damsonworks.RoutingApi.ServiceClass;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.budget.Budget;
+package cacheproxy.model;
+
+import cacheproxy.budget.Budget;
+import cacheproxy.routing.Policy;
+import cacheproxy.routing.RoutingApi.Effect;
+import cacheproxy.routing.RoutingApi.Glance;
+import cacheproxy.routing.RoutingApi.Group;
+import cacheproxy.routing.RoutingApi.Reports;
+import cacheproxy.routing.RoutingApi.ServiceClass;
+import cacheproxy.routing.RoutingApi.Settings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/damsonworks/model/LoopTable.java
+++ b/src/main/java/cacheproxy/model/LoopTable.java
@@ -1,7 +1,7 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.budget.Budget;
-import damsonworks.model.LoopModel.Plan;
+import cacheproxy.budget.Budget;
+import cacheproxy.model.LoopModel.Plan;
 import java.util.Locale;
 
 /**
--- a/src/main/java/damsonworks/model/MembershipModel.java
+++ b/src/main/java/cacheproxy/model/MembershipModel.java
@@ -1,8 +1,8 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.membership.Membership;
-import damsonworks.membership.State;
-import damsonworks.membership.Timing;
+import cacheproxy.membership.Membership;
+import cacheproxy.membership.State;
+import cacheproxy.membership.Timing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
--- a/src/main/java/damsonworks/model/MembershipTable.java
+++ b/src/main/java/cacheproxy/model/MembershipTable.java
@@ -1,7 +1,7 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.membership.Membership.Part;
-import damsonworks.membership.Timing;
+import cacheproxy.membership.Membership.Part;
+import cacheproxy.membership.Timing;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.stream.IntStream;
--- a/src/main/java/damsonworks/model/PlacesModel.java
+++ b/src/main/java/cacheproxy/model/PlacesModel.java
@@ -1,15 +1,15 @@
-package damsonworks.model;
-
-import damsonworks.Policy;
-import damsonworks.RoutingApi;
-import damsonworks.RoutingApi.Actions;
-import damsonworks.RoutingApi.AttemptEnd;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.Request;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.RoutingApi.State;
+package cacheproxy.model;
+
+import cacheproxy.routing.Policy;
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.routing.RoutingApi.Actions;
+import cacheproxy.routing.RoutingApi.AttemptEnd;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.Request;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.routing.RoutingApi.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/main/java/damsonworks/model/RightsModel.java
+++ b/src/main/java/cacheproxy/model/RightsModel.java
@@ -1,7 +1,7 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.shared.Rights;
-import damsonworks.shared.Rights.Message;
+import cacheproxy.shared.Rights;
+import cacheproxy.shared.Rights.Message;
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
--- a/src/main/java/damsonworks/model/SharedModel.java
+++ b/src/main/java/cacheproxy/model/SharedModel.java
@@ -1,9 +1,9 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.RoutingApi.Cold;
-import damsonworks.fleet.Wire;
-import damsonworks.shared.Judgements;
-import damsonworks.shared.SharedState;
+import cacheproxy.fleet.Wire;
+import cacheproxy.routing.RoutingApi.Cold;
+import cacheproxy.shared.Judgements;
+import cacheproxy.shared.SharedState;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/damsonworks/model/SharedTable.java
+++ b/src/main/java/cacheproxy/model/SharedTable.java
@@ -1,6 +1,6 @@
-package damsonworks.model;
+package cacheproxy.model;
 
-import damsonworks.model.SharedModel.Plan;
+import cacheproxy.model.SharedModel.Plan;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/CacheCodec.java
@@ -1,11 +1,11 @@
-package damsonworks.proxy;
-
-import damsonworks.RoutingApi;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.limits.Cut;
-import damsonworks.limits.Holding;
-import damsonworks.proxy.Exchange.Attempt;
-import damsonworks.proxy.Exchange.Command;
+package cacheproxy.proxy;
+
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.Holding;
+import cacheproxy.proxy.Exchange.Attempt;
+import cacheproxy.proxy.Exchange.Command;
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.routing.RoutingApi.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -1,13 +1,13 @@
-package damsonworks.proxy;
-
-import damsonworks.control.Figures;
-import damsonworks.limits.Account;
-import damsonworks.limits.Cut;
-import damsonworks.limits.DoorRules;
-import damsonworks.limits.FairShare;
-import damsonworks.limits.Holding;
-import damsonworks.limits.Pace;
-import damsonworks.proxy.Exchange.Command;
+package cacheproxy.proxy;
+
+import cacheproxy.control.Figures;
+import cacheproxy.limits.Account;
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.DoorRules;
+import cacheproxy.limits.FairShare;
+import cacheproxy.limits.Holding;
+import cacheproxy.limits.Pace;
+import cacheproxy.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -1,16 +1,16 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
+import cacheproxy.limits.Limits;
+import cacheproxy.membership.Timing;
+import cacheproxy.proxy.peers.PeerSocket;
+import cacheproxy.routing.Policy;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.shared.SharedState;
+import cacheproxy.wire.SettingsParser;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import com.google.gson.JsonPrimitive;
-import damsonworks.Policy;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.limits.Limits;
-import damsonworks.membership.Timing;
-import damsonworks.proxy.peers.PeerSocket;
-import damsonworks.shared.SharedState;
-import damsonworks.wire.SettingsParser;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/main/java/damsonworks/proxy/ControlFront.java
+++ b/src/main/java/cacheproxy/proxy/ControlFront.java
@@ -1,7 +1,7 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.control.HandLog;
-import damsonworks.control.Succession;
+import cacheproxy.control.HandLog;
+import cacheproxy.control.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -1,14 +1,14 @@
-package damsonworks.proxy;
-
+package cacheproxy.proxy;
+
+import cacheproxy.gossip.ListVersions;
+import cacheproxy.proxy.peers.MemberLink;
+import cacheproxy.proxy.peers.PeerSocket;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.State;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.State;
-import damsonworks.gossip.ListVersions;
-import damsonworks.proxy.peers.MemberLink;
-import damsonworks.proxy.peers.PeerSocket;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/damsonworks/proxy/Door.java
+++ b/src/main/java/cacheproxy/proxy/Door.java
@@ -1,15 +1,15 @@
-package damsonworks.proxy;
-
-import damsonworks.control.Succession;
-import damsonworks.limits.Accounts;
-import damsonworks.limits.Cut;
-import damsonworks.limits.Cuts;
-import damsonworks.limits.DoorRules;
-import damsonworks.limits.FairShare;
-import damsonworks.limits.HoldOff;
-import damsonworks.limits.Limits;
-import damsonworks.limits.LoopLag;
-import damsonworks.limits.Pressure;
+package cacheproxy.proxy;
+
+import cacheproxy.control.Succession;
+import cacheproxy.limits.Accounts;
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.Cuts;
+import cacheproxy.limits.DoorRules;
+import cacheproxy.limits.FairShare;
+import cacheproxy.limits.HoldOff;
+import cacheproxy.limits.Limits;
+import cacheproxy.limits.LoopLag;
+import cacheproxy.limits.Pressure;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
--- a/src/main/java/damsonworks/proxy/Listener.java
+++ b/src/main/java/cacheproxy/proxy/Listener.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
--- a/src/main/java/damsonworks/proxy/LoopWatch.java
+++ b/src/main/java/cacheproxy/proxy/LoopWatch.java
@@ -1,6 +1,6 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.budget.Budget;
+import cacheproxy.budget.Budget;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import java.io.IOException;
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/cacheproxy/proxy/MetaCodec.java
@@ -1,6 +1,6 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.proxy.Exchange.Command;
+import cacheproxy.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/damsonworks/proxy/Mirror.java
+++ b/src/main/java/cacheproxy/proxy/Mirror.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/damsonworks/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -1,12 +1,12 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.limits.LeastRate;
-import damsonworks.limits.Limits;
-import damsonworks.membership.Timing;
-import damsonworks.settings.OperatorFile;
-import damsonworks.settings.SettingsException;
-import damsonworks.settings.Table;
-import damsonworks.shared.SharedState;
+import cacheproxy.limits.LeastRate;
+import cacheproxy.limits.Limits;
+import cacheproxy.membership.Timing;
+import cacheproxy.settings.OperatorFile;
+import cacheproxy.settings.SettingsException;
+import cacheproxy.settings.Table;
+import cacheproxy.shared.SharedState;
 import java.nio.file.Path;
 
 /** The operator's settings over those that follow from the platform's. */
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.limits.Holding;
-import damsonworks.proxy.Exchange.Attempt;
-import damsonworks.proxy.Exchange.Command;
+import cacheproxy.limits.Holding;
+import cacheproxy.proxy.Exchange.Attempt;
+import cacheproxy.proxy.Exchange.Command;
+import cacheproxy.routing.RoutingApi.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/damsonworks/proxy/Passage.java
+++ b/src/main/java/cacheproxy/proxy/Passage.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.limits.Accounts;
-import damsonworks.limits.Holding;
-import damsonworks.limits.PassWindow;
-import damsonworks.proxy.Exchange.Attempt;
+import cacheproxy.limits.Accounts;
+import cacheproxy.limits.Holding;
+import cacheproxy.limits.PassWindow;
+import cacheproxy.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 
--- a/src/main/java/damsonworks/proxy/PlainLog.java
+++ b/src/main/java/cacheproxy/proxy/PlainLog.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import io.netty.util.internal.logging.AbstractInternalLogger;
 import io.netty.util.internal.logging.InternalLogger;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -1,10 +1,10 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.RoutingApi.ServiceClass;
-import damsonworks.control.Succession;
-import damsonworks.proxy.peers.MemberLink;
-import damsonworks.proxy.peers.PeerSocket;
-import damsonworks.proxy.peers.SharedLink;
+import cacheproxy.control.Succession;
+import cacheproxy.proxy.peers.MemberLink;
+import cacheproxy.proxy.peers.PeerSocket;
+import cacheproxy.proxy.peers.SharedLink;
+import cacheproxy.routing.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
--- a/src/main/java/damsonworks/proxy/SharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/SharedFolder.java
@@ -1,7 +1,7 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.control.HandLog;
-import damsonworks.control.Succession;
+import cacheproxy.control.HandLog;
+import cacheproxy.control.Succession;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -23,7 +23,12 @@
  * loop. Without a folder all is kept by this process only.
  */
 final class SharedFolder {
+  /**
+   * File names of earlier versions, kept: during an upgrade a process of the version before shares
+   * the folder, and what it stored has to stay readable.
+   */
   private static final String LOG = "damsonworks.hand";
+
   private static final String SLOTS = "damsonworks.slots";
 
   /** A slot can be held for a moment by one who only looks whether it is. */
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/cacheproxy/proxy/Upstream.java
@@ -1,6 +1,6 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.proxy.Exchange.Attempt;
+import cacheproxy.proxy.Exchange.Attempt;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -1,12 +1,12 @@
-package damsonworks.proxy;
-
-import damsonworks.RoutingApi;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.limits.Account;
-import damsonworks.limits.Cut;
-import damsonworks.limits.Holding;
-import damsonworks.limits.Pace;
-import damsonworks.proxy.Exchange.Attempt;
+package cacheproxy.proxy;
+
+import cacheproxy.limits.Account;
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.Holding;
+import cacheproxy.limits.Pace;
+import cacheproxy.proxy.Exchange.Attempt;
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.routing.RoutingApi.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -1,14 +1,14 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.ServiceClass;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.RoutingApi.State;
-import damsonworks.control.Succession;
-import damsonworks.limits.Settling;
-import damsonworks.limits.StartSpan;
-import damsonworks.proxy.peers.PeerSocket;
+import cacheproxy.control.Succession;
+import cacheproxy.limits.Settling;
+import cacheproxy.limits.StartSpan;
+import cacheproxy.proxy.peers.PeerSocket;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.ServiceClass;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.routing.RoutingApi.State;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/damsonworks/proxy/peers/MemberLink.java
+++ b/src/main/java/cacheproxy/proxy/peers/MemberLink.java
@@ -1,10 +1,10 @@
-package damsonworks.proxy.peers;
+package cacheproxy.proxy.peers;
 
+import cacheproxy.membership.Membership;
+import cacheproxy.membership.Timing;
+import cacheproxy.membership.View;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import damsonworks.membership.Membership;
-import damsonworks.membership.Timing;
-import damsonworks.membership.View;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.Locale;
--- a/src/main/java/damsonworks/proxy/peers/PeerSocket.java
+++ b/src/main/java/cacheproxy/proxy/peers/PeerSocket.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy.peers;
+package cacheproxy.proxy.peers;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/damsonworks/proxy/peers/SharedLink.java
+++ b/src/main/java/cacheproxy/proxy/peers/SharedLink.java
@@ -1,10 +1,10 @@
-package damsonworks.proxy.peers;
+package cacheproxy.proxy.peers;
 
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.shared.Evidence;
+import cacheproxy.shared.SharedState;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
-import damsonworks.RoutingApi;
-import damsonworks.shared.Evidence;
-import damsonworks.shared.SharedState;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.Locale;
--- a/src/main/java/damsonworks/HotKeys.java
+++ b/src/main/java/cacheproxy/routing/HotKeys.java
@@ -1,4 +1,4 @@
-package damsonworks;
+package cacheproxy.routing;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -1,4 +1,4 @@
-package damsonworks;
+package cacheproxy.routing;
 
 import java.util.*;
 import java.util.function.Predicate;
--- a/src/main/java/damsonworks/Ranks.java
+++ b/src/main/java/cacheproxy/routing/Ranks.java
@@ -1,7 +1,7 @@
-package damsonworks;
+package cacheproxy.routing;
 
-import damsonworks.RoutingApi.Glance;
-import damsonworks.RoutingApi.ServiceClass;
+import cacheproxy.routing.RoutingApi.Glance;
+import cacheproxy.routing.RoutingApi.ServiceClass;
 import java.util.List;
 
 /**
--- a/src/main/java/damsonworks/Shares.java
+++ b/src/main/java/cacheproxy/routing/Shares.java
@@ -1,6 +1,6 @@
-package damsonworks;
+package cacheproxy.routing;
 
-import damsonworks.RoutingApi.Tenant;
+import cacheproxy.routing.RoutingApi.Tenant;
 import java.util.List;
 
 /**
--- a/src/main/java/damsonworks/Throttle.java
+++ b/src/main/java/cacheproxy/routing/Throttle.java
@@ -1,4 +1,4 @@
-package damsonworks;
+package cacheproxy.routing;
 
 /**
  * What the origin was asked and what it answered in time of that, both fading. Guards against the
--- a/src/main/java/damsonworks/settings/CheckCommand.java
+++ b/src/main/java/cacheproxy/settings/CheckCommand.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
--- a/src/main/java/damsonworks/settings/Key.java
+++ b/src/main/java/cacheproxy/settings/Key.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 /**
  * One key of a table with what it may hold. Its unit stands in its name.
--- a/src/main/java/damsonworks/settings/OperatorFile.java
+++ b/src/main/java/cacheproxy/settings/OperatorFile.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 import com.electronwill.nightconfig.core.Config;
 import com.electronwill.nightconfig.core.io.ParsingException;
--- a/src/main/java/damsonworks/settings/SettingsException.java
+++ b/src/main/java/cacheproxy/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 /**
  * A settings file that can't be used; the message is one line with file, key, value and what is
--- a/src/main/java/damsonworks/settings/Table.java
+++ b/src/main/java/cacheproxy/settings/Table.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/damsonworks/shared/Evidence.java
+++ b/src/main/java/cacheproxy/shared/Evidence.java
@@ -1,4 +1,4 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 /**
  * What one proxy has seen of one cache node, as it is told on. Times in milliseconds of the clock
--- a/src/main/java/damsonworks/shared/Judgements.java
+++ b/src/main/java/cacheproxy/shared/Judgements.java
@@ -1,6 +1,6 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
-import damsonworks.shared.Evidence.Kind;
+import cacheproxy.shared.Evidence.Kind;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/damsonworks/shared/Rights.java
+++ b/src/main/java/cacheproxy/shared/Rights.java
@@ -1,4 +1,4 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import java.util.ArrayList;
 import java.util.EnumSet;
--- a/src/main/java/damsonworks/shared/SharedState.java
+++ b/src/main/java/cacheproxy/shared/SharedState.java
@@ -1,9 +1,9 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
-import damsonworks.RoutingApi;
-import damsonworks.shared.Datagram.Right;
-import damsonworks.shared.Datagram.Total;
-import damsonworks.shared.Datagram.Type;
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.shared.Datagram.Right;
+import cacheproxy.shared.Datagram.Total;
+import cacheproxy.shared.Datagram.Type;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/damsonworks/shared/package-info.java
+++ b/src/main/java/cacheproxy/shared/package-info.java
@@ -3,4 +3,4 @@
  * doubled, rights whose sum is never over the bound, judgements that heal by themselves. Rules
  * alone, in times that the caller gives.
  */
-package damsonworks.shared;
+package cacheproxy.shared;
--- a/src/main/java/damsonworks/site/CacheFront.java
+++ b/src/main/java/cacheproxy/site/CacheFront.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/damsonworks/site/Hole.java
+++ b/src/main/java/cacheproxy/site/Hole.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/damsonworks/site/Looks.java
+++ b/src/main/java/cacheproxy/site/Looks.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.SelectStrategy;
--- a/src/main/java/damsonworks/site/Scenario.java
+++ b/src/main/java/cacheproxy/site/Scenario.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import com.electronwill.nightconfig.core.Config;
 import com.electronwill.nightconfig.core.io.ParsingException;
--- a/src/main/java/damsonworks/site/Shelf.java
+++ b/src/main/java/cacheproxy/site/Shelf.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/src/main/java/damsonworks/site/Site.java
+++ b/src/main/java/cacheproxy/site/Site.java
@@ -1,4 +1,4 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -526,7 +526,7 @@
   }
 
   /** A proxy's configuration, as the platform writes it. */
-  public String config(int me, int proxies, int listen, List<damsonworks.load.Kind> kinds)
+  public String config(int me, int proxies, int listen, List<cacheproxy.load.Kind> kinds)
       throws Exception {
     int view = me < views ? me : -1;
     String known = seenFrom(view, on(roster::whole));
@@ -535,7 +535,7 @@
       zones.add("\"" + zone(z) + "\"");
     }
     List<String> classes = new ArrayList<>();
-    for (damsonworks.load.Kind k : kinds) {
+    for (cacheproxy.load.Kind k : kinds) {
       classes.add(
           String.format(
               java.util.Locale.ROOT,
--- a/src/main/java/damsonworks/store/durable/WriteBackDisk.java
+++ b/src/main/java/cacheproxy/store/durable/WriteBackDisk.java
@@ -1,4 +1,4 @@
-package damsonworks.store.durable;
+package cacheproxy.store.durable;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/main/java/damsonworks/wire/Drill.java
+++ b/src/main/java/cacheproxy/wire/Drill.java
@@ -1,13 +1,13 @@
-package damsonworks.wire;
+package cacheproxy.wire;
 
-import damsonworks.Policy;
-import damsonworks.RoutingApi;
-import damsonworks.RoutingApi.AttemptEnd;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.Request;
-import damsonworks.RoutingApi.State;
+import cacheproxy.routing.Policy;
+import cacheproxy.routing.RoutingApi;
+import cacheproxy.routing.RoutingApi.AttemptEnd;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.Request;
+import cacheproxy.routing.RoutingApi.State;
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.EOFException;
--- a/src/main/java/damsonworks/wire/SettingsParser.java
+++ b/src/main/java/cacheproxy/wire/SettingsParser.java
@@ -1,11 +1,11 @@
-package damsonworks.wire;
+package cacheproxy.wire;
 
-import damsonworks.RoutingApi.Effect;
-import damsonworks.RoutingApi.Group;
-import damsonworks.RoutingApi.Reports;
-import damsonworks.RoutingApi.ServiceClass;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.RoutingApi.Tenant;
+import cacheproxy.routing.RoutingApi.Effect;
+import cacheproxy.routing.RoutingApi.Group;
+import cacheproxy.routing.RoutingApi.Reports;
+import cacheproxy.routing.RoutingApi.ServiceClass;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.routing.RoutingApi.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -1,4 +1,4 @@
-package damsonworks;
+package cacheproxy;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
@@ -24,7 +24,7 @@
   private static final JavaClasses ALL =
       new ClassFileImporter()
           .withImportOption(new ImportOption.DoNotIncludeTests())
-          .importPackages("damsonworks");
+          .importPackages("cacheproxy");
 
   /** Rules within a package that has sockets too. */
   private static final List<String> RULES =
@@ -52,12 +52,19 @@
     return DescribedPredicate.describe(
         "rules",
         c -> {
-          String in = c.getPackageName().replace("damsonworks", "");
-          return List.of(".limits", ".budget", ".control", ".gossip", ".membership", ".shared")
+          String in = c.getPackageName().replace("cacheproxy", "");
+          return List.of(
+                      ".routing",
+                      ".limits",
+                      ".budget",
+                      ".control",
+                      ".gossip",
+                      ".membership",
+                      ".shared")
                   .contains(in)
               || in.isEmpty() && !c.getSimpleName().equals("Main")
               || RULES.stream()
-                  .anyMatch(r -> c.getName().matches("damsonworks\\." + r + "(\\$.*)?"));
+                  .anyMatch(r -> c.getName().matches("cacheproxy\\." + r + "(\\$.*)?"));
         });
   }
 
@@ -87,9 +94,9 @@
   void theModuleKnowsNothingOfTheRest() {
     classes()
         .that()
-        .haveFullyQualifiedName("damsonworks.Policy")
+        .haveFullyQualifiedName("cacheproxy.routing.Policy")
         .or()
-        .haveFullyQualifiedName("damsonworks.Carp")
+        .haveFullyQualifiedName("cacheproxy.routing.Carp")
         .should()
         .onlyDependOnClassesThat(
             DescribedPredicate.describe(
@@ -98,7 +105,7 @@
                     c.getName().startsWith("java.")
                         || c.getName()
                             .matches(
-                                "damsonworks\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
+                                "cacheproxy\\.routing\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
                         || c.isPrimitive()
                         || c.isArray()))
         .check(ALL);
@@ -108,31 +115,28 @@
   void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
     noClasses()
         .that()
-        .resideInAnyPackage("damsonworks.load..", "damsonworks.site..", "damsonworks.fleet..")
+        .resideInAnyPackage("cacheproxy.load..", "cacheproxy.site..", "cacheproxy.fleet..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("damsonworks.proxy..")
+        .resideInAnyPackage("cacheproxy.proxy..")
         .check(ALL);
     noClasses()
         .that()
-        .resideInAPackage("damsonworks.proxy..")
+        .resideInAPackage("cacheproxy.proxy..")
         .should()
         .dependOnClassesThat()
         .resideInAnyPackage(
-            "damsonworks.load..",
-            "damsonworks.site..",
-            "damsonworks.model..",
-            "damsonworks.fleet..")
+            "cacheproxy.load..", "cacheproxy.site..", "cacheproxy.model..", "cacheproxy.fleet..")
         .check(ALL);
     noClasses()
         .that()
-        .resideInAPackage("damsonworks.proxy..")
+        .resideInAPackage("cacheproxy.proxy..")
         .should()
         .dependOnClassesThat(
             DescribedPredicate.describe(
                 "the simulator's wire, but for its parser of the settings",
                 c ->
-                    c.getPackageName().equals("damsonworks.wire")
+                    c.getPackageName().equals("cacheproxy.wire")
                         && !c.getSimpleName().matches("SettingsParser|WireException")))
         .check(ALL);
   }
@@ -155,7 +159,7 @@
                 "-Xlog:class+load:file=" + log,
                 "-cp",
                 path,
-                "damsonworks.Main",
+                "cacheproxy.Main",
                 "serve")
             .redirectErrorStream(true);
     serve.environment().put("BALANCER_CONFIG", "/nonexistent");
@@ -165,18 +169,18 @@
     assertThat(process.exitValue()).as(said).isEqualTo(2);
     List<String> loaded = java.nio.file.Files.readAllLines(log);
     assertThat(loaded)
-        .anyMatch(l -> l.contains("damsonworks.proxy.Proxy"))
+        .anyMatch(l -> l.contains("cacheproxy.proxy.Proxy"))
         .noneMatch(
             l ->
                 l.contains("picocli")
                     || l.contains("HdrHistogram")
-                    || l.contains("damsonworks.load")
+                    || l.contains("cacheproxy.load")
                     || l.contains("nightconfig")
-                    || l.contains("damsonworks.site")
-                    || l.contains("damsonworks.fleet")
-                    || l.contains("damsonworks.membership")
-                    || l.contains("damsonworks.shared")
-                    || l.contains("damsonworks.model"));
+                    || l.contains("cacheproxy.site")
+                    || l.contains("cacheproxy.fleet")
+                    || l.contains("cacheproxy.membership")
+                    || l.contains("cacheproxy.shared")
+                    || l.contains("cacheproxy.model"));
     java.nio.file.Files.delete(log);
   }
 }
--- a/src/test/java/damsonworks/budget/BudgetTest.java
+++ b/src/test/java/cacheproxy/budget/BudgetTest.java
@@ -1,4 +1,4 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
--- a/src/test/java/damsonworks/budget/OverloadModelTest.java
+++ b/src/test/java/cacheproxy/budget/OverloadModelTest.java
@@ -1,9 +1,9 @@
-package damsonworks.budget;
+package cacheproxy.budget;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.model.LoopModel;
-import damsonworks.model.LoopModel.Plan;
+import cacheproxy.model.LoopModel;
+import cacheproxy.model.LoopModel.Plan;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/damsonworks/control/ControlRulesTest.java
+++ b/src/test/java/cacheproxy/control/ControlRulesTest.java
@@ -1,4 +1,4 @@
-package damsonworks.control;
+package cacheproxy.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/damsonworks/fleet/MembershipFleetTest.java
+++ b/src/test/java/cacheproxy/fleet/MembershipFleetTest.java
@@ -1,8 +1,8 @@
-package damsonworks.fleet;
+package cacheproxy.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.load.Tally;
+import cacheproxy.load.Tally;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/damsonworks/fleet/RigTest.java
+++ b/src/test/java/cacheproxy/fleet/RigTest.java
@@ -1,9 +1,9 @@
-package damsonworks.fleet;
+package cacheproxy.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.site.Loopback;
-import damsonworks.site.Scenario;
+import cacheproxy.site.Loopback;
+import cacheproxy.site.Scenario;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -155,7 +155,7 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp",
                 System.getProperty("java.class.path"),
-                "damsonworks.Main",
+                "cacheproxy.Main",
                 "fleet",
                 "--proxies",
                 "2",
--- a/src/test/java/damsonworks/gossip/ListVersionsTest.java
+++ b/src/test/java/cacheproxy/gossip/ListVersionsTest.java
@@ -1,4 +1,4 @@
-package damsonworks.gossip;
+package cacheproxy.gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/damsonworks/limits/StartTest.java
+++ b/src/test/java/cacheproxy/limits/StartTest.java
@@ -1,4 +1,4 @@
-package damsonworks.limits;
+package cacheproxy.limits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/damsonworks/load/LoadRulesTest.java
+++ b/src/test/java/cacheproxy/load/LoadRulesTest.java
@@ -1,4 +1,4 @@
-package damsonworks.load;
+package cacheproxy.load;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/damsonworks/membership/MembershipTest.java
+++ b/src/test/java/cacheproxy/membership/MembershipTest.java
@@ -1,9 +1,9 @@
-package damsonworks.membership;
+package cacheproxy.membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.membership.Membership.Part;
-import damsonworks.model.MembershipModel;
+import cacheproxy.membership.Membership.Part;
+import cacheproxy.model.MembershipModel;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/damsonworks/model/ZoneLossTest.java
+++ b/src/test/java/cacheproxy/model/ZoneLossTest.java
@@ -1,9 +1,9 @@
-package damsonworks.model;
+package cacheproxy.model;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.Rig;
-import damsonworks.model.PlacesModel.Counts;
+import cacheproxy.model.PlacesModel.Counts;
+import cacheproxy.routing.Rig;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
--- a/src/test/java/damsonworks/proxy/ControlTest.java
+++ b/src/test/java/cacheproxy/proxy/ControlTest.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -124,7 +124,7 @@
                   stage
                       .proxy
                       .dispatcher()
-                      .listed(damsonworks.RoutingApi.ListKind.CHANGES, List.of()))
+                      .listed(cacheproxy.routing.RoutingApi.ListKind.CHANGES, List.of()))
           .sync();
       for (int i = 0; i < 40; i++) {
         client.write(Stage.read(Integer.toHexString(i * 7919 + 1), "a" + i));
@@ -164,7 +164,7 @@
               Stage.cache("s-2", second));
       int control = freePort();
       Program old =
-          stage.keep(new Program(folder, with(config, control), 0, "damsonworks.Main", "serve"));
+          stage.keep(new Program(folder, with(config, control), 0, "cacheproxy.Main", "serve"));
       Peer.Line client = stage.keep(old.connect());
       Stage.serves(client, "1");
       Stage.await(() -> ready(control));
@@ -174,7 +174,7 @@
       int itsControl = freePort();
       Program next =
           stage.keep(
-              new Program(folder, old.port, with(config, itsControl), "damsonworks.Main", "serve"));
+              new Program(folder, old.port, with(config, itsControl), "cacheproxy.Main", "serve"));
       Stage.await(() -> ready(itsControl));
       old.signal("TERM");
       // A new connection each, as the old one's listener goes. The kernel resets who comes to it
--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/cacheproxy/proxy/CrossingsTest.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.Carp;
-import damsonworks.site.Loopback;
+import cacheproxy.routing.Carp;
+import cacheproxy.site.Loopback;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
--- a/src/test/java/damsonworks/proxy/CrowdTest.java
+++ b/src/test/java/cacheproxy/proxy/CrowdTest.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -62,7 +62,7 @@
       String config =
           stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
       Program program =
-          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+          stage.keep(new Program(folder, config, 256, "-Xmx48m cacheproxy.Main", "serve"));
       // From an address of their own: the crowd's is held off for up to 0.8 s, the slower this
       // machine the more often.
       Peer.Line usual = stage.keep(program.connect("127.0.0.7"));
@@ -101,7 +101,7 @@
       String config =
           stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
       Program program =
-          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+          stage.keep(new Program(folder, config, 256, "-Xmx48m cacheproxy.Main", "serve"));
       Stage.serves(stage.keep(program.connect()), "u");
       StringBuilder text = new StringBuilder();
       for (int k = 0; k < 16; k++) {
@@ -137,7 +137,7 @@
       String config =
           stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
       Program program =
-          stage.keep(new Program(folder, config, 256, SMALL, "damsonworks.Main", "serve"));
+          stage.keep(new Program(folder, config, 256, SMALL, "cacheproxy.Main", "serve"));
       Peer.Line usual = stage.keep(program.connect());
       Stage.serves(usual, "u");
       for (int round = 0; round < 3; round++) {
@@ -172,7 +172,7 @@
               });
       String config = stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", slowly));
       Program program =
-          stage.keep(new Program(folder, config, 256, "-Xmx48m damsonworks.Main", "serve"));
+          stage.keep(new Program(folder, config, 256, "-Xmx48m cacheproxy.Main", "serve"));
       Peer.Line usual = stage.keep(program.connect());
       Stage.serves(usual, "u");
       slowPeers(stage, program.port, 40);
--- a/src/test/java/damsonworks/proxy/DoorTest.java
+++ b/src/test/java/cacheproxy/proxy/DoorTest.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -102,7 +102,7 @@
     try (Stage stage = new Stage()) {
       String config =
           stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-      Program program = stage.keep(new Program(folder, config, 256, "damsonworks.Main", "serve"));
+      Program program = stage.keep(new Program(folder, config, 256, "cacheproxy.Main", "serve"));
       stage.keep(program.connect());
       int most = 0;
       for (int round = 0; round < 5; round++) {
@@ -127,7 +127,7 @@
       stage.sockets = 1024;
       String config =
           stage.config(stage.quietDiscovery().address(), Stage.cache("s-1", stage.fullCache()));
-      Program program = stage.keep(new Program(folder, config, 100, "damsonworks.Main", "serve"));
+      Program program = stage.keep(new Program(folder, config, 100, "cacheproxy.Main", "serve"));
       Stage.serves(
           stage.keep(program.connect()), "before"); // also opens the connection to the cache node
       List<SocketChannel> silent = burst(stage, program.port, 300);
@@ -152,7 +152,7 @@
     try (Stage stage = new Stage()) {
       Program program =
           stage.keep(
-              new Program(folder, stage.config("127.0.0.1:1"), 0, "damsonworks.proxy.LoopEnds"));
+              new Program(folder, stage.config("127.0.0.1:1"), 0, "cacheproxy.proxy.LoopEnds"));
       assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
       assertThat(program.process.exitValue()).isEqualTo(1);
       assertThat(program.log()).contains("the event loop has ended unplanned");
--- a/src/test/java/damsonworks/proxy/HealthyBench.java
+++ b/src/test/java/cacheproxy/proxy/HealthyBench.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -66,7 +66,7 @@
                   0,
                   "-XX:+UseSerialGC -XX:TieredStopAtLevel=1",
                   "-XX:ActiveProcessorCount=1 -Xms32m -Xmx32m",
-                  "damsonworks.Main",
+                  "cacheproxy.Main",
                   "serve"));
       program.connect().close();
       List<Thread> all = new ArrayList<>();
--- a/src/test/java/damsonworks/proxy/LastLookTest.java
+++ b/src/test/java/cacheproxy/proxy/LastLookTest.java
@@ -1,8 +1,8 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.limits.Cut;
+import cacheproxy.limits.Cut;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
--- a/src/test/java/damsonworks/proxy/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/LongValueTest.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.limits.Holding;
-import damsonworks.limits.PassWindow;
+import cacheproxy.limits.Holding;
+import cacheproxy.limits.PassWindow;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
--- a/src/test/java/damsonworks/proxy/LoopEnds.java
+++ b/src/test/java/cacheproxy/proxy/LoopEnds.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 /**
  * A program of its own for {@link DoorTest}: a proxy whose event loop ends without anybody having
--- a/src/test/java/damsonworks/proxy/Program.java
+++ b/src/test/java/cacheproxy/proxy/Program.java
@@ -1,6 +1,6 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
-import damsonworks.fleet.ProxyProcess;
+import cacheproxy.fleet.ProxyProcess;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
--- a/src/test/java/damsonworks/proxy/ReloadTest.java
+++ b/src/test/java/cacheproxy/proxy/ReloadTest.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,7 +23,7 @@
               good.replace("\"sockets\":256", "\"sockets\":-5"),
               good.replace("\"classes\":[", "\"classes\":[],\"others\":["),
               good.replace("127.0.0.1:1\"", "nowhere\""))) {
-        Program program = new Program(folder, bad, 0, "damsonworks.Main", "serve");
+        Program program = new Program(folder, bad, 0, "cacheproxy.Main", "serve");
         assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(program.process.exitValue()).as(bad).isEqualTo(2);
         assertThat(program.log()).as(bad).hasSize(1);
@@ -63,7 +63,7 @@
       Program program =
           stage.keep(
               new Program(
-                  folder, stage.config(old.address(), hosts), 0, "damsonworks.Main", "serve"));
+                  folder, stage.config(old.address(), hosts), 0, "cacheproxy.Main", "serve"));
       Stage.await(() -> !old.heard.isEmpty());
       Peer.Line client = stage.keep(program.connect());
       client.write(Stage.read("a", "1"));
--- a/src/test/java/damsonworks/proxy/RequestBench.java
+++ b/src/test/java/cacheproxy/proxy/RequestBench.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.State;
 import com.google.gson.JsonParser;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.State;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
--- a/src/test/java/damsonworks/proxy/SlowPeersBench.java
+++ b/src/test/java/cacheproxy/proxy/SlowPeersBench.java
@@ -1,4 +1,4 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -91,7 +91,7 @@
                       + "m",
                   "-Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1",
                   "-Dio.netty.allocator.maxOrder=4",
-                  "damsonworks.Main",
+                  "cacheproxy.Main",
                   "serve"));
       program.connect().close();
       AtomicBoolean going = new AtomicBoolean(true);
--- a/src/test/java/damsonworks/proxy/SlowPeersTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowPeersTest.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.limits.Cut;
-import damsonworks.limits.Holding;
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.Holding;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.IOException;
 import java.net.SocketException;
--- a/src/test/java/damsonworks/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -1,12 +1,12 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.limits.Cut;
+import cacheproxy.limits.Holding;
+import cacheproxy.limits.LeastRate;
+import cacheproxy.limits.Limits;
 import com.google.gson.JsonParser;
-import damsonworks.limits.Cut;
-import damsonworks.limits.Holding;
-import damsonworks.limits.LeastRate;
-import damsonworks.limits.Limits;
 import io.netty.buffer.ByteBufAllocator;
 import java.net.Socket;
 import java.time.Duration;
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/cacheproxy/proxy/WarmUpTest.java
@@ -1,9 +1,9 @@
-package damsonworks.proxy;
+package cacheproxy.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.proxy.peers.PeerSocket;
 import com.google.gson.JsonParser;
-import damsonworks.proxy.peers.PeerSocket;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
--- a/src/test/java/damsonworks/proxy/peers/WithoutRights.java
+++ b/src/test/java/cacheproxy/proxy/peers/WithoutRights.java
@@ -1,7 +1,7 @@
-package damsonworks.proxy.peers;
+package cacheproxy.proxy.peers;
 
-import damsonworks.Main;
-import damsonworks.shared.SharedState;
+import cacheproxy.Main;
+import cacheproxy.shared.SharedState;
 import java.util.Set;
 
 /** The program with nothing that holds back what all proxies together send a cold node. */
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTest.java
@@ -1,15 +1,15 @@
-package damsonworks;
+package cacheproxy.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import damsonworks.RoutingApi.AttemptEnd;
-import damsonworks.RoutingApi.Group;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.Request;
-import damsonworks.RoutingApi.State;
+import cacheproxy.routing.RoutingApi.AttemptEnd;
+import cacheproxy.routing.RoutingApi.Group;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.Request;
+import cacheproxy.routing.RoutingApi.State;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/damsonworks/PolicyTierTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTierTest.java
@@ -1,11 +1,11 @@
-package damsonworks;
+package cacheproxy.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.RoutingApi.Cold;
-import damsonworks.RoutingApi.Group;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.State;
+import cacheproxy.routing.RoutingApi.Cold;
+import cacheproxy.routing.RoutingApi.Group;
+import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.State;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/cacheproxy/routing/Rig.java
@@ -1,17 +1,17 @@
-package damsonworks;
-
-import damsonworks.RoutingApi.AttemptEnd;
-import damsonworks.RoutingApi.Effect;
-import damsonworks.RoutingApi.Group;
-import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.Reports;
-import damsonworks.RoutingApi.Request;
-import damsonworks.RoutingApi.ServiceClass;
-import damsonworks.RoutingApi.Settings;
-import damsonworks.RoutingApi.State;
-import damsonworks.RoutingApi.Tenant;
+package cacheproxy.routing;
+
+import cacheproxy.routing.RoutingApi.AttemptEnd;
+import cacheproxy.routing.RoutingApi.Effect;
+import cacheproxy.routing.RoutingApi.Group;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.Reports;
+import cacheproxy.routing.RoutingApi.Request;
+import cacheproxy.routing.RoutingApi.ServiceClass;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.routing.RoutingApi.State;
+import cacheproxy.routing.RoutingApi.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/damsonworks/settings/OperatorFileTest.java
+++ b/src/test/java/cacheproxy/settings/OperatorFileTest.java
@@ -1,4 +1,4 @@
-package damsonworks.settings;
+package cacheproxy.settings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/damsonworks/shared/CountsTest.java
+++ b/src/test/java/cacheproxy/shared/CountsTest.java
@@ -1,4 +1,4 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/damsonworks/shared/RightsPropertiesTest.java
+++ b/src/test/java/cacheproxy/shared/RightsPropertiesTest.java
@@ -1,9 +1,9 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.model.RightsModel;
-import damsonworks.shared.Rights.Terms;
+import cacheproxy.model.RightsModel;
+import cacheproxy.shared.Rights.Terms;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
--- a/src/test/java/damsonworks/shared/RightsTest.java
+++ b/src/test/java/cacheproxy/shared/RightsTest.java
@@ -1,10 +1,10 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.model.RightsModel;
-import damsonworks.shared.Rights.Part;
-import damsonworks.shared.Rights.Terms;
+import cacheproxy.model.RightsModel;
+import cacheproxy.shared.Rights.Part;
+import cacheproxy.shared.Rights.Terms;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/damsonworks/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -1,11 +1,11 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.fleet.Fleet;
+import cacheproxy.proxy.peers.WithoutRights;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import damsonworks.fleet.Fleet;
-import damsonworks.proxy.peers.WithoutRights;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -197,7 +197,7 @@
    */
   @Test
   void allTogetherSendAColdNodeItsPartInASplitFleetAndMoreWithoutTheRights() throws Exception {
-    for (String main : List.of("damsonworks.Main", WithoutRights.class.getName())) {
+    for (String main : List.of("cacheproxy.Main", WithoutRights.class.getName())) {
       try (Fleet of =
           new Fleet(
               new Fleet.Plan(
--- a/src/test/java/damsonworks/shared/SharedStateTest.java
+++ b/src/test/java/cacheproxy/shared/SharedStateTest.java
@@ -1,11 +1,11 @@
-package damsonworks.shared;
+package cacheproxy.shared;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.model.SharedModel;
-import damsonworks.model.SharedModel.Plan;
-import damsonworks.shared.Evidence.Kind;
-import damsonworks.shared.SharedState.Part;
+import cacheproxy.model.SharedModel;
+import cacheproxy.model.SharedModel.Plan;
+import cacheproxy.shared.Evidence.Kind;
+import cacheproxy.shared.SharedState.Part;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
--- a/src/test/java/damsonworks/site/LedgerTest.java
+++ b/src/test/java/cacheproxy/site/LedgerTest.java
@@ -1,9 +1,9 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.site.Ledger.Effect;
-import damsonworks.site.Ledger.Told;
+import cacheproxy.site.Ledger.Effect;
+import cacheproxy.site.Ledger.Told;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/test/java/damsonworks/site/SiteRulesTest.java
+++ b/src/test/java/cacheproxy/site/SiteRulesTest.java
@@ -1,11 +1,11 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.within;
 
-import damsonworks.site.Roster.Health;
-import damsonworks.site.Station.Offer;
+import cacheproxy.site.Roster.Health;
+import cacheproxy.site.Station.Offer;
 import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/damsonworks/site/SiteTest.java
+++ b/src/test/java/cacheproxy/site/SiteTest.java
@@ -1,9 +1,9 @@
-package damsonworks.site;
+package cacheproxy.site;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.load.Kind;
 import com.google.gson.JsonParser;
-import damsonworks.load.Kind;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -321,7 +321,7 @@
                 + "what = 'restart'\nnode = 1\n[[fault]]\nat_s = 0.2\nwhat = 'spoil'\n[[fault]]\nat_s = 1.5\nwhat = 'join'\n"
                 + "[[fault]]\nat_s = 2\nwhat = 'lists_out'\n[[fault]]\nat_s = 2\nwhat = 'drain'\nnode = 2\n");
     assertThat(
-            damsonworks.fleet.FleetCommand.run(
+            cacheproxy.fleet.FleetCommand.run(
                 true,
                 "--nodes",
                 "4",
@@ -333,9 +333,8 @@
                 file.toString()))
         .isZero();
     Files.writeString(file, "[[fault]]\nat_s = 'now'\n");
-    assertThat(damsonworks.fleet.FleetCommand.run(true, "--scenario", file.toString()))
-        .isEqualTo(2);
-    assertThat(damsonworks.fleet.FleetCommand.run(true, "--nodes", "0")).isEqualTo(2);
-    assertThat(damsonworks.fleet.FleetCommand.run(true, "--fault", "earthquake")).isEqualTo(2);
+    assertThat(cacheproxy.fleet.FleetCommand.run(true, "--scenario", file.toString())).isEqualTo(2);
+    assertThat(cacheproxy.fleet.FleetCommand.run(true, "--nodes", "0")).isEqualTo(2);
+    assertThat(cacheproxy.fleet.FleetCommand.run(true, "--fault", "earthquake")).isEqualTo(2);
   }
 }
--- a/src/test/java/damsonworks/store/durable/JournalTest.java
+++ b/src/test/java/cacheproxy/store/durable/JournalTest.java
@@ -1,10 +1,10 @@
-package damsonworks.store.durable;
+package cacheproxy.store.durable;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import damsonworks.store.durable.Journal.Part;
-import damsonworks.store.durable.Journal.Terms;
+import cacheproxy.store.durable.Journal.Part;
+import cacheproxy.store.durable.Journal.Terms;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
