--- a/src/main/java/cacheproxy/Main.java
+++ b/src/main/java/cacheproxy/Main.java
@@ -4,7 +4,7 @@
 import cacheproxy.load.LoadCommand;
 import cacheproxy.proxy.Proxy;
 import cacheproxy.settings.CheckCommand;
-import cacheproxy.wire.Drill;
+import cacheproxy.simulator.Drill;
 import java.util.Arrays;
 
 /**
--- a/src/main/java/cacheproxy/control/Figures.java
+++ b/src/main/java/cacheproxy/admin/Figures.java
@@ -1,4 +1,4 @@
-package cacheproxy.control;
+package cacheproxy.admin;
 
 import java.util.List;
 
--- a/src/main/java/cacheproxy/control/Succession.java
+++ b/src/main/java/cacheproxy/admin/Succession.java
@@ -1,4 +1,4 @@
-package cacheproxy.control;
+package cacheproxy.admin;
 
 /**
  * Two processes of one proxy at the same addresses, an old and a new version: who holds how much
--- a/src/main/java/cacheproxy/control/package-info.java
+++ b/src/main/java/cacheproxy/admin/package-info.java
@@ -2,4 +2,4 @@
  * What operators ask of a running proxy and may tell it: figures, nodes out by hand, two versions
  * at once. No I/O.
  */
-package cacheproxy.control;
+package cacheproxy.admin;
--- a/src/main/java/cacheproxy/model/LoopModel.java
+++ b/src/main/java/cacheproxy/model/LoopModel.java
@@ -1,6 +1,6 @@
 package cacheproxy.model;
 
-import cacheproxy.budget.Budget;
+import cacheproxy.overload.Budget;
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi.Effect;
 import cacheproxy.routing.RoutingApi.Glance;
--- a/src/main/java/cacheproxy/model/LoopTable.java
+++ b/src/main/java/cacheproxy/model/LoopTable.java
@@ -1,7 +1,7 @@
 package cacheproxy.model;
 
-import cacheproxy.budget.Budget;
 import cacheproxy.model.LoopModel.Plan;
+import cacheproxy.overload.Budget;
 import java.util.Locale;
 
 /**
--- a/src/main/java/cacheproxy/budget/Admission.java
+++ b/src/main/java/cacheproxy/overload/Admission.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 /**
  * The part of what comes that the processor can't serve, from how long what comes has to wait for
--- a/src/main/java/cacheproxy/budget/Budget.java
+++ b/src/main/java/cacheproxy/overload/Budget.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 import java.util.Locale;
 
--- a/src/main/java/cacheproxy/budget/Costs.java
+++ b/src/main/java/cacheproxy/overload/Costs.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 /**
  * Processor time of a request that is served and of one that is turned away, learnt: a refusal is
--- a/src/main/java/cacheproxy/budget/Rounds.java
+++ b/src/main/java/cacheproxy/overload/Rounds.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 /**
  * The event loop's rounds, and what they tell of a request that is read now: the kernel doesn't say
--- a/src/main/java/cacheproxy/budget/ThreadTime.java
+++ b/src/main/java/cacheproxy/overload/ThreadTime.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 /**
  * A thread's processor time from what the system tells of it (Linux, {@code schedstat}: nanoseconds
--- a/src/main/java/cacheproxy/budget/package-info.java
+++ b/src/main/java/cacheproxy/overload/package-info.java
@@ -3,4 +3,4 @@
  * what is read. Who is turned away where not all fit is the decision module's word;
  * docs/design-overload.md says why these rules.
  */
-package cacheproxy.budget;
+package cacheproxy.overload;
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.Figures;
+import cacheproxy.admin.Figures;
 import cacheproxy.limits.Account;
 import cacheproxy.limits.Cut;
 import cacheproxy.limits.DoorRules;
--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -6,7 +6,7 @@
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi.Settings;
 import cacheproxy.shared.SharedState;
-import cacheproxy.wire.SettingsParser;
+import cacheproxy.simulator.SettingsParser;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
--- a/src/main/java/cacheproxy/proxy/ControlFront.java
+++ b/src/main/java/cacheproxy/proxy/ControlFront.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.HandLog;
-import cacheproxy.control.Succession;
+import cacheproxy.admin.HandLog;
+import cacheproxy.admin.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -1,11 +1,11 @@
 package cacheproxy.proxy;
 
-import cacheproxy.budget.Budget;
-import cacheproxy.control.Figures;
-import cacheproxy.control.Succession;
+import cacheproxy.admin.Figures;
+import cacheproxy.admin.Succession;
 import cacheproxy.limits.Accounts;
 import cacheproxy.limits.Cuts;
 import cacheproxy.limits.Limits;
+import cacheproxy.overload.Budget;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
 import cacheproxy.proxy.peers.PeerSocket;
--- a/src/main/java/cacheproxy/proxy/Door.java
+++ b/src/main/java/cacheproxy/proxy/Door.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.Succession;
+import cacheproxy.admin.Succession;
 import cacheproxy.limits.Accounts;
 import cacheproxy.limits.Cut;
 import cacheproxy.limits.Cuts;
--- a/src/main/java/cacheproxy/proxy/LoopWatch.java
+++ b/src/main/java/cacheproxy/proxy/LoopWatch.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.budget.Budget;
+import cacheproxy.overload.Budget;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import java.io.IOException;
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.Succession;
+import cacheproxy.admin.Succession;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedLink;
--- a/src/main/java/cacheproxy/proxy/SharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/SharedFolder.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.HandLog;
-import cacheproxy.control.Succession;
+import cacheproxy.admin.HandLog;
+import cacheproxy.admin.Succession;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.control.Succession;
+import cacheproxy.admin.Succession;
 import cacheproxy.limits.Settling;
 import cacheproxy.limits.StartSpan;
 import cacheproxy.proxy.peers.PeerSocket;
--- a/src/main/java/cacheproxy/wire/Drill.java
+++ b/src/main/java/cacheproxy/simulator/Drill.java
@@ -1,4 +1,4 @@
-package cacheproxy.wire;
+package cacheproxy.simulator;
 
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi;
--- a/src/main/java/cacheproxy/store/durable/RealDisk.java
+++ b/src/main/java/cacheproxy/storage/RealDisk.java
@@ -1,4 +1,4 @@
-package cacheproxy.store.durable;
+package cacheproxy.storage;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/main/java/cacheproxy/store/durable/package-info.java
+++ b/src/main/java/cacheproxy/storage/package-info.java
@@ -2,4 +2,4 @@
  * A log with snapshots that survives a loss of power, on one small interface to files. Knows
  * nothing of what is written.
  */
-package cacheproxy.store.durable;
+package cacheproxy.storage;
--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -56,8 +56,8 @@
           return List.of(
                       ".routing",
                       ".limits",
-                      ".budget",
-                      ".control",
+                      ".overload",
+                      ".admin",
                       ".gossip",
                       ".membership",
                       ".shared")
@@ -136,7 +136,7 @@
             DescribedPredicate.describe(
                 "the simulator's wire, but for its parser of the settings",
                 c ->
-                    c.getPackageName().equals("cacheproxy.wire")
+                    c.getPackageName().equals("cacheproxy.simulator")
                         && !c.getSimpleName().matches("SettingsParser|WireException")))
         .check(ALL);
   }
--- a/src/test/java/cacheproxy/budget/OverloadModelTest.java
+++ b/src/test/java/cacheproxy/overload/OverloadModelTest.java
@@ -1,4 +1,4 @@
-package cacheproxy.budget;
+package cacheproxy.overload;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/cacheproxy/store/durable/JournalTest.java
+++ b/src/test/java/cacheproxy/storage/JournalTest.java
@@ -1,10 +1,10 @@
-package cacheproxy.store.durable;
+package cacheproxy.storage;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import cacheproxy.store.durable.Journal.Part;
-import cacheproxy.store.durable.Journal.Terms;
+import cacheproxy.storage.Journal.Part;
+import cacheproxy.storage.Journal.Terms;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
