--- a/src/main/java/cacheproxy/fleet/Relay.java
+++ b/src/main/java/cacheproxy/fleet/Relay.java
@@ -91,7 +91,7 @@
     }
   }
 
-  @SuppressWarnings("unchecked") // there are no arrays of generic types
+  @SuppressWarnings({"unchecked", "rawtypes"}) // there are no arrays of generic types
   private static UnaryOperator<byte[]>[] newLiars(int n) {
     return new UnaryOperator[n];
   }
--- a/src/main/java/cacheproxy/limits/DoorRules.java
+++ b/src/main/java/cacheproxy/limits/DoorRules.java
@@ -106,7 +106,7 @@
   /** Places of the clients' room that newcomers have a claim to. */
   public int claimed(double nowMs) {
     return (int)
-        Math.min(clientsRoom / 2, Math.ceil(newcomers.perSecond(nowMs) * HORIZON_MS / 1000));
+        Math.min(clientsRoom / 2.0, Math.ceil(newcomers.perSecond(nowMs) * HORIZON_MS / 1000));
   }
 
   /**
--- a/src/main/java/cacheproxy/load/Lane.java
+++ b/src/main/java/cacheproxy/load/Lane.java
@@ -46,7 +46,6 @@
     int tries;
     boolean resent;
     String id;
-    Line line;
     Wheel.Timer timer;
 
     Open(Ask ask, Kind kind, SplittableRandom random) {
@@ -235,7 +234,6 @@
     open.tries++;
     tally.tries++;
     open.id = HexFormat.of().toHexDigits(random.nextLong());
-    open.line = line;
     StringBuilder text =
         new StringBuilder(160).append(open.kind.write() ? "ms " : "mg ").append(open.ask.key());
     text.append(open.kind.write() ? " " + open.ask.bytes() : " v")
--- a/src/main/java/cacheproxy/load/Line.java
+++ b/src/main/java/cacheproxy/load/Line.java
@@ -12,6 +12,9 @@
  * form.
  */
 final class Line extends ByteToMessageDecoder {
+  /** A carriage return and a line feed, read as one number. */
+  private static final short LINE_END = '\r' << 8 | '\n';
+
   private static final int MAX_LINE = 4096;
   private static final int MAX_VALUE = 4 << 20;
 
@@ -95,7 +98,7 @@
     if (left > 0) {
       if (in.readableBytes() >= left) {
         in.skipBytes(left - 2);
-        boolean whole = in.readByte() == '\r' & in.readByte() == '\n';
+        boolean whole = in.readShort() == LINE_END;
         left = 0;
         tell(whole, Patience.End.SERVED, 0);
       }
--- a/src/main/java/cacheproxy/membership/Membership.java
+++ b/src/main/java/cacheproxy/membership/Membership.java
@@ -250,11 +250,11 @@
     for (;
         greeted < Math.min(HELPERS, tier - 1);
         greeted++) { // who starts asks some by lot who is there
-      ask(now, whom(now), 1);
+      ask(now, whom(), 1);
     }
     if (now >= askMs) {
       askMs = now + timing.periodMs() * (1 + 0.5 * health) * (0.9 + 0.2 * lots.nextDouble());
-      int whom = whom(now);
+      int whom = whom();
       if (whom >= 0) {
         ask(now, whom, 1);
       }
@@ -370,7 +370,7 @@
    * Who is next: without ears one that was heard last, now and then one that is away, else the next
    * of the order.
    */
-  private int whom(double now) {
+  private int whom() {
     turn++;
     if (doubtful && turn % 2 == 0) {
       int last = -1;
--- a/src/main/java/cacheproxy/model/SharedModel.java
+++ b/src/main/java/cacheproxy/model/SharedModel.java
@@ -101,7 +101,6 @@
   private Liar liar = (from, to, message) -> message;
   private long sent;
   private long lostAttempts;
-  private long deadSends;
   private long passedOver;
   private long wrongly;
   private long coldSent;
@@ -397,7 +396,6 @@
       }
     }
     sent++;
-    deadSends += down[node] || cutFromNodes[p] ? 1 : 0;
     boolean fails = down[node] || cutFromNodes[p];
     if (!fails && cold(node)) {
       coldArrives(node);
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -607,7 +607,7 @@
     if (!(figure(c, "d", Double.NaN) >= 0)) {
       return "bad deadline";
     }
-    if (figure(c, "h", 0) != figure(c, "h", 0) || figure(c, "size", 0) != figure(c, "size", 0)) {
+    if (Double.isNaN(figure(c, "h", 0)) || Double.isNaN(figure(c, "size", 0))) {
       return "bad figure";
     }
     if (c.write
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -22,7 +22,7 @@
       config = config.tier(shared(of.shared(), config));
       return config
           .with(over(config.limits(), of.limits()))
-          .waiting(turnAway ? of.budget().number("wait_ms", (long) Config.BY_AIM) : 0);
+          .waiting(turnAway ? (double) of.budget().number("wait_ms", (long) Config.BY_AIM) : 0);
     } catch (SettingsException e) {
       throw new IllegalArgumentException(e.getMessage());
     }
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -226,7 +226,7 @@
         return;
       }
       long now = System.nanoTime();
-      settling.served(now - lastNanos);
+      settling.served((double) (now - lastNanos));
       lastNanos = now;
       if (settling.settled()) {
         end();
--- a/src/main/java/cacheproxy/routing/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -301,7 +301,7 @@
     if (kind == ListKind.FAILED) {
       watching = false;
       asking = false;
-      askAgain(now, out);
+      askAgain(out);
       return;
     }
     if (kind == ListKind.CACHED && cfg.askForList()) {
@@ -448,7 +448,7 @@
     return new Census(listed, avoided);
   }
 
-  private void askAgain(double now, Actions out) {
+  private void askAgain(Actions out) {
     watchFailures++;
     double wait = cfg.askWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
     timer(wait * (0.5 + random.nextDouble() / 2), WATCH, null, out);
@@ -1080,7 +1080,7 @@
   public void onGone(double now, int request, Actions out) {
     Flight f = flights.get(request);
     if (f != null && !f.done) {
-      leave(now, f, out);
+      leave(f, out);
     }
   }
 
@@ -1088,7 +1088,7 @@
    * The request is over without an answer of a server: its attempts are called off, who waited on
    * it goes on.
    */
-  private void leave(double now, Flight f, Actions out) {
+  private void leave(Flight f, Actions out) {
     finish(f);
     if (f.streaming) {
       return;
@@ -1105,7 +1105,7 @@
       case DUE -> {
         if (f != null && !f.done && !f.streaming) {
           answer(now, f, out);
-          leave(now, f, out);
+          leave(f, out);
         }
       }
       case PATIENCE -> {
--- a/src/main/java/cacheproxy/shared/Judgements.java
+++ b/src/main/java/cacheproxy/shared/Judgements.java
@@ -106,7 +106,7 @@
   /** One proxy in so many looks for a place all the same. */
   private static final int LOOKS_ONE_IN = 4;
 
-  private final class Node {
+  private static final class Node {
     final int id;
     int zone;
     final List<Evidence> evidence = new ArrayList<>(2);
--- a/src/main/java/cacheproxy/shared/Rights.java
+++ b/src/main/java/cacheproxy/shared/Rights.java
@@ -143,7 +143,6 @@
   private double burst;
   private double tokens;
   private double lastMs;
-  private double used;
   private double wanted;
 
   /**
@@ -205,7 +204,6 @@
       return false;
     }
     tokens -= amount;
-    used += amount;
     return true;
   }
 
@@ -256,7 +254,6 @@
       tokens = Math.min(tokens, burst * held(now) / WHOLE);
     }
     double fade = Math.pow(0.5, dt / USE_MS);
-    used *= fade;
     wanted *= fade;
   }
 
--- a/src/main/java/cacheproxy/shared/SharedState.java
+++ b/src/main/java/cacheproxy/shared/SharedState.java
@@ -3,7 +3,6 @@
 import cacheproxy.routing.RoutingApi;
 import cacheproxy.shared.Datagram.Right;
 import cacheproxy.shared.Datagram.Total;
-import cacheproxy.shared.Datagram.Type;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -418,7 +417,7 @@
               now,
               whom,
               new Datagram(
-                  Type.NUDGE,
+                  Datagram.Type.NUDGE,
                   life,
                   0,
                   judgements.digest(),
@@ -500,7 +499,14 @@
         now,
         whom,
         new Datagram(
-            Type.ASK, life, q.nonce, judgements.digest(), cursor, List.of(), rights, List.of()),
+            Datagram.Type.ASK,
+            life,
+            q.nonce,
+            judgements.digest(),
+            cursor,
+            List.of(),
+            rights,
+            List.of()),
         0);
   }
 
@@ -595,7 +601,14 @@
         now,
         to,
         new Datagram(
-            Type.TELL, life, question.nonce(), judgements.digest(), next, aged, rights, totals),
+            Datagram.Type.TELL,
+            life,
+            question.nonce(),
+            judgements.digest(),
+            next,
+            aged,
+            rights,
+            totals),
         ANSWERS_LEAVE);
   }
 
--- a/src/main/java/cacheproxy/site/CacheFront.java
+++ b/src/main/java/cacheproxy/site/CacheFront.java
@@ -53,7 +53,6 @@
   private boolean draining;
   private boolean silent;
   private boolean spoils;
-  private boolean down;
   private int life;
   private long came;
 
@@ -68,7 +67,7 @@
   void bound(List<Channel> at) {
     listeners = at;
     port = ((InetSocketAddress) at.get(0).localAddress()).getPort();
-    down = draining = false;
+    draining = false;
   }
 
   int port() {
@@ -90,7 +89,6 @@
   // ---- faults
 
   void crash() {
-    down = true;
     life++;
     listeners.forEach(Channel::close);
     for (Connection c : Set.copyOf(connections)) {
--- a/src/main/java/cacheproxy/site/Scenario.java
+++ b/src/main/java/cacheproxy/site/Scenario.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -173,12 +174,18 @@
       if (!(faults.get(i) instanceof Config fault)) {
         throw new BadScenario(file + ": fault " + (i + 1) + ": a table [[fault]] is wanted");
       }
-      read(file + ", fault " + (i + 1), fault.valueMap(), nodes, proxies, random.split(), events);
+      read(file + ", fault " + (i + 1), asMap(fault), nodes, proxies, random.split(), events);
     }
     events.sort(Comparator.comparingDouble(Event::atMs));
     return new Scenario(Collections.unmodifiableList(events));
   }
 
+  private static Map<String, Object> asMap(Config table) {
+    Map<String, Object> map = new LinkedHashMap<>();
+    table.entrySet().forEach(entry -> map.put(entry.getKey(), entry.getValue()));
+    return map;
+  }
+
   private static void read(
       String where,
       Map<String, Object> fault,
--- a/src/main/java/cacheproxy/storage/Committer.java
+++ b/src/main/java/cacheproxy/storage/Committer.java
@@ -50,7 +50,6 @@
   private final ArrayDeque<byte[]> queue = new ArrayDeque<>();
   private final Thread thread;
   private long queuedBytes;
-  private long accepted;
   private long refused;
   private boolean failed;
   private boolean closing;
@@ -78,7 +77,6 @@
       }
       queue.add(record);
       queuedBytes += record.length;
-      accepted++;
       some.signal();
       return true;
     } finally {
--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -9,6 +9,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -164,7 +165,7 @@
             .redirectErrorStream(true);
     serve.environment().put("BALANCER_CONFIG", "/nonexistent");
     Process process = serve.start();
-    String said = new String(process.getInputStream().readAllBytes());
+    String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
     assertThat(process.exitValue()).as(said).isEqualTo(2);
     List<String> loaded = java.nio.file.Files.readAllLines(log);
--- a/src/test/java/cacheproxy/load/LoadRulesTest.java
+++ b/src/test/java/cacheproxy/load/LoadRulesTest.java
@@ -65,7 +65,9 @@
     // One purpose does not move another: with a target overtaken, times, classes and keys stay.
     List<Ask> other =
         plan("wave:5:0.4", true, Keys.Hot.NONE, new Plan.Overtaken(2, 0.9, 0, 20_000), 1);
-    assertThat(other).usingElementComparatorIgnoringFields("target").isEqualTo(one);
+    assertThat(other)
+        .usingRecursiveFieldByFieldElementComparatorIgnoringFields("target")
+        .isEqualTo(one);
     assertThat(other.stream().filter(a -> a.target() == 2).count())
         .isGreaterThan(one.size() * 85L / 100);
   }
@@ -118,7 +120,9 @@
     Path file = folder.resolve("trace.csv");
     Trace.write(file, asks.iterator(), Kind.USUAL);
     List<Ask> again = Trace.read(file, "", 2, Kind.USUAL, 4, 5);
-    assertThat(again).usingElementComparatorIgnoringFields("target", "atMs").isEqualTo(asks);
+    assertThat(again)
+        .usingRecursiveFieldByFieldElementComparatorIgnoringFields("target", "atMs")
+        .isEqualTo(asks);
     assertThat(again.get(99).atMs()).isCloseTo(asks.get(99).atMs() / 2, within(1e-9));
     Files.writeString(file, "when,object,class,x\n5,k1,text,9\n");
     assertThat(Trace.read(file, "at_ms=when,key=object", 1, Kind.USUAL, 1, 5))
--- a/src/test/java/cacheproxy/proxy/CrossingsTest.java
+++ b/src/test/java/cacheproxy/proxy/CrossingsTest.java
@@ -14,6 +14,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -80,8 +81,9 @@
     }
   }
 
-  private static final UnaryOperator<String> SLOW_CONNECT =
-      c -> c.replace("\"connect-timeout\":500", "\"connect-timeout\":60000");
+  private static String slowConnect(String config) {
+    return config.replace("\"connect-timeout\":500", "\"connect-timeout\":60000");
+  }
 
   private static UnaryOperator<String> without(String cap) {
     return c -> c.replace("\"" + cap + "\":true", "\"" + cap + "\":false");
@@ -187,7 +189,8 @@
                 new News(
                     Stage.origin(origin), Stage.host("s-2", "cache", "127.0.0.1:1", "draining"));
           };
-      stage.change = all(SLOW_CONNECT, without("may-cancel"), without("second-copies"));
+      stage.change =
+          all(CrossingsTest::slowConnect, without("may-cancel"), without("second-copies"));
       stage.start(news.peer, node, Stage.origin(origin));
       Peer.Line client = stage.client();
       client.write(Stage.read("a", "1").replace("d=8000", "d=60000"));
@@ -214,7 +217,8 @@
   void nothingIsWrittenForAClientThatLeftWhileTheConnectionCameUp() throws Exception {
     try (stage) {
       LateNode late = new LateNode();
-      stage.change = all(SLOW_CONNECT, without("may-cancel"), without("second-copies"));
+      stage.change =
+          all(CrossingsTest::slowConnect, without("may-cancel"), without("second-copies"));
       stage.start(
           stage.quietDiscovery(),
           Stage.host("s-1", "cache", late.address(), "up"),
@@ -246,7 +250,7 @@
   void whoWaitsForAFetchTakesItOverWhenItsClientLeavesBeforeItIsSent() throws Exception {
     try (stage) {
       LateNode late = new LateNode();
-      stage.change = SLOW_CONNECT;
+      stage.change = CrossingsTest::slowConnect;
       stage.start(
           stage.quietDiscovery(),
           Stage.cache("s-1", stage.emptyCache()),
@@ -770,7 +774,7 @@
     } finally {
       System.setErr(err);
     }
-    assertThat(log.toString()).contains("warm-up").doesNotContain("fault");
+    assertThat(log.toString(StandardCharsets.UTF_8)).contains("warm-up").doesNotContain("fault");
   }
 
   // ---- an end with requests in hand
--- a/src/test/java/cacheproxy/proxy/SlowPeersTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowPeersTest.java
@@ -474,6 +474,7 @@
       long end = System.nanoTime() + Stage.PATIENCE.toNanos();
       // A writer that holds the most when answers have no room goes as a hoarder, before its grace
       // is over.
+      assertThat(slow).hasSize(48);
       while (stage.cuts(Cut.SLOW_WRITER) + stage.cuts(Cut.HOARDER) < 24
           || stage.held(Holding.ANSWER) + stage.held(Holding.VALUE) > 0) {
         assertThat(System.nanoTime()).isLessThan(end);
--- a/src/test/java/cacheproxy/routing/PolicyTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTest.java
@@ -453,7 +453,7 @@
         sent = new int[13];
       }
       rig.now += 4;
-      rig.read(key, key * 7919);
+      rig.read(key, key * 7919L);
       sent[rig.last().server()]++;
       rig.end(rig.last(), Outcome.OK);
     }
@@ -793,7 +793,7 @@
     for (int id = 200; id < 300; id += 2) {
       rig.now += 20;
       while (topRank(++other, 12) == 2) {
-        continue; // that one would be the trial itself
+        // passed over: that one would be the trial itself
       }
       if (safeOnesCome) {
         rig.read(id, other);
--- a/src/test/java/cacheproxy/shared/RightsTest.java
+++ b/src/test/java/cacheproxy/shared/RightsTest.java
@@ -54,7 +54,7 @@
             m.demand(p, lots.nextInt(3) == 0 ? 0 : lots.nextDouble() * GUARANTEE / WINDOW_MS * 2);
       }
       m.run(lots.nextDouble() * 2500);
-      units = Math.max(units, look ? m.units() : 0);
+      units = Math.max(units, look ? (double) m.units() : 0);
     }
     return Math.max(m.most() / m.allowed(), units / Rights.WHOLE);
   }
--- a/src/test/java/cacheproxy/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -170,7 +170,7 @@
     }
     List<Evidence> lies = new ArrayList<>();
     for (int i = 0; i < Datagram.room(0, 0); i++) {
-      int node = 1 + (int) (Math.floorMod(d.nonce() * 31L + i, 40L));
+      int node = 1 + (int) Math.floorMod(d.nonce() * 31L + i, 40L);
       lies.add(new Evidence(node, Evidence.Kind.OUT, 0, 0, d.nonce() + i & 0xFFFF, 0, 12_000));
     }
     return new Datagram(
--- a/src/test/java/cacheproxy/shared/SharedStateTest.java
+++ b/src/test/java/cacheproxy/shared/SharedStateTest.java
@@ -212,8 +212,7 @@
   /**
    * Says of all nodes, again and again, what is not so, and under others' names too where it may.
    */
-  private static SharedModel.Liar liar(
-      SharedModel[] m, int who, Kind kind, int nodes, boolean forged) {
+  private static SharedModel.Liar liar(int who, Kind kind, int nodes, boolean forged) {
     SplittableRandom lots = new SplittableRandom(9);
     return (from, to, message) -> {
       Datagram d = Datagram.parse(message);
@@ -249,10 +248,10 @@
   @ValueSource(booleans = {false, true})
   void aLiarThatCallsAllNodesDeadTakesAStatedPartAtMostAndThatHeals(boolean forged) {
     SharedModel[] m = {model(14, 5)};
-    m[0].liar(liar(m, 0, Kind.OUT, 70, forged));
+    m[0].liar(liar(0, Kind.OUT, 70, forged));
     long sentBefore = m[0].sent();
     m[0].run(20_000);
-    double part = (m[0].wrongly()) / (double) (m[0].sent() - sentBefore + m[0].wrongly());
+    double part = m[0].wrongly() / (double) (m[0].sent() - sentBefore + m[0].wrongly());
     assertThat(part)
         .as("of requests that lies moved to another node")
         .isLessThan(forged ? Judgements.MOST_OUT + 0.02 : 0.02);
@@ -299,7 +298,7 @@
       m[0].down(7);
       m[0].run(3000);
       if (how > 0) {
-        m[0].liar(liar(m, 0, Kind.BACK, 70, false));
+        m[0].liar(liar(0, Kind.BACK, 70, false));
       }
       long before = m[0].lostAttempts();
       m[0].run(120_000);
--- a/src/test/java/cacheproxy/site/SiteTest.java
+++ b/src/test/java/cacheproxy/site/SiteTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
 import org.assertj.core.api.Assertions;
@@ -98,7 +99,7 @@
     int length = 0;
     for (; !line.isEmpty(); line = origin.in.readLine()) {
       length =
-          line.toLowerCase().startsWith("content-length: ")
+          line.toLowerCase(Locale.ROOT).startsWith("content-length: ")
               ? Integer.parseInt(line.substring(16))
               : length;
     }
@@ -300,7 +301,9 @@
       watch
           .socket
           .getOutputStream()
-          .write("GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n".getBytes());
+          .write(
+              "GET /discovery/hosts?since=62&timeout_ms=60000 HTTP/1.1\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
       site.lists(true);
       assertThat(watch.in.readLine()).isNull();
       site.lists(false);
--- a/src/test/java/cacheproxy/storage/JournalTest.java
+++ b/src/test/java/cacheproxy/storage/JournalTest.java
@@ -181,7 +181,7 @@
           try {
             m.open(ALL).close();
           } catch (WriteBackDisk.PowerLost e) {
-            continue; // in the middle of its recovery
+            // in the middle of its recovery
           }
         }
         for (String more : List.of("more", "and more")) {
