Tests: the server that comes up late is a class of its own, for other tests to use

Need: the tests of the deadline that servers are told force a late connection too. Change: CrossingsTest.LateNode moved to its own file, its fields private; keyOf can be called from the package. No test changed.

--- a/src/test/java/damsonworks/proxy/CrossingsTest.java
+++ b/src/test/java/damsonworks/proxy/CrossingsTest.java
@@ -11,9 +11,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -37,42 +34,6 @@
 
     private final Stage stage = new Stage();
 
-    /** A node to which connections come up only once it is told so: until then its backlog is full. */
-    private final class LateNode {
-        final ServerSocket socket = stage.keep(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-        private final List<Socket> fill = new ArrayList<>();
-        private Peer behind;
-
-        LateNode() throws IOException {
-            while (true) {
-                Socket s = stage.keep(new Socket());
-                try {
-                    s.connect(socket.getLocalSocketAddress(), 200);
-                    fill.add(s);
-                } catch (SocketTimeoutException e) {
-                    return;
-                }
-            }
-        }
-
-        String address() {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
-
-        /** Takes what waits, and serves from then on as this script says; what filled it is no client. */
-        void comeUp(Peer.Script script) throws IOException {
-            for (Socket s : fill) {
-                s.close();
-            }
-            behind = stage.keep(new Peer(socket, script));
-        }
-
-        /** Commands and heads heard, without the empty lines. */
-        List<String> heard() {
-            return behind.heard.stream().filter(l -> !l.isEmpty()).toList();
-        }
-    }
-
     private static final UnaryOperator<String> SLOW_CONNECT = c -> c.replace("\"connect-timeout\":500", "\"connect-timeout\":60000");
 
     private static UnaryOperator<String> without(String cap) {
@@ -140,7 +101,7 @@
     @ValueSource(strings = {"drains", "is removed", "is not on the whole list", "is restarted", "moves"})
     void whatWaitsForAConnectionGoesElsewhereWhenItsNode(String does) throws Exception {
         try (stage) {
-            LateNode late = new LateNode();
+            LateNode late = new LateNode(stage);
             Peer origin = origin();
             String node = Stage.host("s-1", "cache", late.address(), "up");
             News news = switch (does) {
@@ -162,7 +123,7 @@
                 while (line.read() != null) { // nothing is answered
                 }
             });
-            Stage.await(() -> late.behind.lines.size() > late.fill.size()); // it is up
+            Stage.await(() -> late.isUp()); // it is up
             Stage.serves(stage.client(), "2", "a");
             assertThat(late.heard()).noneMatch(l -> l.contains("O1 "));
         }
@@ -172,7 +133,7 @@
     @Test
     void nothingIsWrittenForAClientThatLeftWhileTheConnectionCameUp() throws Exception {
         try (stage) {
-            LateNode late = new LateNode();
+            LateNode late = new LateNode(stage);
             stage.change = all(SLOW_CONNECT, without("may-cancel"), without("second-copies"));
             stage.start(stage.quietDiscovery(), Stage.host("s-1", "cache", late.address(), "up"), Stage.origin(origin()));
             Peer.Line gone = stage.client();
@@ -197,7 +158,7 @@
     @Test
     void whoWaitsForAFetchTakesItOverWhenItsClientLeavesBeforeItIsSent() throws Exception {
         try (stage) {
-            LateNode late = new LateNode();
+            LateNode late = new LateNode(stage);
             stage.change = SLOW_CONNECT;
             stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()),
                     Stage.host("s-ffff", "origin", late.address(), "up"));
@@ -326,7 +287,7 @@
     }
 
     /** The n-th key of which this one of s-1 and s-2 has the top score. */
-    private static String keyOf(String node, int n) {
+    static String keyOf(String node, int n) {
         int left = n;
         for (long key = 1;; key++) {
             double one = Carp.score(Carp.keyHash(key), Carp.memberHash(1), 1);
