The origin is told what is left of the time, by the same function as cache nodes

Cause: OriginCodec sent Req-Extra as it came, with the client's whole deadline, whatever of it was left. CacheCodec wrote what was left, but rounded to the nearest (up to half a millisecond too much), without the wait of a held last byte, and by the attempt's own end alone, also where the process was to end sooner (answerBy).

Change: Attempt.deadlineMs is the one source, called as the bytes are written: what is left of the attempt and of its request, rounded down, at least 1 ms, at the moment when the last byte is due. Both codecs are given the figure and put it in its place in the list; order and other entries stay to the byte.

--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -46,14 +46,13 @@
     }
 
     @Override
-    public ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, boolean holdLast) {
+    public ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, long deadlineMs, boolean holdLast) {
         if (attempt.exchange == null) {
             String probe = dispatcher.probesLoad() ? "stats load\r\n" : "mn\r\n";
             return channel.writeAndFlush(MetaCodec.text(channel.alloc(), probe));
         }
         Command command = attempt.exchange.command;
-        String line = command.head + Math.max(1, Math.round(attempt.untilMs - dispatcher.now())) + command.tail
-                + "\r\n";
+        String line = command.line(deadlineMs) + "\r\n";
         int held = holdLast ? 1 : 0;
         ByteBuf head = MetaCodec.text(channel.alloc(), line);
         if (command.value == null) {
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -47,8 +47,8 @@
         /** The list of names and values as it came. */
         final String extras;
         /** The command's line up to the deadline's figure, and what follows that. */
-        final String head;
-        final String tail;
+        private final String head;
+        private final String tail;
         /** The value with its line's end; null for reads. Kept for attempts to come, until it is over. */
         ByteBuf value;
 
@@ -61,6 +61,16 @@
             this.tail = tail;
         }
 
+        /** The command's line, without its end, with this deadline in place of the client's and all else as it came. */
+        String line(long deadlineMs) {
+            return head + deadlineMs + tail;
+        }
+
+        /** The list of names and values with this deadline in place of the client's and all else as it came. */
+        String extras(long deadlineMs) {
+            return MetaCodec.with(extras, "d", Long.toString(deadlineMs));
+        }
+
         void release() {
             if (value != null) {
                 value.release();
@@ -94,6 +104,18 @@
             this.untilMs = untilMs;
         }
 
+        /**
+         * The deadline that the attempt's server is told, in whole milliseconds: what is left, rounded down, both of the
+         * attempt's own time and of its request's, which may be cut short after the attempt was made. At least 1, as
+         * servers take no deadline of 0.
+         *
+         * @param wholeAtMs when the request's last byte is written
+         */
+        long deadlineMs(double wholeAtMs) {
+            double endMs = exchange == null ? untilMs : Math.min(untilMs, exchange.dueMs);
+            return Math.max(1, (long) Math.floor(endMs - wholeAtMs));
+        }
+
         boolean written() {
             return written;
         }
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -174,6 +174,13 @@
         return list.substring(at, end < 0 ? list.length() : end);
     }
 
+    /** The list with this value under a name that it holds, all else as it came. */
+    static String with(String list, String name, String value) {
+        int at = valueAt(list, name);
+        int end = list.indexOf(',', at);
+        return list.substring(0, at) + value + (end < 0 ? "" : list.substring(end));
+    }
+
     /** Where the value under this name begins in a list, or -1. */
     static int valueAt(String list, String name) {
         for (int at = 0; at >= 0 && at < list.length(); at = list.indexOf(',', at) + 1) {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -84,7 +84,7 @@
     }
 
     @Override
-    public ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, boolean holdLast) {
+    public ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, long deadlineMs, boolean holdLast) {
         HttpRequest request;
         HttpContent part = null;
         if (attempt.exchange == null) {
@@ -102,7 +102,7 @@
                 request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                         command.write ? command.value.retainedSlice(0, length) : Unpooled.EMPTY_BUFFER);
             }
-            request.headers().set(ID, command.id).set("Req-Extra", command.extras);
+            request.headers().set(ID, command.id).set("Req-Extra", command.extras(deadlineMs));
             if (command.write) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
             }
--- a/src/main/java/damsonworks/proxy/Timers.java
+++ b/src/main/java/damsonworks/proxy/Timers.java
@@ -15,7 +15,9 @@
  * a tick.
  */
 final class Timers {
-    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+    /** The most that a timer is late while the loop is not. */
+    static final int TICK_MS = 4;
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(TICK_MS);
 
     private final EventLoop loop;
     private final long start = System.nanoTime();
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -24,8 +24,8 @@
 final class UpstreamConnection {
     /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
     interface Codec {
-        /** Writes the request, or all but its last byte. */
-        ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, boolean holdLast);
+        /** Writes the request with this deadline in place of its client's, or all of that but its last byte. */
+        ChannelFuture write(Channel channel, Attempt attempt, InetSocketAddress dial, long deadlineMs, boolean holdLast);
 
         /** Whether the request's last byte can be written by itself. */
         boolean canHoldLast(Attempt attempt);
@@ -232,11 +232,13 @@
     }
 
     private void writeNow(Attempt attempt) {
+        double now = upstream.dispatcher().now();
         if (attempt == held) {
-            codec.write(channel, attempt, dial, true);
+            codec.write(channel, attempt, dial, attempt.deadlineMs(now + holdMs + Timers.TICK_MS), true);
             upstream.dispatcher().after(holdMs, () -> writeLast(attempt));
         } else {
-            codec.write(channel, attempt, dial, false).addListener(f -> wrote(attempt, f.isSuccess()));
+            codec.write(channel, attempt, dial, attempt.deadlineMs(now), false)
+                    .addListener(f -> wrote(attempt, f.isSuccess()));
         }
     }
 
