--- a/src/main/java/cacheproxy/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -99,7 +99,7 @@
 
   @Override
   public ChannelFuture write(
-      Channel channel, Attempt attempt, InetSocketAddress dial, boolean holdLast) {
+      Channel channel, Attempt attempt, InetSocketAddress dial, long deadlineMs, boolean holdLast) {
     HttpRequest request;
     HttpContent part = null;
     if (attempt.exchange == null) {
@@ -123,7 +123,7 @@
                 path,
                 command.write ? command.value.retainedSlice(0, length) : Unpooled.EMPTY_BUFFER);
       }
-      request.headers().set(ID, command.id).set("Req-Extra", command.extras);
+      request.headers().set(ID, command.id).set("Req-Extra", command.extras(deadlineMs));
       if (command.write) {
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
       }
--- a/src/main/java/cacheproxy/proxy/Timers.java
+++ b/src/main/java/cacheproxy/proxy/Timers.java
@@ -15,7 +15,10 @@
  * process for it. Harm: nothing here can be timed finer than a tick.
  */
 final class Timers {
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+  /** The most that a timer is late while the loop is not. */
+  static final int TICK_MS = 4;
+
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(TICK_MS);
 
   private final EventLoop loop;
   private final long start = System.nanoTime();
--- a/src/test/java/cacheproxy/proxy/CrossingsTest.java
+++ b/src/test/java/cacheproxy/proxy/CrossingsTest.java
@@ -11,9 +11,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,47 +37,6 @@
 
   private final Stage stage = new Stage();
 
-  /**
-   * A node to which connections come up only once it is told so: until then its backlog is full.
-   */
-  private final class LateNode {
-    final ServerSocket socket =
-        stage.keep(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-    private final List<Socket> fill = new ArrayList<>();
-    private Peer behind;
-
-    LateNode() throws IOException {
-      while (true) {
-        Socket s = stage.keep(new Socket());
-        try {
-          s.connect(socket.getLocalSocketAddress(), 200);
-          fill.add(s);
-        } catch (SocketTimeoutException e) {
-          return;
-        }
-      }
-    }
-
-    String address() {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-
-    /**
-     * Takes what waits, and serves from then on as this script says; what filled it is no client.
-     */
-    void comeUp(Peer.Script script) throws IOException {
-      for (Socket s : fill) {
-        s.close();
-      }
-      behind = stage.keep(new Peer(socket, script));
-    }
-
-    /** Commands and heads heard, without the empty lines. */
-    List<String> heard() {
-      return behind.heard.stream().filter(l -> !l.isEmpty()).toList();
-    }
-  }
-
   private static String slowConnect(String config) {
     return config.replace("\"connect-timeout\":500", "\"connect-timeout\":60000");
   }
@@ -174,7 +130,7 @@
       strings = {"drains", "is removed", "is not on the whole list", "is restarted", "moves"})
   void whatWaitsForAConnectionGoesElsewhereWhenItsNode(String does) throws Exception {
     try (stage) {
-      LateNode late = new LateNode();
+      LateNode late = new LateNode(stage);
       Peer origin = origin();
       String node = Stage.host("s-1", "cache", late.address(), "up");
       News news =
@@ -203,7 +159,7 @@
             while (line.read() != null) { // nothing is answered
             }
           });
-      Stage.await(() -> late.behind.lines.size() > late.fill.size()); // it is up
+      Stage.await(() -> late.isUp()); // it is up
       Stage.serves(stage.client(), "2", "a");
       assertThat(late.heard()).noneMatch(l -> l.contains("O1 "));
     }
@@ -216,7 +172,7 @@
   @Test
   void nothingIsWrittenForAClientThatLeftWhileTheConnectionCameUp() throws Exception {
     try (stage) {
-      LateNode late = new LateNode();
+      LateNode late = new LateNode(stage);
       stage.change =
           all(CrossingsTest::slowConnect, without("may-cancel"), without("second-copies"));
       stage.start(
@@ -249,7 +205,7 @@
   @Test
   void whoWaitsForAFetchTakesItOverWhenItsClientLeavesBeforeItIsSent() throws Exception {
     try (stage) {
-      LateNode late = new LateNode();
+      LateNode late = new LateNode(stage);
       stage.change = CrossingsTest::slowConnect;
       stage.start(
           stage.quietDiscovery(),
@@ -416,7 +372,7 @@
   }
 
   /** The n-th key of which this one of s-1 and s-2 has the top score. */
-  private static String keyOf(String node, int n) {
+  static String keyOf(String node, int n) {
     int left = n;
     for (long key = 1; ; key++) {
       double one = Carp.score(Carp.keyHash(key), Carp.memberHash(1), 1);
