--- a/src/main/java/cacheproxy/admin/Succession.java
+++ b/src/main/java/cacheproxy/admin/ListenerTakeover.java
@@ -5,7 +5,7 @@
  * while both run, and how the old one leaves. Together they may hold what one may; new connections
  * come to either as the kernel deals them.
  */
-public final class Succession {
+public final class ListenerTakeover {
   /**
    * How long a new one may warm up beside the old, in milliseconds. It has 6 s until the old one is
    * told to end, and the JVM takes one to three of them; nobody is kept waiting meanwhile, as the
@@ -59,7 +59,7 @@
   /** Whatever the other holds, this part of the places is this one's. */
   private static final int LEAST = 4;
 
-  private Succession() {}
+  private ListenerTakeover() {}
 
   /** Descriptors that a process holds, and whether it takes clients' requests. */
   public record Holds(int clients, int servers, boolean serves) {
--- a/src/main/java/cacheproxy/admin/HandLog.java
+++ b/src/main/java/cacheproxy/admin/ManualEjectionLog.java
@@ -11,7 +11,7 @@
  * cut off, or another hand has spoilt, is a line whose checksum fails, and says nothing; all others
  * hold, in the file's order, which is one order for both.
  */
-public final class HandLog {
+public final class ManualEjectionLog {
   /**
    * Nodes out at one time. With more, calls out are turned down: a fleet is not taken out one by
    * one.
@@ -24,7 +24,7 @@
   /** The longest name of a node. Names are visible ASCII, as hosts on the list are. */
   public static final int LONGEST_NAME = 250;
 
-  private HandLog() {}
+  private ManualEjectionLog() {}
 
   /** Whether this can be a node's name. */
   public static boolean isName(String text) {
--- a/src/main/java/cacheproxy/admin/Figures.java
+++ b/src/main/java/cacheproxy/admin/Metrics.java
@@ -6,7 +6,7 @@
  * What has become of requests, counted from the start of the process. Plain fields: counted and
  * read on the one thread that owns it, as each request passes here.
  */
-public final class Figures {
+public final class Metrics {
   /**
    * How a request ended for its client. One that ended after its client had left is not counted.
    */
@@ -25,7 +25,7 @@
   /**
    * @param classes the names of the classes of requests, by their numbers
    */
-  public Figures(List<String> classes) {
+  public Metrics(List<String> classes) {
     this.classes = List.copyOf(classes);
     ended = new long[this.classes.size() * ENDS];
   }
--- a/src/main/java/cacheproxy/fleet/Fleet.java
+++ b/src/main/java/cacheproxy/fleet/Fleet.java
@@ -1,13 +1,13 @@
 package cacheproxy.fleet;
 
 import cacheproxy.load.Arrivals;
+import cacheproxy.load.ClientTimeouts;
 import cacheproxy.load.Generator;
 import cacheproxy.load.Keys;
 import cacheproxy.load.Kind;
-import cacheproxy.load.Patience;
+import cacheproxy.load.LoadProfile;
 import cacheproxy.load.Plan;
-import cacheproxy.load.Shape;
-import cacheproxy.load.Tally;
+import cacheproxy.load.ResultRecorder;
 import cacheproxy.load.Witness;
 import cacheproxy.site.Breach;
 import cacheproxy.site.Ledger;
@@ -110,13 +110,13 @@
 
   private final Plan plan;
   private final Path folder = Files.createTempDirectory("fleet");
-  private final Guardian guardian = new Guardian(folder);
+  private final ParentWatchdog guardian = new ParentWatchdog(folder);
   private final Site site;
   private final Relay relay;
   private final List<ProxyProcess> proxies = new ArrayList<>();
   private final List<InetSocketAddress> controls = new CopyOnWriteArrayList<>();
   private final Loopback loopback;
-  private final Beliefs beliefs;
+  private final ObservedViews beliefs;
   private final ExecutorService askers =
       Executors.newCachedThreadPool(
           r -> {
@@ -146,7 +146,7 @@
   private final AtomicLongArray ended;
   private boolean asks = true;
   private Generator generator;
-  private Future<Tally> load;
+  private Future<ResultRecorder> load;
 
   public Fleet(Plan plan) throws Exception {
     this.plan = plan;
@@ -158,7 +158,7 @@
             plan.proxies());
     served = new AtomicLongArray(plan.proxies());
     ended = new AtomicLongArray(plan.proxies());
-    beliefs = new Beliefs(plan.proxies());
+    beliefs = new ObservedViews(plan.proxies());
     List<InetSocketAddress> stands = new ArrayList<>();
     List<InetSocketAddress> own = new ArrayList<>();
     for (int p = 0; p <= plan.proxies(); p++) {
@@ -167,7 +167,7 @@
     for (int p = 0; p < plan.proxies(); p++) {
       own.add(new InetSocketAddress(loopback.host(), loopback.port()));
     }
-    relay = new Relay(new Wire(plan.proxies(), plan.seed()), stands, own);
+    relay = new Relay(new LinkFaults(plan.proxies(), plan.seed()), stands, own);
     for (int p = 0; p < plan.proxies(); p++) {
       InetSocketAddress listen = new InetSocketAddress(loopback.host(), loopback.port());
       controls.add(new InetSocketAddress(loopback.host(), loopback.port()));
@@ -238,14 +238,14 @@
                 () ->
                     new cacheproxy.load.Plan(
                         Kind.USUAL,
-                        new Arrivals(plan.rate(), new Shape.Steady(), true, plan.seed()),
+                        new Arrivals(plan.rate(), new LoadProfile.Steady(), true, plan.seed()),
                         new Keys(KEYS, 0.95, 0, Keys.Hot.NONE, plan.seed() + 1),
                         targets.size(),
                         cacheproxy.load.Plan.Overtaken.NONE,
                         64,
                         seconds * 1000,
                         plan.seed() + 2),
-                Patience.USUAL,
+                ClientTimeouts.USUAL,
                 1,
                 512,
                 "t",
@@ -271,15 +271,15 @@
       }
 
       @Override
-      public void ended(String id, Patience.End end, boolean gaveUp) {
+      public void ended(String id, ClientTimeouts.End end, boolean gaveUp) {
         Hand hand = hands.remove(id);
         if (hand != null) {
           Fleet.this.ended.incrementAndGet(hand.target());
-          served.addAndGet(hand.target(), end == Patience.End.SERVED ? 1 : 0);
+          served.addAndGet(hand.target(), end == ClientTimeouts.End.SERVED ? 1 : 0);
         }
         boolean ours =
             stopping || hand != null && proxies.get(hand.target()).disturbedSince(hand.atMs());
-        if (end == Patience.End.LOST && !ours && lost.size() < MOST_LOST) {
+        if (end == ClientTimeouts.End.LOST && !ours && lost.size() < MOST_LOST) {
           lost.add(
               "try "
                   + id
@@ -325,12 +325,12 @@
   }
 
   /** Has the load end by itself, or at once with what is open left to its end; what it came to. */
-  public Tally endLoad(boolean atOnce) throws Exception {
+  public ResultRecorder endLoad(boolean atOnce) throws Exception {
     if (atOnce) {
       stopping = true;
       generator.stop();
     }
-    Tally tally = load.get();
+    ResultRecorder tally = load.get();
     synchronized (site.ledger()) {
       hands
           .keySet()
@@ -549,7 +549,7 @@
   public void wire(double loss, double delayMs, double twice) throws Exception {
     relay.with(
         () -> {
-          relay.wire().quality(new Wire.Quality(loss, 0, delayMs, twice));
+          relay.wire().quality(new LinkFaults.Quality(loss, 0, delayMs, twice));
           return null;
         });
   }
@@ -711,7 +711,7 @@
     return true;
   }
 
-  public Beliefs beliefs() {
+  public ObservedViews beliefs() {
     return beliefs;
   }
 
--- a/src/main/java/cacheproxy/fleet/FleetCommand.java
+++ b/src/main/java/cacheproxy/fleet/FleetCommand.java
@@ -1,7 +1,7 @@
 package cacheproxy.fleet;
 
 import cacheproxy.load.Report;
-import cacheproxy.load.Tally;
+import cacheproxy.load.ResultRecorder;
 import cacheproxy.site.Scenario;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -237,7 +237,7 @@
             report.faults());
       }
     }
-    Tally tally = fleet.endLoad(false);
+    ResultRecorder tally = fleet.endLoad(false);
     faults.shutdownNow();
     if (terminal) {
       System.err.println();
--- a/src/main/java/cacheproxy/fleet/FleetReport.java
+++ b/src/main/java/cacheproxy/fleet/FleetReport.java
@@ -73,7 +73,7 @@
     return sum / proxies;
   }
 
-  synchronized String text(Beliefs beliefs) {
+  synchronized String text(ObservedViews beliefs) {
     StringBuilder b = new StringBuilder();
     for (Fault f : faults) {
       b.append(String.format(Locale.ROOT, "%7.1f s  %s%n", (f.atMs - beganMs) / 1000, f.text));
@@ -90,7 +90,7 @@
             mean(0),
             mean(1),
             mean(2)));
-    for (Beliefs.FalseMajority f : beliefs.falseMajorities()) {
+    for (ObservedViews.FalseMajority f : beliefs.falseMajorities()) {
       b.append(
           String.format(
               Locale.ROOT,
@@ -103,7 +103,7 @@
     return b.toString();
   }
 
-  synchronized String json(String load, Beliefs beliefs, List<String> broken, long judged) {
+  synchronized String json(String load, ObservedViews beliefs, List<String> broken, long judged) {
     JsonObject all = new JsonObject();
     all.addProperty("proxies", proxies);
     all.addProperty("judged", judged);
@@ -119,7 +119,7 @@
     }
     all.add("faults", events);
     JsonArray changes = new JsonArray();
-    for (Beliefs.Change c : beliefs.changes()) {
+    for (ObservedViews.Change c : beliefs.changes()) {
       JsonObject one = new JsonObject();
       one.addProperty("at_s", (c.atMs() - beganMs) / 1000);
       one.addProperty("by", c.by() < 0 ? "truth" : "n" + c.by());
@@ -145,8 +145,8 @@
    * The load's page with a timeline in front: a row for each pair of who believes and whom it is
    * about.
    */
-  synchronized String html(String load, Beliefs beliefs, String verdict) {
-    List<Beliefs.Change> changes = beliefs.changes();
+  synchronized String html(String load, ObservedViews beliefs, String verdict) {
+    List<ObservedViews.Change> changes = beliefs.changes();
     double end = beganMs + seconds * 1000 + 2000;
     StringBuilder b =
         new StringBuilder(
@@ -197,10 +197,10 @@
   }
 
   private void row(
-      StringBuilder b, List<Beliefs.Change> changes, int by, int of, int y, double end) {
+      StringBuilder b, List<ObservedViews.Change> changes, int by, int of, int y, double end) {
     String state = null;
     double from = beganMs;
-    for (Beliefs.Change c : changes) {
+    for (ObservedViews.Change c : changes) {
       if (c.by() == by && c.of() == of) {
         bar(b, state, from, c.atMs(), y, by < 0, end);
         state = c.state();
--- a/src/main/java/cacheproxy/fleet/FleetWatch.java
+++ b/src/main/java/cacheproxy/fleet/FleetWatch.java
@@ -53,7 +53,7 @@
           for (JsonElement m : view.getAsJsonArray("members")) {
             String s = m.getAsJsonObject().get("state").getAsString();
             boolean direct = m.getAsJsonObject().get("direct").getAsBoolean();
-            table.append(Beliefs.mark(s)).append(s.equals("alive") && !direct ? "~" : " ");
+            table.append(ObservedViews.mark(s)).append(s.equals("alive") && !direct ? "~" : " ");
           }
           table.append(outByOthers(all.get(i)));
           heard = true;
--- a/src/main/java/cacheproxy/fleet/Wire.java
+++ b/src/main/java/cacheproxy/fleet/LinkFaults.java
@@ -7,7 +7,7 @@
  * later ones or cut, each direction by itself. Rules alone; the same seed decides the same. Not for
  * several threads.
  */
-public final class Wire {
+public final class LinkFaults {
   /**
    * @param loss part that does not arrive
    * @param delayMs on the mean, exponential about it on top of {@code leastMs}; so one may overtake
@@ -33,7 +33,7 @@
   private final long[] bytes;
   private Quality quality = Quality.CLEAN;
 
-  public Wire(int proxies, long seed) {
+  public LinkFaults(int proxies, long seed) {
     this.proxies = proxies;
     lots = new SplittableRandom(seed);
     cut = new boolean[proxies * proxies];
--- a/src/main/java/cacheproxy/fleet/Beliefs.java
+++ b/src/main/java/cacheproxy/fleet/ObservedViews.java
@@ -8,7 +8,7 @@
  * held against them. Rules alone: whoever asks the proxies tells it. Times in milliseconds of the
  * rig's clock. A change takes one entry; bounded.
  */
-public final class Beliefs {
+public final class ObservedViews {
   /**
    * @param by -1: the truth
    */
@@ -41,7 +41,7 @@
   private final List<FalseMajority> falseMajorities = new ArrayList<>();
   private final boolean[] held;
 
-  Beliefs(int proxies) {
+  ObservedViews(int proxies) {
     this.proxies = proxies;
     now = new String[proxies + 1][proxies];
     direct = new boolean[proxies][proxies];
--- a/src/main/java/cacheproxy/fleet/Guardian.java
+++ b/src/main/java/cacheproxy/fleet/ParentWatchdog.java
@@ -8,13 +8,13 @@
  * waits for the end of its input, which comes with the rig's. It ends only processes that have the
  * rig's folder in their environment.
  */
-final class Guardian implements AutoCloseable {
+final class ParentWatchdog implements AutoCloseable {
   private final Process shell;
 
   /**
    * @param folder of the rig; processes below it name it in TMPDIR
    */
-  Guardian(Path folder) throws IOException {
+  ParentWatchdog(Path folder) throws IOException {
     shell =
         new ProcessBuilder(
                 "sh",
--- a/src/main/java/cacheproxy/fleet/Relay.java
+++ b/src/main/java/cacheproxy/fleet/Relay.java
@@ -23,8 +23,8 @@
 /**
  * Between the proxies: each one's address in {@code peers} is a socket here, so that a datagram to
  * it comes from the sender's own address and goes on from the socket that stands for the sender.
- * One more stands for all. Each ordered pair is a way of its own in {@link Wire}. One loop; what is
- * under way is bounded.
+ * One more stands for all. Each ordered pair is a way of its own in {@link LinkFaults}. One loop;
+ * what is under way is bounded.
  */
 final class Relay implements AutoCloseable {
   private static final int MOST_UNDER_WAY = 100_000;
@@ -32,7 +32,7 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final Wire wire;
+  private final LinkFaults wire;
   private final Map<InetSocketAddress, Integer> senders = new HashMap<>();
   private final List<InetSocketAddress> proxies;
   private final Channel[] stands;
@@ -45,7 +45,7 @@
    * @param stands one for each proxy, by number, and one for all behind them
    * @param proxies where each listens and sends from
    */
-  Relay(Wire wire, List<InetSocketAddress> stands, List<InetSocketAddress> proxies)
+  Relay(LinkFaults wire, List<InetSocketAddress> stands, List<InetSocketAddress> proxies)
       throws InterruptedException {
     this.wire = wire;
     this.proxies = proxies;
@@ -129,7 +129,7 @@
     return loop.submit(task).get(10, TimeUnit.SECONDS);
   }
 
-  Wire wire() {
+  LinkFaults wire() {
     return wire;
   }
 
--- a/src/main/java/cacheproxy/fleet/package-info.java
+++ b/src/main/java/cacheproxy/fleet/package-info.java
@@ -1,6 +1,6 @@
 /**
  * Real proxies as processes on one machine, faults of processes and between them, and the truth
- * beside what each believes. {@link cacheproxy.fleet.Wire} and {@link cacheproxy.fleet.Beliefs} are
- * rules, the rest sockets and processes.
+ * beside what each believes. {@link cacheproxy.fleet.LinkFaults} and {@link
+ * cacheproxy.fleet.ObservedViews} are rules, the rest sockets and processes.
  */
 package cacheproxy.fleet;
--- a/src/main/java/cacheproxy/gossip/ListVersions.java
+++ b/src/main/java/cacheproxy/gossip/EndpointVersionGossip.java
@@ -13,7 +13,7 @@
  * for {@link #AGAIN_MS}; a peer whose version own calls don't bear out is heard less and less.
  * Times in milliseconds, on any one clock; lots lie from 0 to 1.
  */
-public final class ListVersions {
+public final class EndpointVersionGossip {
   /**
    * News is told within this time, by lot, so that whoever hears it told by {@link #VOICES} others
    * need not.
@@ -62,7 +62,7 @@
    * @param peers how many proxies the tier has
    * @param me this one's number
    */
-  public ListVersions(int peers, int me) {
+  public EndpointVersionGossip(int peers, int me) {
     this.me = me;
     told = new long[peers];
     ignoredUntil = new double[peers];
--- a/src/main/java/cacheproxy/limits/Holding.java
+++ b/src/main/java/cacheproxy/limits/BufferPurpose.java
@@ -2,9 +2,9 @@
 
 /**
  * What bytes are held for. Each buffer of the program is held for one of these, by one {@link
- * Account}.
+ * ByteAccount}.
  */
-public enum Holding {
+public enum BufferPurpose {
   /**
    * Read from the peer and not worked off: part of a command or an answer, or what waits behind a
    * full hand.
--- a/src/main/java/cacheproxy/limits/Account.java
+++ b/src/main/java/cacheproxy/limits/ByteAccount.java
@@ -2,9 +2,9 @@
 
 /**
  * What one peer holds: bytes by what they are held for, and how often it was served. Opened by
- * {@link Accounts}.
+ * {@link ByteAccounts}.
  */
-public final class Account {
+public final class ByteAccount {
   /**
    * So many bytes at most always have room. Guards receipts, refusals and short values, which cost
    * next to nothing, against a shortage that long values have made. All clients' hands full of
@@ -12,14 +12,14 @@
    */
   public static final int SHORT_BYTES = 1024;
 
-  private static final Holding[] KINDS = Holding.values();
+  private static final BufferPurpose[] KINDS = BufferPurpose.values();
 
-  private final Accounts all;
+  private final ByteAccounts all;
   private final long[] held = new long[KINDS.length];
   private long served;
   private boolean closed;
 
-  Account(Accounts all) {
+  ByteAccount(ByteAccounts all) {
     this.all = all;
   }
 
@@ -27,7 +27,7 @@
    * Charges these bytes, or nothing: false if they are more than {@link #SHORT_BYTES} and would
    * pass the bound on what all may hold of this kind. An account that is closed takes nothing.
    */
-  public boolean charge(Holding kind, int bytes) {
+  public boolean charge(BufferPurpose kind, int bytes) {
     if (closed || bytes > SHORT_BYTES && !all.room(kind, bytes)) {
       return false;
     }
@@ -36,7 +36,7 @@
   }
 
   /** Gives back; IllegalStateException if more than is held, which would be somebody else's. */
-  public void release(Holding kind, long bytes) {
+  public void release(BufferPurpose kind, long bytes) {
     if (bytes > held[kind.ordinal()]) {
       throw new IllegalStateException(
           bytes + " bytes of " + kind + " given back, of " + held[kind.ordinal()]);
@@ -48,16 +48,16 @@
    * Makes what is held of this kind this much: of what has come already, whether or not there is
    * room for it.
    */
-  public void set(Holding kind, long bytes) {
+  public void set(BufferPurpose kind, long bytes) {
     add(kind, bytes - held[kind.ordinal()]);
   }
 
-  private void add(Holding kind, long bytes) {
+  private void add(BufferPurpose kind, long bytes) {
     held[kind.ordinal()] += bytes;
     all.add(kind, bytes);
   }
 
-  public long held(Holding kind) {
+  public long held(BufferPurpose kind) {
     return held[kind.ordinal()];
   }
 
--- a/src/main/java/cacheproxy/limits/Accounts.java
+++ b/src/main/java/cacheproxy/limits/ByteAccounts.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /** All accounts with the sums of what they hold and the bounds on these sums. */
-public final class Accounts {
-  private final long[] bounds = new long[Holding.values().length];
+public final class ByteAccounts {
+  private final long[] bounds = new long[BufferPurpose.values().length];
   private final long[] sums = new long[bounds.length];
   private final long[] most = new long[bounds.length];
 
@@ -13,8 +13,8 @@
    * @param bounds the most that all together may hold, in bytes; a kind that is not named has no
    *     bound
    */
-  public Accounts(Map<Holding, Long> bounds) {
-    for (Holding h : Holding.values()) {
+  public ByteAccounts(Map<BufferPurpose, Long> bounds) {
+    for (BufferPurpose h : BufferPurpose.values()) {
       long bound = bounds.getOrDefault(h, Long.MAX_VALUE);
       if (bound <= 0) {
         throw new IllegalArgumentException(h + ": a bound of " + bound + " bytes");
@@ -24,31 +24,31 @@
   }
 
   /** An account for a peer that has come. */
-  public Account open() {
-    return new Account(this);
+  public ByteAccount open() {
+    return new ByteAccount(this);
   }
 
   /** Whether so much more may be held. */
-  public boolean room(Holding kind, long bytes) {
+  public boolean room(BufferPurpose kind, long bytes) {
     return sums[kind.ordinal()] + bytes <= bounds[kind.ordinal()];
   }
 
-  void add(Holding kind, long bytes) {
+  void add(BufferPurpose kind, long bytes) {
     int i = kind.ordinal();
     sums[i] += bytes;
     most[i] = Math.max(most[i], sums[i]);
   }
 
-  public long held(Holding kind) {
+  public long held(BufferPurpose kind) {
     return sums[kind.ordinal()];
   }
 
   /** The most that was held at one time, in bytes. */
-  public long most(Holding kind) {
+  public long most(BufferPurpose kind) {
     return most[kind.ordinal()];
   }
 
-  public long bound(Holding kind) {
+  public long bound(BufferPurpose kind) {
     return bounds[kind.ordinal()];
   }
 
@@ -59,7 +59,7 @@
   public double share() {
     double share = 0;
     for (int i = 0; i < sums.length; i++) {
-      if (bounds[i] != Long.MAX_VALUE && i != Holding.PASSING.ordinal()) {
+      if (bounds[i] != Long.MAX_VALUE && i != BufferPurpose.PASSING.ordinal()) {
         share = Math.max(share, (double) sums[i] / bounds[i]);
       }
     }
@@ -67,18 +67,18 @@
   }
 
   /** What is held, by kind, for the log. */
-  public Map<Holding, Long> sums() {
+  public Map<BufferPurpose, Long> sums() {
     return byKind(sums);
   }
 
   /** The most that was held of each kind, not at the same time. */
-  public Map<Holding, Long> mosts() {
+  public Map<BufferPurpose, Long> mosts() {
     return byKind(most);
   }
 
-  private static Map<Holding, Long> byKind(long[] bytes) {
-    Map<Holding, Long> all = new EnumMap<>(Holding.class);
-    for (Holding h : Holding.values()) {
+  private static Map<BufferPurpose, Long> byKind(long[] bytes) {
+    Map<BufferPurpose, Long> all = new EnumMap<>(BufferPurpose.class);
+    for (BufferPurpose h : BufferPurpose.values()) {
       all.put(h, bytes[h.ordinal()]);
     }
     return all;
--- a/src/main/java/cacheproxy/limits/HoldOff.java
+++ b/src/main/java/cacheproxy/limits/ClientBackoff.java
@@ -9,7 +9,7 @@
  * clients share one with a few bad ones. The table is bounded, and an address that is not heard of
  * for {@link #FORGET_MS} is as good as new.
  */
-public final class HoldOff {
+public final class ClientBackoff {
   static final int ADDRESSES = 1024;
   static final double WINDOW_MS = 4000;
   static final double FORGET_MS = 10_000;
--- a/src/main/java/cacheproxy/limits/DoorRules.java
+++ b/src/main/java/cacheproxy/limits/ConnectionAdmissionPolicy.java
@@ -15,7 +15,7 @@
  * Clients that find no place don't show in that rate. It still rises from a full house: what is
  * cleared lets in more, which clears more, until all get in or half of the room is cleared.
  */
-public final class DoorRules {
+public final class ConnectionAdmissionPolicy {
   /**
    * Room is kept for what comes within so long. Guards newcomers against a house that is full of
    * connections that nobody uses; long enough for the loop to be busy elsewhere, and harmful where
@@ -84,7 +84,7 @@
    * @param spare places that are kept free for the next ones while anybody can be shown out
    * @param showOutIdle whether idle ones make way for newcomers before places are short
    */
-  public DoorRules(int places, int clientsRoom, int spare, boolean showOutIdle) {
+  public ConnectionAdmissionPolicy(int places, int clientsRoom, int spare, boolean showOutIdle) {
     if (places < 1 || spare < 0 || spare >= places) {
       throw new IllegalArgumentException(places + " places, " + spare + " of them spare");
     }
--- a/src/main/java/cacheproxy/limits/Cuts.java
+++ b/src/main/java/cacheproxy/limits/DisconnectCounters.java
@@ -4,22 +4,22 @@
  * Who was cut off and why, counted since the start; {@link #news} says what has come since it was
  * last asked.
  */
-public final class Cuts {
-  private final long[] counts = new long[Cut.values().length];
+public final class DisconnectCounters {
+  private final long[] counts = new long[DisconnectReason.values().length];
   private final long[] told = new long[counts.length];
 
-  public void count(Cut why) {
+  public void count(DisconnectReason why) {
     counts[why.ordinal()]++;
   }
 
-  public long of(Cut why) {
+  public long of(DisconnectReason why) {
     return counts[why.ordinal()];
   }
 
   /** What was counted since the last call, as {@code idle 3, silent 12}; empty: nothing. */
   public String news() {
     StringBuilder text = new StringBuilder();
-    for (Cut c : Cut.values()) {
+    for (DisconnectReason c : DisconnectReason.values()) {
       long more = counts[c.ordinal()] - told[c.ordinal()];
       told[c.ordinal()] = counts[c.ordinal()];
       if (more > 0) {
--- a/src/main/java/cacheproxy/limits/Cut.java
+++ b/src/main/java/cacheproxy/limits/DisconnectReason.java
@@ -1,7 +1,7 @@
 package cacheproxy.limits;
 
 /** Why a peer was cut off or made to wait. */
-public enum Cut {
+public enum DisconnectReason {
   /** It stood idle, and newcomers need the room. */
   IDLE,
   /** It never asked anything usable, and places were short. */
--- a/src/main/java/cacheproxy/limits/FairShare.java
+++ b/src/main/java/cacheproxy/limits/FairShare.java
@@ -12,7 +12,7 @@
 
   /** A peer as this rule sees it. */
   public interface Holder {
-    Account account();
+    ByteAccount account();
 
     /** How far it is behind in taking or giving what is owed, in milliseconds; 0: it keeps up. */
     double behindMs(double nowMs);
--- a/src/main/java/cacheproxy/limits/Limits.java
+++ b/src/main/java/cacheproxy/limits/Limits.java
@@ -29,9 +29,9 @@
     long readingBytes,
     long answerBytes,
     long clientAnswerBytes,
-    LeastRate clientWrite,
-    LeastRate clientRead,
-    LeastRate nodeAnswer,
+    MinimumRate clientWrite,
+    MinimumRate clientRead,
+    MinimumRate nodeAnswer,
     double silentMs,
     int sendBufferBytes,
     boolean showOutIdle,
@@ -63,20 +63,20 @@
    * more at this rate. Guards places against those who write a byte at a time; harms a client on a
    * line slower than that.
    */
-  private static final LeastRate CLIENT_WRITE = new LeastRate(16 << 10, 2200);
+  private static final MinimumRate CLIENT_WRITE = new MinimumRate(16 << 10, 2200);
 
   /**
    * Requests are given up after a second or so: who has not taken an answer by then has no use for
    * it.
    */
-  private static final LeastRate CLIENT_READ = new LeastRate(16 << 10, 3000);
+  private static final MinimumRate CLIENT_READ = new MinimumRate(16 << 10, 3000);
 
   /**
    * An answer is written in one go, so one that stops for this long within is spoilt: a length that
    * does not fit, a line without end, a trickle. A node that pauses for longer within an answer
    * loses it, and the request one of its attempts.
    */
-  private static final LeastRate NODE_ANSWER = new LeastRate(512 << 10, 150);
+  private static final MinimumRate NODE_ANSWER = new MinimumRate(512 << 10, 150);
 
   private static final double SILENT_MS = 2200;
   private static final long CLIENT_ANSWER_BYTES = 256 << 10;
@@ -112,13 +112,13 @@
    * The bounds on what all peers together may hold. What has come already is charged and not
    * refused.
    */
-  public Map<Holding, Long> bounds() {
-    Map<Holding, Long> bounds = new EnumMap<>(Holding.class);
-    bounds.put(Holding.VALUE, valueBytes);
-    bounds.put(Holding.READING, readingBytes);
-    bounds.put(Holding.PASSING, Math.max(PassWindow.LEAST_BYTES, readingBytes));
-    bounds.put(Holding.ANSWER, answerBytes);
-    bounds.put(Holding.INPUT, valueBytes);
+  public Map<BufferPurpose, Long> bounds() {
+    Map<BufferPurpose, Long> bounds = new EnumMap<>(BufferPurpose.class);
+    bounds.put(BufferPurpose.VALUE, valueBytes);
+    bounds.put(BufferPurpose.READING, readingBytes);
+    bounds.put(BufferPurpose.PASSING, Math.max(StreamingWindow.LEAST_BYTES, readingBytes));
+    bounds.put(BufferPurpose.ANSWER, answerBytes);
+    bounds.put(BufferPurpose.INPUT, valueBytes);
     return bounds;
   }
 }
--- a/src/main/java/cacheproxy/limits/Pace.java
+++ b/src/main/java/cacheproxy/limits/Pace.java
@@ -7,12 +7,12 @@
  * still to be as fast on the whole; and it does not matter when or how often it is looked at.
  */
 public final class Pace {
-  private final LeastRate least;
+  private final MinimumRate least;
   private double behindMs;
   private double atMs;
   private boolean owing;
 
-  public Pace(LeastRate least) {
+  public Pace(MinimumRate least) {
     this.least = least;
   }
 
--- a/src/main/java/cacheproxy/limits/PassWindow.java
+++ b/src/main/java/cacheproxy/limits/StreamingWindow.java
@@ -5,7 +5,7 @@
  * The rest stays with the server and in the system's buffers: more long values pass at once than
  * memory holds.
  */
-public final class PassWindow {
+public final class StreamingWindow {
   /**
    * What each may have in hand. Guards speed: with less, server and client take turns. Costs this
    * for each.
@@ -21,7 +21,7 @@
   /** From this part of the room on, each has in hand only what came in one read. */
   static final double TIGHT_SHARE = 0.75;
 
-  private PassWindow() {}
+  private StreamingWindow() {}
 
   /**
    * Whether to read on.
--- a/src/main/java/cacheproxy/limits/StartSpan.java
+++ b/src/main/java/cacheproxy/limits/WarmUpBudget.java
@@ -6,7 +6,7 @@
  * and goes; where nobody serves, as when all start together, a start that is not warm is the
  * greater harm. Times in milliseconds, on any one clock.
  */
-public final class StartSpan {
+public final class WarmUpBudget {
   /**
    * Guards a tier in which one is away. Harm: what is not settled by then settles while it serves.
    */
@@ -36,7 +36,7 @@
   /**
    * @param peers whether there is anybody to ask
    */
-  public StartSpan(double nowMs, boolean peers) {
+  public WarmUpBudget(double nowMs, boolean peers) {
     startMs = nowMs;
     spanMs = peers ? TOGETHER_MS : ALONE_MS;
     asksLeft = peers ? ASKED_TIMES : 0;
--- a/src/main/java/cacheproxy/limits/Settling.java
+++ b/src/main/java/cacheproxy/limits/WarmUpConvergence.java
@@ -6,7 +6,7 @@
  * cheapest of several equal parts stands for the batch, as a processor that is shared takes pauses
  * of its own, which lie in some parts and not in all.
  */
-public final class Settling {
+public final class WarmUpConvergence {
   /** A batch that gains less than this on the best so far counts as settled. */
   static final double GAIN = 0.10;
 
@@ -39,7 +39,7 @@
    * @param least requests without which nothing counts as settled: what has run less often is not
    *     compiled
    */
-  public Settling(int batch, int part, int least) {
+  public WarmUpConvergence(int batch, int part, int least) {
     if (part < 1 || batch < part || batch % part != 0 || least < 0) {
       throw new IllegalArgumentException(
           "parts of " + part + " in batches of " + batch + ", least " + least);
--- a/src/main/java/cacheproxy/load/Arrivals.java
+++ b/src/main/java/cacheproxy/load/Arrivals.java
@@ -8,7 +8,7 @@
  */
 public final class Arrivals {
   private final double perMs;
-  private final Shape shape;
+  private final LoadProfile shape;
   private final SplittableRandom random;
   private double atMs;
 
@@ -19,7 +19,7 @@
    * @param perSecond at a multiple of 1, more than 0
    * @param poisson by chance, else as evenly as the shape allows
    */
-  public Arrivals(double perSecond, Shape shape, boolean poisson, long seed) {
+  public Arrivals(double perSecond, LoadProfile shape, boolean poisson, long seed) {
     if (!(perSecond > 0)) {
       throw new IllegalArgumentException(perSecond + " requests a second");
     }
--- a/src/main/java/cacheproxy/load/Patience.java
+++ b/src/main/java/cacheproxy/load/ClientTimeouts.java
@@ -10,10 +10,10 @@
  * @param honours the part of clients that follow a refusal's advice, from 0 to 1
  * @param longer factor on every class's patience
  */
-public record Patience(
+public record ClientTimeouts(
     int retries, double tryPart, double backoffMs, double honours, double longer) {
   /** As the site's clients are: twice at most, 0.65 of the time each, a wait of 25 ms. */
-  public static final Patience USUAL = new Patience(2, 0.65, 25, 0.65, 1);
+  public static final ClientTimeouts USUAL = new ClientTimeouts(2, 0.65, 25, 0.65, 1);
 
   /** No retry is to follow. */
   public static final double NEVER = -1;
--- a/src/main/java/cacheproxy/load/Generator.java
+++ b/src/main/java/cacheproxy/load/Generator.java
@@ -30,8 +30,8 @@
   public record Settings(
       List<InetSocketAddress> targets,
       List<Kind> kinds,
-      Supplier<Iterator<Ask>> plan,
-      Patience patience,
+      Supplier<Iterator<PlannedRequest>> plan,
+      ClientTimeouts patience,
       int threads,
       int connections,
       String tenant,
@@ -41,8 +41,8 @@
     public Settings(
         List<InetSocketAddress> targets,
         List<Kind> kinds,
-        Supplier<Iterator<Ask>> plan,
-        Patience patience,
+        Supplier<Iterator<PlannedRequest>> plan,
+        ClientTimeouts patience,
         int threads,
         int connections,
         String tenant,
@@ -57,7 +57,7 @@
           tenant,
           seed,
           Witness.NONE,
-          Lane.SLACK_MS);
+          LoadWorker.SLACK_MS);
     }
   }
 
@@ -69,7 +69,7 @@
 
   private final Settings settings;
   private final MultiThreadIoEventLoopGroup group;
-  private final List<Lane> lanes = new ArrayList<>();
+  private final List<LoadWorker> lanes = new ArrayList<>();
   private final CountDownLatch done;
   private volatile long startNanos;
   private volatile boolean stopped;
@@ -97,14 +97,14 @@
                   () ->
                       new Plan(
                           Kind.USUAL,
-                          new Arrivals(rate, new Shape.Ramp(REHEARSED_MS / 2), true, 1),
+                          new Arrivals(rate, new LoadProfile.Ramp(REHEARSED_MS / 2), true, 1),
                           new Keys(1000, 1, 0, Keys.Hot.NONE, 1),
                           1,
                           Plan.Overtaken.NONE,
                           64,
                           REHEARSED_MS,
                           1),
-                  Patience.USUAL,
+                  ClientTimeouts.USUAL,
                   threads,
                   64,
                   "t",
@@ -131,17 +131,17 @@
   }
 
   /** Runs to the plan's end and the last answer's, or until {@link #stop}. What it came to. */
-  public Tally run() throws InterruptedException {
+  public ResultRecorder run() throws InterruptedException {
     startNanos = System.nanoTime();
     for (int i = 0; i < settings.threads(); i++) {
       EventLoop loop = group.next();
-      Lane lane = new Lane(this, loop, i);
+      LoadWorker lane = new LoadWorker(this, loop, i);
       lanes.add(lane);
       loop.execute(lane::begin);
     }
     done.await();
-    Tally all = new Tally(settings.kinds());
-    for (Lane lane : lanes) {
+    ResultRecorder all = new ResultRecorder(settings.kinds());
+    for (LoadWorker lane : lanes) {
       lane.loop().submit(() -> all.add(lane.tally())).syncUninterruptibly(); // one after the other
     }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -160,7 +160,7 @@
     long begun = 0;
     long ended = 0;
     int connections = 0;
-    for (Lane lane : List.copyOf(lanes)) {
+    for (LoadWorker lane : List.copyOf(lanes)) {
       begun += lane.begun();
       ended += lane.ended();
       connections += lane.connections();
--- a/src/main/java/cacheproxy/load/Line.java
+++ b/src/main/java/cacheproxy/load/Line.java
@@ -20,10 +20,10 @@
 
   /** Is told once for each request how it ended here; advice in milliseconds, 0: none. */
   interface Answer {
-    void is(Patience.End end, double adviceMs);
+    void is(ClientTimeouts.End end, double adviceMs);
   }
 
-  private final Lane lane;
+  private final LoadWorker lane;
   private final int target;
   private Channel channel;
   private String id;
@@ -32,7 +32,7 @@
   private boolean begun;
   private int answers;
 
-  Line(Lane lane, int target) {
+  Line(LoadWorker lane, int target) {
     this.lane = lane;
     this.target = target;
   }
@@ -100,14 +100,14 @@
         in.skipBytes(left - 2);
         boolean whole = in.readShort() == LINE_END;
         left = 0;
-        tell(whole, Patience.End.SERVED, 0);
+        tell(whole, ClientTimeouts.End.SERVED, 0);
       }
       return;
     }
     int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
     if (end < 0) {
       if (in.readableBytes() > MAX_LINE) {
-        tell(false, Patience.End.FAILED, 0);
+        tell(false, ClientTimeouts.End.FAILED, 0);
       }
       return;
     }
@@ -123,9 +123,9 @@
       boolean own = List.of(words).contains("O" + id);
       int bytes = words[0].equals("VA") ? length(words) : -1;
       if (!own || words[0].equals("VA") && bytes < 0) {
-        tell(false, Patience.End.FAILED, 0);
+        tell(false, ClientTimeouts.End.FAILED, 0);
       } else if (bytes < 0) {
-        tell(true, Patience.End.SERVED, 0);
+        tell(true, ClientTimeouts.End.SERVED, 0);
       } else {
         left = bytes + 2;
       }
@@ -136,9 +136,9 @@
       } catch (NumberFormatException e) {
         // advice that can't be read is none
       }
-      tell(true, Patience.End.REFUSED, advice);
+      tell(true, ClientTimeouts.End.REFUSED, advice);
     } else {
-      tell(true, Patience.End.FAILED, 0);
+      tell(true, ClientTimeouts.End.FAILED, 0);
     }
   }
 
@@ -154,7 +154,7 @@
   /**
    * What can't be read or is another's is a failed answer, and what follows can't be told apart.
    */
-  private void tell(boolean sound, Patience.End end, double adviceMs) {
+  private void tell(boolean sound, ClientTimeouts.End end, double adviceMs) {
     Answer to = answer;
     answer = null;
     answers++;
@@ -162,7 +162,7 @@
       lane.stray();
       channel.close();
     }
-    to.is(sound ? end : Patience.End.FAILED, adviceMs);
+    to.is(sound ? end : ClientTimeouts.End.FAILED, adviceMs);
   }
 
   @Override
@@ -172,7 +172,7 @@
     if (answer != null) {
       Answer to = answer;
       answer = null;
-      to.is(Patience.End.LOST, 0);
+      to.is(ClientTimeouts.End.LOST, 0);
     }
   }
 
--- a/src/main/java/cacheproxy/load/LoadCommand.java
+++ b/src/main/java/cacheproxy/load/LoadCommand.java
@@ -49,7 +49,7 @@
   @Option(
       names = "--shape",
       defaultValue = "steady",
-      description = "How the rate runs: " + Shape.FORMS + ".")
+      description = "How the rate runs: " + LoadProfile.FORMS + ".")
   private String shape;
 
   @Option(names = "--fixed", description = "Evenly, not by chance (Poisson).")
@@ -197,12 +197,12 @@
     within("--threads", threads, 1, 64);
     within("--connections", connections, 1, 60_000);
     within("--speed", speed, 0.001, 1000);
-    Shape form = Shape.parse(shape);
+    LoadProfile form = LoadProfile.parse(shape);
     double[] key = window("--hot", hot);
     double[] part = window("--overtaken", overtaken);
-    Supplier<Iterator<Ask>> plan;
+    Supplier<Iterator<PlannedRequest>> plan;
     if (trace != null) {
-      List<Ask> asks =
+      List<PlannedRequest> asks =
           Trace.read(trace, columns, speed, Kind.USUAL, Math.max(1, addresses.size()), seed);
       plan = asks::iterator;
     } else {
@@ -227,14 +227,15 @@
     if (own != null) {
       addresses.add(own.address());
     }
-    Patience usual = Patience.USUAL;
+    ClientTimeouts usual = ClientTimeouts.USUAL;
     Generator generator =
         new Generator(
             new Generator.Settings(
                 addresses,
                 Kind.USUAL,
                 plan,
-                new Patience(retries, usual.tryPart(), usual.backoffMs(), usual.honours(), longer),
+                new ClientTimeouts(
+                    retries, usual.tryPart(), usual.backoffMs(), usual.honours(), longer),
                 threads,
                 connections,
                 tenant,
@@ -252,7 +253,7 @@
             });
     Runtime.getRuntime().addShutdownHook(hook);
     Thread line = System.console() == null ? null : progress(generator);
-    Tally tally = generator.run();
+    ResultRecorder tally = generator.run();
     if (line != null) {
       line.interrupt();
     }
--- a/src/main/java/cacheproxy/load/Shape.java
+++ b/src/main/java/cacheproxy/load/LoadProfile.java
@@ -6,7 +6,7 @@
  * How the rate of arrivals runs over time, as a multiple of the rate that was asked for. Times in
  * milliseconds from the load's start.
  */
-public sealed interface Shape {
+public sealed interface LoadProfile {
   /** The multiple at this time, never under 0. */
   double at(double ms);
 
@@ -14,7 +14,7 @@
   double most();
 
   /** The same all the time. */
-  record Steady() implements Shape {
+  record Steady() implements LoadProfile {
     @Override
     public double at(double ms) {
       return 1;
@@ -27,7 +27,7 @@
   }
 
   /** Up and down by this part, once in a period. */
-  record Wave(double periodMs, double part) implements Shape {
+  record Wave(double periodMs, double part) implements LoadProfile {
     @Override
     public double at(double ms) {
       return 1 + part * Math.sin(2 * Math.PI * ms / periodMs);
@@ -43,7 +43,7 @@
    * A release evening: within the rise it comes to so many times as much, and halves in each
    * half-life after that.
    */
-  record Surge(double atMs, double riseMs, double times, double halfMs) implements Shape {
+  record Surge(double atMs, double riseMs, double times, double halfMs) implements LoadProfile {
     @Override
     public double at(double ms) {
       if (ms < atMs) {
@@ -61,7 +61,7 @@
   }
 
   /** So many times as much from this time on. */
-  record Step(double atMs, double times) implements Shape {
+  record Step(double atMs, double times) implements LoadProfile {
     @Override
     public double at(double ms) {
       return ms < atMs ? 1 : times;
@@ -74,7 +74,7 @@
   }
 
   /** Evenly from nothing to the whole rate over this time: where the knee lies shows on the way. */
-  record Ramp(double overMs) implements Shape {
+  record Ramp(double overMs) implements LoadProfile {
     @Override
     public double at(double ms) {
       return Math.min(1, ms / overMs);
@@ -91,7 +91,7 @@
       "steady, wave:PERIOD_S:PART, surge:AT_S:RISE_S:TIMES:HALF_S, step:AT_S:TIMES, ramp:OVER_S";
 
   /** Reads a shape as {@link #FORMS} has them; seconds and multiples are decimal numbers. */
-  static Shape parse(String text) throws UsageException {
+  static LoadProfile parse(String text) throws UsageException {
     String[] words = text.split(":", -1);
     double[] n = new double[words.length];
     try {
--- a/src/main/java/cacheproxy/load/Lane.java
+++ b/src/main/java/cacheproxy/load/LoadWorker.java
@@ -21,7 +21,7 @@
  * One thread of the generator: its part of the plan, its connections and its tally. All of it on
  * one event loop.
  */
-final class Lane {
+final class LoadWorker {
   /**
    * Closer than this to the next request the loop turns without sleeping, in milliseconds: the
    * system's wait for sockets has no finer step than one. Harm: a core is taken whole above some
@@ -39,16 +39,16 @@
 
   /** A request on its way, over all its tries. */
   private static final class Open {
-    final Ask ask;
+    final PlannedRequest ask;
     final Kind kind;
     final double lot;
     final String idempotency;
     int tries;
     boolean resent;
     String id;
-    Wheel.Timer timer;
+    TimerWheel.Timer timer;
 
-    Open(Ask ask, Kind kind, SplittableRandom random) {
+    Open(PlannedRequest ask, Kind kind, SplittableRandom random) {
       this.ask = ask;
       this.kind = kind;
       lot = random.nextDouble();
@@ -60,16 +60,16 @@
   private final EventLoop loop;
   private final int number;
   private final Generator.Settings settings;
-  private final Tally tally;
+  private final ResultRecorder tally;
   private final SplittableRandom random;
   private final Bootstrap bootstrap;
   private final List<ArrayDeque<Line>> idle = new ArrayList<>();
   private final List<ArrayDeque<Open>> waiting = new ArrayList<>();
   private final int[] connections;
   private final Set<Line> lines = new HashSet<>();
-  private Wheel wheel;
-  private Iterator<Ask> plan;
-  private Ask next;
+  private TimerWheel wheel;
+  private Iterator<PlannedRequest> plan;
+  private PlannedRequest next;
   private boolean finished;
 
   /** Tries that their clients have given up and whose answers are still waited for. */
@@ -78,12 +78,12 @@
   private volatile long begun;
   private volatile long ended;
 
-  Lane(Generator generator, EventLoop loop, int number) {
+  LoadWorker(Generator generator, EventLoop loop, int number) {
     this.generator = generator;
     this.loop = loop;
     this.number = number;
     settings = generator.settings();
-    tally = new Tally(settings.kinds());
+    tally = new ResultRecorder(settings.kinds());
     random = new SplittableRandom(settings.seed() * 31 + number);
     connections = new int[settings.targets().size()];
     settings
@@ -104,7 +104,7 @@
     return loop;
   }
 
-  Tally tally() {
+  ResultRecorder tally() {
     return tally;
   }
 
@@ -121,7 +121,7 @@
   }
 
   void begin() {
-    wheel = new Wheel(generator.nowMs());
+    wheel = new TimerWheel(generator.nowMs());
     plan = settings.plan().get();
     advance();
     turn();
@@ -138,7 +138,7 @@
     double now = generator.nowMs();
     wheel.turn(now);
     for (int i = 0; i < BATCH && next != null && next.atMs() <= now; i++) {
-      Ask ask = next;
+      PlannedRequest ask = next;
       advance();
       begun++;
       send(new Open(ask, settings.kinds().get(ask.kind()), random));
@@ -172,7 +172,7 @@
         tally.unsent++;
         tally.written(now - open.ask.atMs());
       }
-      over(open, Patience.End.FAILED);
+      over(open, ClientTimeouts.End.FAILED);
       return;
     }
     int target = open.ask.target();
@@ -192,7 +192,7 @@
                 if (open.tries == 0) {
                   tally.written(generator.nowMs() - open.ask.atMs());
                 }
-                over(open, Patience.End.FAILED);
+                over(open, ClientTimeouts.End.FAILED);
               });
     }
   }
@@ -213,7 +213,7 @@
               tally.written(generator.nowMs() - open.ask.atMs());
             }
             open.tries++;
-            ended(open, Patience.End.UNCONNECTED, 0);
+            ended(open, ClientTimeouts.End.UNCONNECTED, 0);
             return;
           }
           double now = generator.nowMs();
@@ -269,14 +269,14 @@
               } else {
                 goAway(id, line);
               }
-              ended(open, Patience.End.LOST, 0);
+              ended(open, ClientTimeouts.End.LOST, 0);
             });
   }
 
   private void goAway(String id, Line line) {
     line.forget();
     line.close();
-    settings.witness().ended(id, Patience.End.LOST, true);
+    settings.witness().ended(id, ClientTimeouts.End.LOST, true);
   }
 
   /**
@@ -285,7 +285,7 @@
    */
   private void listen(String id, Line line, double untilMs) {
     listening++;
-    Wheel.Timer timer =
+    TimerWheel.Timer timer =
         wheel.at(
             untilMs,
             () -> {
@@ -296,12 +296,12 @@
         (end, advice) -> {
           listening--;
           timer.stop();
-          if (end == Patience.End.LOST && line.crossed()) {
+          if (end == ClientTimeouts.End.LOST && line.crossed()) {
             settings.witness().crossed(id);
           } else {
             settings.witness().ended(id, end, false);
           }
-          if (end == Patience.End.LOST) {
+          if (end == ClientTimeouts.End.LOST) {
             line.close();
           } else {
             idle(line);
@@ -309,9 +309,9 @@
         });
   }
 
-  private void answered(Open open, Line line, Patience.End end, double adviceMs) {
+  private void answered(Open open, Line line, ClientTimeouts.End end, double adviceMs) {
     open.timer.stop();
-    boolean crossed = end == Patience.End.LOST && line.crossed();
+    boolean crossed = end == ClientTimeouts.End.LOST && line.crossed();
     if (crossed) {
       settings.witness().crossed(open.id);
     } else {
@@ -325,7 +325,7 @@
       send(open);
       return;
     }
-    if (end == Patience.End.LOST) {
+    if (end == ClientTimeouts.End.LOST) {
       line.close();
     } else {
       idle(line);
@@ -333,18 +333,18 @@
     ended(open, end, adviceMs);
   }
 
-  private void ended(Open open, Patience.End end, double adviceMs) {
+  private void ended(Open open, ClientTimeouts.End end, double adviceMs) {
     double since = generator.nowMs() - open.ask.atMs();
     double again =
         settings.patience().againMs(open.kind, end, open.tries, since, adviceMs, open.lot);
-    if (again == Patience.NEVER) {
+    if (again == ClientTimeouts.NEVER) {
       over(open, end);
     } else {
       wheel.at(generator.nowMs() + again, () -> send(open));
     }
   }
 
-  private void over(Open open, Patience.End end) {
+  private void over(Open open, ClientTimeouts.End end) {
     ended++;
     tally.ended(open.ask.kind(), open.ask.atMs(), end, generator.nowMs() - open.ask.atMs());
   }
--- a/src/main/java/cacheproxy/load/Plan.java
+++ b/src/main/java/cacheproxy/load/Plan.java
@@ -10,7 +10,7 @@
  * its own for each purpose: another mix does not move the times, another target does not change the
  * keys.
  */
-public final class Plan implements Iterator<Ask> {
+public final class Plan implements Iterator<PlannedRequest> {
   /**
    * One target that takes more than its part for a while: a proxy that is overtaken by traffic.
    *
@@ -65,7 +65,7 @@
   }
 
   @Override
-  public Ask next() {
+  public PlannedRequest next() {
     if (!hasNext()) {
       throw new NoSuchElementException();
     }
@@ -77,7 +77,7 @@
     if (at >= overtaken.fromMs() && at < overtaken.untilMs() && lot < overtaken.part()) {
       target = overtaken.target();
     }
-    return new Ask(
+    return new PlannedRequest(
         number++, at, kind, keys.next(at), target, kinds.get(kind).write() ? valueBytes : 0);
   }
 
--- a/src/main/java/cacheproxy/load/Ask.java
+++ b/src/main/java/cacheproxy/load/PlannedRequest.java
@@ -8,4 +8,5 @@
  * @param target the number of the address that it goes to
  * @param bytes of its value, for a write
  */
-public record Ask(long number, double atMs, int kind, String key, int target, int bytes) {}
+public record PlannedRequest(
+    long number, double atMs, int kind, String key, int target, int bytes) {}
--- a/src/main/java/cacheproxy/load/Report.java
+++ b/src/main/java/cacheproxy/load/Report.java
@@ -1,6 +1,6 @@
 package cacheproxy.load;
 
-import cacheproxy.load.Tally.Last;
+import cacheproxy.load.ResultRecorder.Last;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -19,7 +19,7 @@
 
   static final double LAG_MOST_MS = 100;
 
-  private final Tally tally;
+  private final ResultRecorder tally;
   private final double seconds;
   private final boolean cutShort;
 
@@ -27,7 +27,7 @@
    * @param seconds that the load took, its last answers too
    * @param cutShort it was ended before its plan was
    */
-  public Report(Tally tally, double seconds, boolean cutShort) {
+  public Report(ResultRecorder tally, double seconds, boolean cutShort) {
     this.tally = tally;
     this.seconds = seconds;
     this.cutShort = cutShort;
@@ -52,7 +52,7 @@
     if (cutShort) {
       b.append("CUT SHORT: what was open is not in here\n");
     }
-    Tally.Part all = tally.whole();
+    ResultRecorder.Part all = tally.whole();
     b.append(
         String.format(
             Locale.ROOT,
@@ -89,7 +89,7 @@
     return b.toString();
   }
 
-  private static void row(StringBuilder b, String name, Tally.Part p) {
+  private static void row(StringBuilder b, String name, ResultRecorder.Part p) {
     b.append(
         String.format(
             "%-16s %9d %9d %7d %8d %7d %7d  ",
@@ -139,7 +139,7 @@
     return new GsonBuilder().setPrettyPrinting().create().toJson(top) + "\n";
   }
 
-  private static JsonObject part(Tally.Part p) {
+  private static JsonObject part(ResultRecorder.Part p) {
     JsonObject o = new JsonObject();
     o.addProperty("sent", p.sent());
     o.addProperty("served", p.served());
@@ -193,7 +193,7 @@
    * ten.
    */
   private void byPercentile(StringBuilder b) {
-    Tally.Part all = tally.whole();
+    ResultRecorder.Part all = tally.whole();
     double most = Math.log10(Math.max(10, all.servedMs(100)));
     b.append(svg());
     StringBuilder points = new StringBuilder();
--- a/src/main/java/cacheproxy/load/Tally.java
+++ b/src/main/java/cacheproxy/load/ResultRecorder.java
@@ -9,7 +9,7 @@
  * when it was due, so that a request which a stall kept from being sent shows the stall. Tallies of
  * several threads are added up.
  */
-public final class Tally {
+public final class ResultRecorder {
   /** Two digits: a figure is right to a hundredth. Nothing takes longer than this. */
   static final long MOST_US = 600_000_000L;
 
@@ -95,7 +95,7 @@
 
   public long connections;
 
-  public Tally(List<Kind> kinds) {
+  public ResultRecorder(List<Kind> kinds) {
     this.kinds = List.copyOf(kinds);
     kinds.forEach(k -> parts.add(new Part()));
   }
@@ -106,7 +106,7 @@
   }
 
   /** A request has come to its last end, so long after it was due. */
-  public void ended(int kind, double dueMs, Patience.End end, double tookMs) {
+  public void ended(int kind, double dueMs, ClientTimeouts.End end, double tookMs) {
     Last last =
         switch (end) {
           case SERVED -> tookMs <= kinds.get(kind).aimMs() ? Last.SERVED : Last.LATE;
@@ -117,7 +117,7 @@
     Part part = parts.get(kind);
     part.ends[last.ordinal()]++;
     part.all.recordValue(us(tookMs));
-    if (end == Patience.End.SERVED) {
+    if (end == ClientTimeouts.End.SERVED) {
       part.served.recordValue(us(tookMs));
     }
     int second = (int) (dueMs / 1000);
@@ -132,7 +132,7 @@
   }
 
   /** Takes over what another has counted. */
-  public void add(Tally other) {
+  public void add(ResultRecorder other) {
     for (int k = 0; k < parts.size(); k++) {
       parts.get(k).add(other.parts.get(k));
     }
--- a/src/main/java/cacheproxy/load/Wheel.java
+++ b/src/main/java/cacheproxy/load/TimerWheel.java
@@ -8,7 +8,7 @@
  * list's entry each. No clock of its own. A task runs in the first {@link #turn} from its time on,
  * never before; one that is called off is looked at then and left.
  */
-final class Wheel {
+final class TimerWheel {
   /** What lies further ahead goes round again. */
   private static final int SLOTS = 4096;
 
@@ -30,7 +30,7 @@
   private final List<List<Timer>> slots = new ArrayList<>();
   private long turnedMs;
 
-  Wheel(double nowMs) {
+  TimerWheel(double nowMs) {
     for (int i = 0; i < SLOTS; i++) {
       slots.add(new ArrayList<>(0));
     }
--- a/src/main/java/cacheproxy/load/Trace.java
+++ b/src/main/java/cacheproxy/load/Trace.java
@@ -27,7 +27,8 @@
   private Trace() {}
 
   /** Writes what a plan would ask. */
-  public static void write(Path file, Iterator<Ask> plan, List<Kind> kinds) throws IOException {
+  public static void write(Path file, Iterator<PlannedRequest> plan, List<Kind> kinds)
+      throws IOException {
     try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(file))) {
       out.println(String.join(",", COLUMNS));
       plan.forEachRemaining(
@@ -47,10 +48,10 @@
    * @param speed so many times as fast as it was
    * @throws UsageException one line that names file, line and what is wrong
    */
-  public static List<Ask> read(
+  public static List<PlannedRequest> read(
       Path file, String map, double speed, List<Kind> kinds, int targets, long seed)
       throws UsageException {
-    List<Ask> asks = new ArrayList<>();
+    List<PlannedRequest> asks = new ArrayList<>();
     java.util.SplittableRandom places = new java.util.SplittableRandom(seed);
     try (BufferedReader in = Files.newBufferedReader(file)) {
       String head = in.readLine();
@@ -86,7 +87,7 @@
           throw bad(file, number, "bytes " + size + "; at most " + (64 << 10) + " are allowed");
         }
         asks.add(
-            new Ask(
+            new PlannedRequest(
                 asks.size(),
                 ms / speed,
                 kind,
--- a/src/main/java/cacheproxy/load/Witness.java
+++ b/src/main/java/cacheproxy/load/Witness.java
@@ -12,7 +12,7 @@
         public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) {}
 
         @Override
-        public void ended(String id, Patience.End end, boolean gaveUp) {}
+        public void ended(String id, ClientTimeouts.End end, boolean gaveUp) {}
 
         @Override
         public void crossed(String id) {}
@@ -28,7 +28,7 @@
   void sent(String id, int target, Kind kind, String idempotency, double waitsMs);
 
   /** It has ended; {@code gaveUp}: as the client closed the connection, not the target. */
-  void ended(String id, Patience.End end, boolean gaveUp);
+  void ended(String id, ClientTimeouts.End end, boolean gaveUp);
 
   /**
    * It was on its way as the target ended a used connection between two requests: nobody has taken
--- a/src/main/java/cacheproxy/model/LoopModel.java
+++ b/src/main/java/cacheproxy/model/LoopModel.java
@@ -1,11 +1,11 @@
 package cacheproxy.model;
 
-import cacheproxy.overload.Budget;
+import cacheproxy.overload.CpuLoadShedder;
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi.Effect;
-import cacheproxy.routing.RoutingApi.Glance;
 import cacheproxy.routing.RoutingApi.Group;
 import cacheproxy.routing.RoutingApi.Reports;
+import cacheproxy.routing.RoutingApi.RequestSummary;
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import cacheproxy.routing.RoutingApi.Settings;
 import java.util.ArrayDeque;
@@ -200,7 +200,8 @@
                   List.of()),
               seed);
       return (now, ask, waited, excess) ->
-          policy.turnAway(now, new Glance(ask.kind, 0, ask.tries > 0, waited, patienceMs), excess);
+          policy.turnAway(
+              now, new RequestSummary(ask.kind, 0, ask.tries > 0, waited, patienceMs), excess);
     }
   }
 
@@ -248,7 +249,7 @@
   private static final int ANSWER = 2;
 
   private final Plan plan;
-  private final Budget budget;
+  private final CpuLoadShedder budget;
   private final Gate gate;
   private final RandomGenerator random;
   private final PriorityQueue<Event> events =
@@ -265,7 +266,7 @@
   /**
    * @param budget null: there is none, and whatever comes is served
    */
-  public LoopModel(Plan plan, Budget budget, Gate gate, long seed) {
+  public LoopModel(Plan plan, CpuLoadShedder budget, Gate gate, long seed) {
     this.plan = plan;
     this.budget = budget;
     this.gate = gate;
--- a/src/main/java/cacheproxy/model/LoopTable.java
+++ b/src/main/java/cacheproxy/model/LoopTable.java
@@ -1,7 +1,7 @@
 package cacheproxy.model;
 
 import cacheproxy.model.LoopModel.Plan;
-import cacheproxy.overload.Budget;
+import cacheproxy.overload.CpuLoadShedder;
 import java.util.Locale;
 
 /**
@@ -41,7 +41,7 @@
   private static double[] play(Plan plan, boolean rules) {
     double[] sums = new double[2];
     for (long seed = 1; seed <= SEEDS; seed++) {
-      Budget budget = rules ? new Budget(Budget.targetMs(AIM_MS)) : null;
+      CpuLoadShedder budget = rules ? new CpuLoadShedder(CpuLoadShedder.targetMs(AIM_MS)) : null;
       for (LoopModel.Second s :
           new LoopModel(plan, budget, LoopModel.Gate.module(AIM_MS, 1000, seed), seed)
               .play(20)
--- a/src/main/java/cacheproxy/model/SharedModel.java
+++ b/src/main/java/cacheproxy/model/SharedModel.java
@@ -1,8 +1,8 @@
 package cacheproxy.model;
 
-import cacheproxy.fleet.Wire;
+import cacheproxy.fleet.LinkFaults;
 import cacheproxy.routing.RoutingApi.Cold;
-import cacheproxy.shared.Judgements;
+import cacheproxy.shared.HealthVerdicts;
 import cacheproxy.shared.SharedState;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -68,7 +68,7 @@
 
   private final Plan plan;
   private final Set<SharedState.Part> without;
-  private final Judgements.Part[] withoutOfThem;
+  private final HealthVerdicts.Part[] withoutOfThem;
   private final SplittableRandom lots;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
@@ -96,7 +96,7 @@
   private final List<ArrayDeque<Double>> coldSends = new ArrayList<>();
   private double now;
   private long order;
-  private final Wire wire;
+  private final LinkFaults wire;
   private double hourLate;
   private Liar liar = (from, to, message) -> message;
   private long sent;
@@ -108,12 +108,13 @@
   private double coldMayBe;
   private final double[] usedMs;
 
-  public SharedModel(Plan plan, Set<SharedState.Part> without, Judgements.Part... withoutOfThem) {
+  public SharedModel(
+      Plan plan, Set<SharedState.Part> without, HealthVerdicts.Part... withoutOfThem) {
     this.plan = plan;
     this.without = without;
     this.withoutOfThem = withoutOfThem;
     lots = new SplittableRandom(plan.seed());
-    wire = new Wire(plan.proxies(), lots.nextLong());
+    wire = new LinkFaults(plan.proxies(), lots.nextLong());
     wire(0, 0, 0);
     states = new SharedState[plan.proxies()];
     lives = new int[plan.proxies()];
@@ -226,7 +227,7 @@
   }
 
   public SharedModel wire(double lost, double doubled, double lateByAnHour) {
-    wire.quality(new Wire.Quality(lost, LEAST_DELAY_MS, MEAN_DELAY_MS, doubled));
+    wire.quality(new LinkFaults.Quality(lost, LEAST_DELAY_MS, MEAN_DELAY_MS, doubled));
     hourLate = lateByAnHour;
     return this;
   }
--- a/src/main/java/cacheproxy/model/RightsModel.java
+++ b/src/main/java/cacheproxy/model/SlowStartQuotaModel.java
@@ -1,26 +1,26 @@
 package cacheproxy.model;
 
-import cacheproxy.shared.Rights;
-import cacheproxy.shared.Rights.Message;
+import cacheproxy.shared.SlowStartQuota;
+import cacheproxy.shared.SlowStartQuota.Message;
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 /**
- * A tier that shares one budget by {@link Rights}, in virtual time: messages that are lost,
+ * A tier that shares one budget by {@link SlowStartQuota}, in virtual time: messages that are lost,
  * doubled, late by up to an hour or cut, clocks that go faster or slower, pauses, deaths and
  * restarts. It adds up what all spend in each window and what all could. Deterministic by its seed;
  * times in milliseconds of true time.
  */
-public final class RightsModel {
+public final class SlowStartQuotaModel {
   private record Post(double atMs, long order, int from, int to, Message message) {}
 
   private record Spent(double atMs, double amount) {}
 
-  private final Rights.Terms terms;
-  private final Rights.Part[] without;
+  private final SlowStartQuota.Terms terms;
+  private final SlowStartQuota.Part[] without;
   private final SplittableRandom lots;
-  private final Rights[] rights;
+  private final SlowStartQuota[] rights;
   private final double[] rate;
   private final double[] offset;
   private final double[] demand;
@@ -41,13 +41,14 @@
   private double late;
   private long order;
 
-  public RightsModel(Rights.Terms terms, double windowMs, long seed, Rights.Part... without) {
+  public SlowStartQuotaModel(
+      SlowStartQuota.Terms terms, double windowMs, long seed, SlowStartQuota.Part... without) {
     this.terms = terms;
     this.windowMs = windowMs;
     this.without = without;
     lots = new SplittableRandom(seed);
     int n = terms.tier();
-    rights = new Rights[n];
+    rights = new SlowStartQuota[n];
     rate = new double[n];
     offset = new double[n];
     demand = new double[n];
@@ -66,7 +67,7 @@
 
   public void start(int p) {
     offset[p] = lots.nextDouble() * 1e9 - now; // another process, another clock
-    rights[p] = new Rights(terms, lots.nextInt(), clock(p), without);
+    rights[p] = new SlowStartQuota(terms, lots.nextInt(), clock(p), without);
   }
 
   public void kill(int p) {
@@ -106,7 +107,7 @@
   }
 
   /** Lets time pass, in steps of about 20 ms. */
-  public RightsModel run(double forMs) {
+  public SlowStartQuotaModel run(double forMs) {
     for (double end = now + forMs; now < end; ) {
       now = Math.min(end, now + 10 + 20 * lots.nextDouble());
       while (!wire.isEmpty() && wire.peek().atMs <= now) {
--- a/src/main/java/cacheproxy/overload/Budget.java
+++ b/src/main/java/cacheproxy/overload/CpuLoadShedder.java
@@ -6,7 +6,7 @@
  * What the proxy's own part of a processor allows, from what its loop is seen to do. Asked before
  * anything is spent on a request; says how much is too much and never who.
  */
-public final class Budget {
+public final class CpuLoadShedder {
   /**
    * What there is and what it is spent on is worked out so often, in milliseconds, or after a round
    * that is longer.
@@ -22,10 +22,10 @@
   /** Told in the log so often at most while anyone is turned away, in milliseconds. */
   static final double TELL_MS = 10_000;
 
-  private final Rounds rounds = new Rounds();
+  private final LoopIterations rounds = new LoopIterations();
   private final Admission admission;
   private final Costs costs = new Costs();
-  private final ThreadTime time = new ThreadTime();
+  private final ThreadCpuClock time = new ThreadCpuClock();
   private double startedMs = Double.NaN;
   private double worked;
   private double busy;
@@ -39,7 +39,7 @@
   /**
    * @param targetMs the wait for the loop that is aimed at while not all fit, in milliseconds
    */
-  public Budget(double targetMs) {
+  public CpuLoadShedder(double targetMs) {
     admission = new Admission(targetMs);
   }
 
--- a/src/main/java/cacheproxy/overload/Rounds.java
+++ b/src/main/java/cacheproxy/overload/LoopIterations.java
@@ -6,7 +6,7 @@
  * before; one that waited gives what ended the wait, and overslept by as long as the whole process
  * stood still meanwhile.
  */
-public final class Rounds {
+public final class LoopIterations {
   /** A selection that took no longer has not waited for anything. */
   static final double AT_ONCE_MS = 0.2;
 
--- a/src/main/java/cacheproxy/overload/ThreadTime.java
+++ b/src/main/java/cacheproxy/overload/ThreadCpuClock.java
@@ -4,7 +4,7 @@
  * A thread's processor time from what the system tells of it (Linux, {@code schedstat}: nanoseconds
  * on a processor, nanoseconds for which it could have run and did not, number of turns).
  */
-public final class ThreadTime {
+public final class ThreadCpuClock {
   private double runMs = Double.NaN;
   private double heldMs;
   private double atMs;
--- a/src/main/java/cacheproxy/proxy/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/CacheCodec.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.Holding;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.DisconnectReason;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
 import cacheproxy.routing.RoutingApi;
@@ -37,7 +37,7 @@
   private Outcome skipped;
 
   /** The long value that is passed on as it comes, with the bytes still to come; null: none is. */
-  private Passage passage;
+  private StreamedResponse passage;
 
   private int left;
   private int note;
@@ -186,10 +186,10 @@
   private void begin(ByteBuf in, int length, String id) throws MetaCodec.SyntaxException {
     String head = MetaCodec.valueHead(length, id);
     int whole = head.length() + length + 2;
-    if (!connection.account().charge(Holding.READING, whole)) {
+    if (!connection.account().charge(BufferPurpose.READING, whole)) {
       skipping = length + 2;
       skipped = Outcome.ERROR;
-      dispatcher.cuts().count(Cut.NO_ROOM);
+      dispatcher.cuts().count(DisconnectReason.NO_ROOM);
       return;
     }
     answer = in.alloc().buffer(whole, whole);
@@ -259,7 +259,7 @@
   private void drop() {
     passage = null;
     if (answer != null) {
-      connection.account().release(Holding.READING, answer.capacity());
+      connection.account().release(BufferPurpose.READING, answer.capacity());
       answer.release();
       answer = null;
     }
@@ -295,7 +295,7 @@
     } else {
       super.channelReadComplete(ctx);
     }
-    connection.account().set(Holding.INPUT, internalBuffer().capacity());
+    connection.account().set(BufferPurpose.INPUT, internalBuffer().capacity());
     connection.readSome();
   }
 
@@ -303,7 +303,7 @@
   public void channelInactive(ChannelHandlerContext ctx) throws Exception {
     super.channelInactive(ctx);
     drop();
-    connection.account().set(Holding.INPUT, 0);
+    connection.account().set(BufferPurpose.INPUT, 0);
     connection.closed();
   }
 
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -1,11 +1,11 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.Figures;
-import cacheproxy.limits.Account;
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.DoorRules;
+import cacheproxy.admin.Metrics;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.ByteAccount;
+import cacheproxy.limits.ConnectionAdmissionPolicy;
+import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.FairShare;
-import cacheproxy.limits.Holding;
 import cacheproxy.limits.Pace;
 import cacheproxy.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
@@ -26,7 +26,7 @@
  * in the commands' order, each once. Closes only between requests.
  */
 final class ClientConnection extends ByteToMessageDecoder
-    implements DoorRules.Guest, FairShare.Holder {
+    implements ConnectionAdmissionPolicy.Guest, FairShare.Holder {
   /** Where the connection has its place; told what it does there. */
   interface House {
     /** It has asked for the first time. */
@@ -100,7 +100,7 @@
 
   private final Dispatcher dispatcher;
   private final House house;
-  private final Account account;
+  private final ByteAccount account;
 
   /** Of a command that has begun, and of answers that the client is to take. */
   private final Pace writing;
@@ -180,7 +180,7 @@
   }
 
   @Override
-  public Account account() {
+  public ByteAccount account() {
     return account;
   }
 
@@ -250,7 +250,8 @@
     looking = true;
     readSomething = true;
     boolean room =
-        dispatcher.accounts().held(Holding.INPUT) < LOOK_SHARE * dispatcher.limits().valueBytes();
+        dispatcher.accounts().held(BufferPurpose.INPUT)
+            < LOOK_SHARE * dispatcher.limits().valueBytes();
     int most = room ? LOOK_BYTES : SHORT_LOOK_BYTES;
     for (int i = 0;
         i < LOOKS && readSomething && nio.isActive() && actualReadableBytes() < most;
@@ -306,21 +307,21 @@
    * Why it is to be cut off: it says nothing, or is too slow with what it has begun or is to take.
    * Null: it is not. {@code patience}: the part of its time that it is given.
    */
-  Cut stalled(double now, double patience) {
+  DisconnectReason stalled(double now, double patience) {
     seeTaken(now);
     if (taking.tooSlow(now, patience)) {
-      return Cut.SLOW_READER;
+      return DisconnectReason.SLOW_READER;
     }
     if (penalised || heldOff) {
       return null; // it is we who do not read
     }
     if (writing.tooSlow(now, patience)) {
-      return Cut.SLOW_WRITER;
+      return DisconnectReason.SLOW_WRITER;
     }
     boolean silent =
         answered() == 0 && exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
     return silent && !finished && now - bornMs > dispatcher.limits().silentMs() * patience
-        ? Cut.SILENT
+        ? DisconnectReason.SILENT
         : null;
   }
 
@@ -380,7 +381,7 @@
     int most = takenWhole > 0 ? MAX_PIPELINED : Math.min(MAX_PIPELINED, house.unproven());
     return exchanges.size() < most
         && ctx.channel().isWritable()
-        && account.held(Holding.ANSWER) < dispatcher.limits().clientAnswerBytes();
+        && account.held(BufferPurpose.ANSWER) < dispatcher.limits().clientAnswerBytes();
   }
 
   /** Counts lines only up to a value, which may hold anything. */
@@ -430,7 +431,7 @@
               ? bad
               : away != null
                   ? away
-                  : account.charge(Holding.VALUE, missing) ? null : MetaCodec.BUSY;
+                  : account.charge(BufferPurpose.VALUE, missing) ? null : MetaCodec.BUSY;
       refusalWithinMs = owedWithinMs(command, bad);
       if (refusal == null) {
         incoming.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
@@ -504,7 +505,7 @@
 
   /** The value that its request does not need any more. */
   void giveBackValue(Command command) {
-    account.release(Holding.VALUE, command.value.maxCapacity());
+    account.release(BufferPurpose.VALUE, command.value.maxCapacity());
     command.release();
   }
 
@@ -563,7 +564,7 @@
    * The whole final answer; takes the buffer over. {@code end}: what it is to a request; null: it
    * answers none.
    */
-  void answer(Exchange exchange, ByteBuf answer, Figures.End end) {
+  void answer(Exchange exchange, ByteBuf answer, Metrics.End end) {
     if (finished) {
       answer.release();
       return;
@@ -575,11 +576,11 @@
           .figures()
           .ended(
               exchange.kind,
-              whole ? end : exchange.safe ? Figures.End.DEFERRED : Figures.End.ERRORED);
+              whole ? end : exchange.safe ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
     }
     if (finished) {
       exchange.answer.release(); // it was this client that had to make room
-      account.release(Holding.ANSWER, exchange.held);
+      account.release(BufferPurpose.ANSWER, exchange.held);
       exchange.answer = null;
       return;
     }
@@ -597,19 +598,19 @@
    */
   private ByteBuf charged(Exchange exchange, ByteBuf answer) {
     exchange.held = answer.capacity();
-    if (account.charge(Holding.ANSWER, exchange.held)) {
+    if (account.charge(BufferPurpose.ANSWER, exchange.held)) {
       return answer;
     }
     house.full();
-    if (account.charge(Holding.ANSWER, exchange.held)) {
+    if (account.charge(BufferPurpose.ANSWER, exchange.held)) {
       return answer;
     }
     answer.release();
-    dispatcher.cuts().count(Cut.NO_ROOM);
+    dispatcher.cuts().count(DisconnectReason.NO_ROOM);
     ByteBuf end =
         MetaCodec.text(ctx.alloc(), exchange.safe ? MetaCodec.BUSY + "\r\n" : MetaCodec.FAILED);
     exchange.held = end.capacity();
-    account.charge(Holding.ANSWER, exchange.held); // short
+    account.charge(BufferPurpose.ANSWER, exchange.held); // short
     return end;
   }
 
@@ -659,7 +660,7 @@
     }
   }
 
-  private boolean writeParts(Passage passage) {
+  private boolean writeParts(StreamedResponse passage) {
     boolean wrote = false;
     for (ByteBuf part; (part = passage.next()) != null; wrote = true) {
       int bytes = part.readableBytes();
@@ -667,7 +668,7 @@
       ctx.write(part)
           .addListener(
               f -> {
-                account.release(Holding.PASSING, bytes);
+                account.release(BufferPurpose.PASSING, bytes);
                 taken(bytes, 0);
                 passage.taken(bytes);
               });
@@ -681,7 +682,7 @@
       part.release();
       return;
     }
-    account.set(Holding.PASSING, account.held(Holding.PASSING) + part.readableBytes());
+    account.set(BufferPurpose.PASSING, account.held(BufferPurpose.PASSING) + part.readableBytes());
     exchange.passage.add(part);
     flushAnswers();
     exchange.passage.regulate();
@@ -689,8 +690,8 @@
 
   /** A long value has come to its end, or its server to one before that. */
   void passed(Exchange exchange, boolean whole) {
-    Passage passage = exchange.passage;
-    dispatcher.figures().ended(exchange.kind, whole ? Figures.End.ANSWERED : Figures.End.ERRORED);
+    StreamedResponse passage = exchange.passage;
+    dispatcher.figures().ended(exchange.kind, whole ? Metrics.End.ANSWERED : Metrics.End.ERRORED);
     if (whole) {
       passage.whole();
       account.answered();
@@ -700,7 +701,7 @@
       // Only the connection's end tells the client that the value is not whole.
       ctx.close();
     } else {
-      account.release(Holding.PASSING, passage.drop());
+      account.release(BufferPurpose.PASSING, passage.drop());
       exchange.passage = null;
       answer(exchange, MetaCodec.text(ctx.alloc(), MetaCodec.FAILED), null);
     }
@@ -708,7 +709,7 @@
 
   /** A whole answer, or a part of one, has gone to the network, or with its connection. */
   private void taken(int bytes, int held) {
-    account.release(Holding.ANSWER, held);
+    account.release(BufferPurpose.ANSWER, held);
     owedBytes -= bytes;
     takenWhole += bytes;
     if (owedBytes == 0) {
@@ -776,7 +777,7 @@
 
   /** Notes what is left of what was read; the time while we don't read is not the client's own. */
   private void settle() {
-    account.set(Holding.INPUT, internalBuffer().capacity());
+    account.set(BufferPurpose.INPUT, internalBuffer().capacity());
     if (!readPaused && (incoming != null || actualReadableBytes() > 0)) {
       writing.begin(dispatcher.now());
     } else {
@@ -829,10 +830,10 @@
     }
     for (Exchange e; (e = exchanges.poll()) != null; ) {
       if (e.passage != null) {
-        account.release(Holding.PASSING, e.passage.drop());
+        account.release(BufferPurpose.PASSING, e.passage.drop());
       }
       if (e.answer != null) {
-        account.release(Holding.ANSWER, e.held);
+        account.release(BufferPurpose.ANSWER, e.held);
         e.answer.release();
         e.answer = null;
       }
@@ -840,7 +841,7 @@
         dispatcher.gone(e);
       }
     }
-    account.set(Holding.INPUT, 0);
+    account.set(BufferPurpose.INPUT, 0);
     account.close();
     writing.end();
     taking.end();
--- a/src/main/java/cacheproxy/proxy/Door.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -1,12 +1,12 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.Succession;
-import cacheproxy.limits.Accounts;
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.Cuts;
-import cacheproxy.limits.DoorRules;
+import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.limits.ByteAccounts;
+import cacheproxy.limits.ClientBackoff;
+import cacheproxy.limits.ConnectionAdmissionPolicy;
+import cacheproxy.limits.DisconnectCounters;
+import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.FairShare;
-import cacheproxy.limits.HoldOff;
 import cacheproxy.limits.Limits;
 import cacheproxy.limits.LoopLag;
 import cacheproxy.limits.Pressure;
@@ -23,7 +23,7 @@
  * owner of their descriptors: one counts from when the kernel is asked for it until the selector
  * has let go of it, so that {@link #inUse()} passes the bound on no path.
  */
-final class Door implements ClientConnection.House {
+final class ConnectionAdmission implements ClientConnection.House {
   /**
    * So many connections are taken in one round of the loop at most, and so many places are kept
    * free where somebody can be shown out: a closed connection's descriptor is free only with the
@@ -52,12 +52,12 @@
   private final EventLoop loop;
   private final Dispatcher dispatcher;
   private final Limits limits;
-  private final DoorRules rules;
-  private final HoldOff holdOff = new HoldOff();
+  private final ConnectionAdmissionPolicy rules;
+  private final ClientBackoff holdOff = new ClientBackoff();
   private final LoopLag lag = new LoopLag();
   private final Pressure pressure = new Pressure();
-  private final Accounts accounts;
-  private final Cuts cuts;
+  private final ByteAccounts accounts;
+  private final DisconnectCounters cuts;
   private final Set<ClientConnection> clients = new LinkedHashSet<>();
   private Channel listener;
 
@@ -76,7 +76,7 @@
   private double sweepDueMs;
   private double toldMs;
 
-  Door(EventLoop loop, Dispatcher dispatcher) {
+  ConnectionAdmission(EventLoop loop, Dispatcher dispatcher) {
     this.loop = loop;
     this.dispatcher = dispatcher;
     limits = dispatcher.limits();
@@ -84,7 +84,7 @@
     cuts = dispatcher.cuts();
     int places = limits.places();
     rules =
-        new DoorRules(
+        new ConnectionAdmissionPolicy(
             places, limits.clientsRoom(), Math.min(BATCH, places / 8), limits.showOutIdle());
   }
 
@@ -112,8 +112,9 @@
   }
 
   /** Part of the places is another process's now, or is not any more. */
-  void reserve(int sockets, Succession.Holds other) {
-    reserved = Succession.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
+  void reserve(int sockets, ListenerTakeover.Holds other) {
+    reserved =
+        ListenerTakeover.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
     if (listener != null) {
       resume();
     }
@@ -195,7 +196,7 @@
     clients.add(client);
     double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
     if (wait > 0) {
-      cuts.count(Cut.HELD_OFF);
+      cuts.count(DisconnectReason.HELD_OFF);
       client.holdOff(wait);
     }
   }
@@ -229,7 +230,7 @@
   public void full() {
     ClientConnection next = FairShare.next(dispatcher.now(), clients);
     if (next != null) {
-      show(next, Cut.HOARDER);
+      show(next, DisconnectReason.HOARDER);
     }
   }
 
@@ -286,7 +287,11 @@
     if (!busy && c.lastLook() && (useless ? !c.useless() : c.busy())) {
       return false;
     }
-    show(c, useless ? Cut.USELESS : busy ? Cut.HOARDER : Cut.IDLE);
+    show(
+        c,
+        useless
+            ? DisconnectReason.USELESS
+            : busy ? DisconnectReason.HOARDER : DisconnectReason.IDLE);
     return true;
   }
 
@@ -297,7 +302,7 @@
   private void cutIfStalled(ClientConnection c, double patience) {
     if (c.stalled(dispatcher.now(), patience) != null) {
       c.lastLook();
-      Cut why = c.stalled(dispatcher.now(), patience);
+      DisconnectReason why = c.stalled(dispatcher.now(), patience);
       if (why != null) {
         show(c, why);
       }
@@ -308,13 +313,14 @@
    * Out of the set at once: the next choice must not fall on it again. One that has left by itself
    * is in it no more.
    */
-  private void show(ClientConnection client, Cut why) {
+  private void show(ClientConnection client, DisconnectReason why) {
     if (!clients.remove(client)) {
       return;
     }
     released(1);
     cuts.count(why);
-    if (why != Cut.IDLE && why != Cut.USELESS) { // those two are no fault of its own
+    if (why != DisconnectReason.IDLE
+        && why != DisconnectReason.USELESS) { // those two are no fault of its own
       turnedAway(client);
     }
     client.close();
--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.gossip.ListVersions;
+import cacheproxy.gossip.EndpointVersionGossip;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.ListKind;
@@ -100,7 +100,7 @@
   private final Line listLine = new Line();
 
   /** Told each name that is listed; null: nobody wants to know. */
-  private final Names names;
+  private final KnownNodeNames names;
 
   private InetSocketAddress address;
   private long version;
@@ -115,7 +115,7 @@
   private double movedMs = Double.NEGATIVE_INFINITY;
 
   /** Null: nobody to hear of the list from. */
-  private ListVersions versions;
+  private EndpointVersionGossip versions;
 
   private PeerSocket peers;
 
@@ -127,7 +127,7 @@
 
   private final SplittableRandom lots;
 
-  DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher, Names names) {
+  DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher, KnownNodeNames names) {
     this.loop = loop;
     this.names = names;
     this.config = config;
@@ -140,7 +140,7 @@
   void listenTo(PeerSocket socket) {
     if (config.settings().askForList() && socket.hasPeers()) {
       peers = socket;
-      versions = new ListVersions(config.peers().size(), config.settings().me());
+      versions = new EndpointVersionGossip(config.peers().size(), config.settings().me());
       socket.onVersions(
           (peer, version) -> {
             versions.heard(dispatcher.now(), peer, version, lots.nextDouble());
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -1,11 +1,11 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.Figures;
-import cacheproxy.admin.Succession;
-import cacheproxy.limits.Accounts;
-import cacheproxy.limits.Cuts;
+import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.admin.Metrics;
+import cacheproxy.limits.ByteAccounts;
+import cacheproxy.limits.DisconnectCounters;
 import cacheproxy.limits.Limits;
-import cacheproxy.overload.Budget;
+import cacheproxy.overload.CpuLoadShedder;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
 import cacheproxy.proxy.peers.PeerSocket;
@@ -14,11 +14,11 @@
 import cacheproxy.routing.RoutingApi.Actions;
 import cacheproxy.routing.RoutingApi.AttemptEnd;
 import cacheproxy.routing.RoutingApi.Effect;
-import cacheproxy.routing.RoutingApi.Glance;
 import cacheproxy.routing.RoutingApi.ListKind;
 import cacheproxy.routing.RoutingApi.Outcome;
 import cacheproxy.routing.RoutingApi.Reports;
 import cacheproxy.routing.RoutingApi.Request;
+import cacheproxy.routing.RoutingApi.RequestSummary;
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import cacheproxy.routing.RoutingApi.Settings;
 import cacheproxy.routing.RoutingApi.State;
@@ -107,13 +107,13 @@
   private final double epochMs = System.currentTimeMillis();
   private final long startNanos = System.nanoTime();
   private final Limits limits;
-  private final Accounts accounts;
-  private final Cuts cuts = new Cuts();
+  private final ByteAccounts accounts;
+  private final DisconnectCounters cuts = new DisconnectCounters();
   private final int maxUpstream;
-  private final Figures figures;
+  private final Metrics figures;
 
   /** What fits on the processor; null: whatever comes is taken. */
-  private final Budget budget;
+  private final CpuLoadShedder budget;
 
   private Set<String> byHand = Set.of();
   private Policy module;
@@ -169,17 +169,17 @@
     }
     settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
     limits = config.limits();
-    accounts = new Accounts(limits.bounds());
+    accounts = new ByteAccounts(limits.bounds());
     maxUpstream = config.sockets() / 3;
-    figures = new Figures(settings.classes().stream().map(ServiceClass::name).toList());
+    figures = new Metrics(settings.classes().stream().map(ServiceClass::name).toList());
     this.dialer = dialer;
     budget =
         config.waitMs() == 0
             ? null
-            : new Budget(
+            : new CpuLoadShedder(
                 config.waitMs() > 0
                     ? config.waitMs()
-                    : Budget.targetMs(
+                    : CpuLoadShedder.targetMs(
                         settings.classes().stream()
                             .mapToDouble(ServiceClass::aimMs)
                             .min()
@@ -242,16 +242,16 @@
     return limits;
   }
 
-  Accounts accounts() {
+  ByteAccounts accounts() {
     return accounts;
   }
 
-  Cuts cuts() {
+  DisconnectCounters cuts() {
     return cuts;
   }
 
   /** Null: there is none. */
-  Budget budget() {
+  CpuLoadShedder budget() {
     return budget;
   }
 
@@ -280,7 +280,7 @@
     double advice =
         module.turnAway(
             now,
-            new Glance(
+            new RequestSummary(
                 kind,
                 tenant,
                 "1".equals(MetaCodec.named(c.extras, "r")),
@@ -290,7 +290,7 @@
     if (advice == RoutingApi.TAKEN) {
       return null;
     }
-    figures.ended(kind, Figures.End.DEFERRED);
+    figures.ended(kind, Metrics.End.DEFERRED);
     return busy(advice);
   }
 
@@ -337,8 +337,8 @@
    * So many of the descriptors for servers are another process's now; who has more than is left
    * goes by and by.
    */
-  void reserveUpstream(Succession.Holds other) {
-    upstreamReserved = Succession.serversLeft(maxUpstream, other);
+  void reserveUpstream(ListenerTakeover.Holds other) {
+    upstreamReserved = ListenerTakeover.serversLeft(maxUpstream, other);
   }
 
   /** For tests: attempts without an outcome. */
@@ -370,7 +370,7 @@
   }
 
   /** What has become of requests; counted here and where answers go out. */
-  Figures figures() {
+  Metrics figures() {
     return figures;
   }
 
@@ -627,7 +627,7 @@
     if (figure(c, "d", 0) > 0 && now() < answerByMs) {
       return null;
     }
-    figures.ended(classes.get(MetaCodec.named(c.extras, "c")), Figures.End.DEFERRED);
+    figures.ended(classes.get(MetaCodec.named(c.extras, "c")), Metrics.End.DEFERRED);
     return MetaCodec.BUSY;
   }
 
@@ -764,13 +764,13 @@
    * comes, with this line before it. From here on it is the request's one answer, however long it
    * takes. Null: nobody wants it.
    */
-  Passage begin(Attempt a, UpstreamConnection from, ByteBuf head) {
+  StreamedResponse begin(Attempt a, UpstreamConnection from, ByteBuf head) {
     Exchange x = a.exchange;
     if (a.ended || x.over || x.passage != null) {
       head.release();
       return null;
     }
-    x.passage = new Passage(a, from, accounts, now());
+    x.passage = new StreamedResponse(a, from, accounts, now());
     stop(a.timer);
     stop(x.timer);
     x.client.part(x, head);
@@ -810,7 +810,7 @@
       answer.release();
     } else if (answer != null) {
       over(x);
-      x.client.answer(x, answer, Figures.End.ANSWERED);
+      x.client.answer(x, answer, Metrics.End.ANSWERED);
     }
     boolean over = x.over;
     tell(
@@ -848,11 +848,11 @@
   }
 
   private void finish(Exchange x, String text) {
-    finish(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text), Figures.End.ERRORED);
+    finish(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text), Metrics.End.ERRORED);
   }
 
   /** The final answer where no server gave it. */
-  private void finish(Exchange x, ByteBuf answer, Figures.End end) {
+  private void finish(Exchange x, ByteBuf answer, Metrics.End end) {
     if (x.over || x.passage != null) {
       answer.release();
       return;
@@ -914,7 +914,7 @@
       finish(
           x,
           MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, busy(retryAfterMs) + "\r\n"),
-          Figures.End.DEFERRED);
+          Metrics.End.DEFERRED);
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/Exchange.java
+++ b/src/main/java/cacheproxy/proxy/Exchange.java
@@ -35,7 +35,7 @@
   boolean safe;
 
   /** The long value that is on its way to the client as its one answer; null: none is. */
-  Passage passage;
+  StreamedResponse passage;
 
   /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
   boolean over;
--- a/src/main/java/cacheproxy/proxy/HangUp.java
+++ b/src/main/java/cacheproxy/proxy/HangupSignal.java
@@ -7,8 +7,8 @@
  * signals; the JDK's supported but unofficial one is reached by reflection, as naming it is a
  * warning that can't be turned off.
  */
-final class HangUp {
-  private HangUp() {}
+final class HangupSignal {
+  private HangupSignal() {}
 
   /**
    * Runs the task at each SIGHUP, on a thread of the JVM's; throws where signals can't be taken.
@@ -29,7 +29,7 @@
             };
     Object on =
         java.lang.reflect.Proxy.newProxyInstance(
-            HangUp.class.getClassLoader(), new Class<?>[] {handler}, run);
+            HangupSignal.class.getClassLoader(), new Class<?>[] {handler}, run);
     signal
         .getMethod("handle", signal, handler)
         .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), on);
--- a/src/main/java/cacheproxy/proxy/Names.java
+++ b/src/main/java/cacheproxy/proxy/KnownNodeNames.java
@@ -7,7 +7,7 @@
  * The names that were ever on the list, up to a bound: the one that was listed least lately is
  * forgotten first. Added to on the event loop, looked into by the control's thread.
  */
-final class Names {
+final class KnownNodeNames {
   /** Some ten times the largest fleet that is planned for; a name takes some hundred bytes. */
   static final int MOST = 4096;
 
--- a/src/main/java/cacheproxy/proxy/Begun.java
+++ b/src/main/java/cacheproxy/proxy/LifecycleSignals.java
@@ -9,7 +9,7 @@
  *
  * @param <T> what runs once the start is over
  */
-final class Begun<T> {
+final class LifecycleSignals<T> {
   private T running;
   private boolean listens;
   private boolean over;
--- a/src/main/java/cacheproxy/proxy/Listener.java
+++ b/src/main/java/cacheproxy/proxy/Listener.java
@@ -13,10 +13,10 @@
  * longer than a moment.
  */
 final class Listener extends NioServerSocketChannel {
-  private final Door door;
+  private final ConnectionAdmission door;
   private boolean ending;
 
-  Listener(Door door) {
+  Listener(ConnectionAdmission door) {
     this.door = door;
   }
 
--- a/src/main/java/cacheproxy/proxy/LoopWatch.java
+++ b/src/main/java/cacheproxy/proxy/LoopWatch.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.overload.Budget;
+import cacheproxy.overload.CpuLoadShedder;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import java.io.IOException;
@@ -20,7 +20,7 @@
   private static final String THREAD_TIME = "/proc/thread-self/schedstat";
 
   private final Dispatcher dispatcher;
-  private final Budget budget;
+  private final CpuLoadShedder budget;
   private final byte[] line = new byte[128];
   private RandomAccessFile time;
   private IoHandlerContext loop;
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.limits.LeastRate;
 import cacheproxy.limits.Limits;
+import cacheproxy.limits.MinimumRate;
 import cacheproxy.membership.Timing;
 import cacheproxy.settings.OperatorFile;
 import cacheproxy.settings.SettingsException;
@@ -98,8 +98,8 @@
         t.flag("hold_off", l.holdOff()));
   }
 
-  private static LeastRate rate(Table t, String key, LeastRate l) {
-    return new LeastRate(
+  private static MinimumRate rate(Table t, String key, MinimumRate l) {
+    return new MinimumRate(
         t.number(key + "_bytes_per_s", (long) l.bytesPerS()),
         t.number(key + "_grace_ms", (long) l.graceMs()));
   }
--- a/src/main/java/cacheproxy/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.limits.Holding;
+import cacheproxy.limits.BufferPurpose;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
 import cacheproxy.routing.RoutingApi.Outcome;
@@ -46,7 +46,7 @@
   private ByteBuf body;
 
   /** The long value that is passed on as it comes, with the bytes still to come; null: none is. */
-  private Passage passage;
+  private StreamedResponse passage;
 
   private long left;
 
@@ -92,7 +92,7 @@
       connection.read(((ByteBuf) message).readableBytes());
       // Part of a head waits in the grammar's own buffer, which can't be looked into: the part read
       // counts.
-      connection.account().set(Holding.INPUT, ((ByteBuf) message).capacity());
+      connection.account().set(BufferPurpose.INPUT, ((ByteBuf) message).capacity());
       ctx.fireChannelRead(message);
     }
   }
@@ -218,7 +218,7 @@
       skipping = passage == null;
     } else {
       reserved = (int) Math.max(0, length);
-      if (!connection.account().charge(Holding.READING, reserved)) {
+      if (!connection.account().charge(BufferPurpose.READING, reserved)) {
         reserved = 0;
         fail("no room");
         return;
@@ -258,7 +258,7 @@
     int more = body.readableBytes() + part.readableBytes() - reserved;
     if (reserved + more > MetaCodec.MAX_ANSWER) {
       fail("too long");
-    } else if (more > 0 && !connection.account().charge(Holding.READING, more)) {
+    } else if (more > 0 && !connection.account().charge(BufferPurpose.READING, more)) {
       fail("no room");
     } else {
       reserved += Math.max(0, more);
@@ -324,7 +324,7 @@
     passage = null;
     skipping = false;
     within = false;
-    connection.account().release(Holding.READING, reserved);
+    connection.account().release(BufferPurpose.READING, reserved);
     reserved = 0;
     if (body != null) {
       body.release();
@@ -336,7 +336,7 @@
   public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
     super.channelReadComplete(ctx);
     if (connection.head() == null) {
-      connection.account().set(Holding.INPUT, 0);
+      connection.account().set(BufferPurpose.INPUT, 0);
     }
     connection.readSome();
   }
@@ -345,7 +345,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     broken = true;
     drop();
-    connection.account().set(Holding.INPUT, 0);
+    connection.account().set(BufferPurpose.INPUT, 0);
     connection.closed();
   }
 
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -1,6 +1,6 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.Succession;
+import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedLink;
@@ -74,17 +74,17 @@
   private volatile SharedLink sharing;
 
   private final DiscoveryClient discovery;
-  private final Door door;
+  private final ConnectionAdmission door;
   private final CountDownLatch ended = new CountDownLatch(1);
   private final Listener server;
 
   /** Null where the platform names no address for it. */
   private final ControlFront control;
 
-  private final Names names;
+  private final KnownNodeNames names;
   private volatile boolean ready;
-  private volatile Succession.Holds holds = new Succession.Holds(1, 0, false);
-  private volatile Succession.Holds other = Succession.Holds.NOTHING;
+  private volatile ListenerTakeover.Holds holds = new ListenerTakeover.Holds(1, 0, false);
+  private volatile ListenerTakeover.Holds other = ListenerTakeover.Holds.NOTHING;
   private volatile int configsRead = 1;
   private volatile int configsRefused;
   private double drainEndsMs;
@@ -92,13 +92,13 @@
   private double idleEndsMs;
   private volatile double longestMs;
 
-  private Proxy(Config config, ByteBufAllocator allocator, Begun<Proxy> begun)
+  private Proxy(Config config, ByteBufAllocator allocator, LifecycleSignals<Proxy> begun)
       throws InterruptedException, IOException {
     this.config = config;
-    names = config.control() == null ? null : new Names();
+    names = config.control() == null ? null : new KnownNodeNames();
     dispatcher = new Dispatcher(loop, config, allocator);
     peers = new PeerSocket(loop, config.peerAddresses(), dispatcher);
-    door = new Door(loop, dispatcher);
+    door = new ConnectionAdmission(loop, dispatcher);
     discovery = new DiscoveryClient(loop, config, dispatcher, names);
     control =
         config.control() == null
@@ -124,7 +124,7 @@
                             dispatcher::log))
             .syncUninterruptibly();
         discovery.tierBy(members);
-        boolean another = !other.equals(Succession.Holds.NOTHING);
+        boolean another = !other.equals(ListenerTakeover.Holds.NOTHING);
         loop.execute(() -> members.beside(another));
       } else {
         dispatcher.log(
@@ -145,7 +145,7 @@
                     new SharedLink(
                         loop, peers, members, config.tier(), config.seed(), new Sharer());
                 dispatcher.share(sharing.tier());
-                sharing.beside(!other.equals(Succession.Holds.NOTHING));
+                sharing.beside(!other.equals(ListenerTakeover.Holds.NOTHING));
               }
               discovery.listenTo(peers);
               discovery.start();
@@ -195,7 +195,7 @@
     server
         .config()
         .<ServerChannelRecvByteBufAllocator>getRecvByteBufAllocator()
-        .maxMessagesPerRead(Door.batch());
+        .maxMessagesPerRead(ConnectionAdmission.batch());
     loop.submit(
             () -> {
               door.open(server);
@@ -269,18 +269,18 @@
     }
 
     @Override
-    public Succession.Holds holds() {
+    public ListenerTakeover.Holds holds() {
       return holds;
     }
 
     @Override
-    public void beside(Succession.Holds holds) {
+    public void beside(ListenerTakeover.Holds holds) {
       other = holds;
       if (members != null) {
-        loop.execute(() -> members.beside(!holds.equals(Succession.Holds.NOTHING)));
+        loop.execute(() -> members.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
       }
       if (sharing != null) {
-        loop.execute(() -> sharing.beside(!holds.equals(Succession.Holds.NOTHING)));
+        loop.execute(() -> sharing.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
       }
     }
   }
@@ -290,7 +290,8 @@
    */
   private void share() {
     // It holds something at least: who holds nothing is not there.
-    holds = new Succession.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
+    holds =
+        new ListenerTakeover.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
     dispatcher.reserveUpstream(other);
     door.reserve(config.sockets(), other);
     loop.schedule(this::share, SHARE_MS, TimeUnit.MILLISECONDS);
@@ -303,10 +304,10 @@
    */
   public static void main(String settings) {
     String path = System.getenv("BALANCER_CONFIG");
-    Begun<Proxy> begun = new Begun<>();
+    LifecycleSignals<Proxy> begun = new LifecycleSignals<>();
     Config config;
     try {
-      HangUp.handle(
+      HangupSignal.handle(
           () ->
               begun.hangUp(
                   p ->
@@ -354,7 +355,7 @@
   /** With clients' and servers' buffers from this allocator. */
   static Proxy start(Config config, ByteBufAllocator allocator)
       throws InterruptedException, IOException {
-    return new Proxy(config, allocator, new Begun<>());
+    return new Proxy(config, allocator, new LifecycleSignals<>());
   }
 
   /**
@@ -417,10 +418,10 @@
           drainEndsMs = Double.POSITIVE_INFINITY;
           if (members != null
               && other.equals(
-                  Succession.Holds.NOTHING)) { // with another process here, the member stays
+                  ListenerTakeover.Holds.NOTHING)) { // with another process here, the member stays
             members.leaving();
           }
-          dispatcher.answerBy(toldMs + Succession.answeredMs(longestMs));
+          dispatcher.answerBy(toldMs + ListenerTakeover.answeredMs(longestMs));
           drainOn();
         });
     try {
@@ -432,14 +433,14 @@
 
   private void drainOn() {
     double now = dispatcher.now();
-    boolean listens = Succession.listens(now - toldMs, other);
+    boolean listens = ListenerTakeover.listens(now - toldMs, other);
     if (!dispatcher.draining() && (other.serves() || !listens)) {
-      dispatcher.drain(now, Succession.leaveMs(other));
-      idleEndsMs = now + Succession.idleMs(other);
-      drainEndsMs = idleEndsMs + Succession.countedMs(longestMs) + 150;
+      dispatcher.drain(now, ListenerTakeover.leaveMs(other));
+      idleEndsMs = now + ListenerTakeover.idleMs(other);
+      drainEndsMs = idleEndsMs + ListenerTakeover.countedMs(longestMs) + 150;
     }
     if (!listens && server.isOpen()) {
-      server.closeEmpty(BACKLOG / Door.batch());
+      server.closeEmpty(BACKLOG / ConnectionAdmission.batch());
     }
     if (now >= idleEndsMs) {
       for (ClientConnection c : new ArrayList<>(door.clients())) {
@@ -456,7 +457,7 @@
   }
 
   /** For tests, which may not look at what the loop owns from another thread without it. */
-  Door door() {
+  ConnectionAdmission door() {
     return door;
   }
 
--- a/src/main/java/cacheproxy/proxy/SharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/SharedFolder.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.HandLog;
-import cacheproxy.admin.Succession;
+import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.admin.ManualEjectionLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -103,9 +103,9 @@
    * Tells the other process what this one holds and has what that one does; nothing where it does
    * not run.
    */
-  Succession.Holds exchange(Succession.Holds holds) throws IOException {
+  ListenerTakeover.Holds exchange(ListenerTakeover.Holds holds) throws IOException {
     if (slots == null) {
-      return Succession.Holds.NOTHING;
+      return ListenerTakeover.Holds.NOTHING;
     }
     slots.write(
         ByteBuffer.allocate(HOLDS_BYTES)
@@ -116,13 +116,13 @@
         HOLDS_AT + slot * HOLDS_BYTES);
     ByteBuffer other = ByteBuffer.allocate(HOLDS_BYTES);
     if (!beside()) {
-      return Succession.Holds.NOTHING;
+      return ListenerTakeover.Holds.NOTHING;
     }
     slots.read(other, HOLDS_AT + (1 - slot) * HOLDS_BYTES);
     // One that has just begun may not have written yet.
     return other.hasRemaining()
-        ? new Succession.Holds(1, 0, false)
-        : new Succession.Holds(
+        ? new ListenerTakeover.Holds(1, 0, false)
+        : new ListenerTakeover.Holds(
             Math.max(1, other.getInt(0)),
             Math.max(0, other.getInt(Integer.BYTES)),
             other.getInt(2 * Integer.BYTES) == 1);
@@ -144,27 +144,27 @@
   }
 
   private Set<String> read(Object now) throws IOException {
-    Set<String> out = HandLog.out(log == null ? kept : Files.readAllBytes(log));
+    Set<String> out = ManualEjectionLog.out(log == null ? kept : Files.readAllBytes(log));
     seen = now;
     return out;
   }
 
   /** Adds a call; the nodes that are out with it. What is returned stands in the log. */
   Set<String> add(String node, boolean out) throws IOException {
-    byte[] record = HandLog.record(node, out);
+    byte[] record = ManualEjectionLog.record(node, out);
     if (log == null) {
-      Set<String> all = HandLog.out(kept);
+      Set<String> all = ManualEjectionLog.out(kept);
       if (out) {
         all.add(node);
       } else {
         all.remove(node);
       }
-      kept = HandLog.whole(all);
+      kept = ManualEjectionLog.whole(all);
       return all;
     }
-    if (Files.exists(log) && Files.size(log) > HandLog.COMPACT_FROM_BYTES && !beside()) {
+    if (Files.exists(log) && Files.size(log) > ManualEjectionLog.COMPACT_FROM_BYTES && !beside()) {
       Path next = log.resolveSibling(LOG + ".next");
-      Files.write(next, HandLog.whole(HandLog.out(Files.readAllBytes(log))));
+      Files.write(next, ManualEjectionLog.whole(ManualEjectionLog.out(Files.readAllBytes(log))));
       try {
         Files.move(next, log, StandardCopyOption.ATOMIC_MOVE);
       } catch (AtomicMoveNotSupportedException e) {
--- a/src/main/java/cacheproxy/proxy/Passage.java
+++ b/src/main/java/cacheproxy/proxy/StreamedResponse.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy;
 
-import cacheproxy.limits.Accounts;
-import cacheproxy.limits.Holding;
-import cacheproxy.limits.PassWindow;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.ByteAccounts;
+import cacheproxy.limits.StreamingWindow;
 import cacheproxy.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
@@ -12,10 +12,10 @@
  * Once its first bytes are with the client there is no other answer to the request: it ends whole,
  * or the client's connection ends before the value does, which is how the client can tell.
  */
-final class Passage {
+final class StreamedResponse {
   final Attempt attempt;
   final double beganMs;
-  private final Accounts accounts;
+  private final ByteAccounts accounts;
   private final UpstreamConnection from;
 
   /** What waits for its turn among the client's answers. */
@@ -30,7 +30,7 @@
   private boolean whole;
   private boolean ended;
 
-  Passage(Attempt attempt, UpstreamConnection from, Accounts accounts, double now) {
+  StreamedResponse(Attempt attempt, UpstreamConnection from, ByteAccounts accounts, double now) {
     this.attempt = attempt;
     this.from = from;
     this.accounts = accounts;
@@ -76,11 +76,11 @@
   void regulate() {
     if (!ended) {
       from.reads(
-          PassWindow.reads(
+          StreamingWindow.reads(
               pending,
               from.depth() - 1,
-              accounts.held(Holding.PASSING),
-              accounts.bound(Holding.PASSING)));
+              accounts.held(BufferPurpose.PASSING),
+              accounts.bound(BufferPurpose.PASSING)));
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy;
 
-import cacheproxy.limits.Account;
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.Holding;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.ByteAccount;
+import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.Pace;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.routing.RoutingApi;
@@ -92,7 +92,7 @@
   private static final double REFUSAL_MS = 2;
 
   private final Upstream upstream;
-  private final Account account;
+  private final ByteAccount account;
 
   /** Of an answer that has begun. */
   private final Pace pace;
@@ -118,7 +118,7 @@
   private Attempt held;
 
   /** The long value that is being passed on; null: none is. */
-  private Passage passage;
+  private StreamedResponse passage;
 
   private boolean paused;
   private double openedMs;
@@ -138,7 +138,7 @@
     return upstream.dispatcher();
   }
 
-  Account account() {
+  ByteAccount account() {
     return account;
   }
 
@@ -271,7 +271,7 @@
   private void chargeOutput() {
     ChannelOutboundBuffer out =
         closed || channel == null ? null : channel.unsafe().outboundBuffer();
-    account.set(Holding.OUTPUT, out == null ? 0 : out.totalPendingWriteBytes());
+    account.set(BufferPurpose.OUTPUT, out == null ? 0 : out.totalPendingWriteBytes());
   }
 
   private void writeNow(Attempt attempt) {
@@ -365,13 +365,13 @@
   void sweep(double now) {
     if (passage != null) {
       if (!paused && now - readMs > PASSING_STALL_MS) {
-        upstream.dispatcher().cuts().count(Cut.SLOW_NODE);
+        upstream.dispatcher().cuts().count(DisconnectReason.SLOW_NODE);
         garbage("a long value that does not end");
       }
       return;
     }
     if (pace.tooSlow(now, 1)) {
-      upstream.dispatcher().cuts().count(Cut.SLOW_NODE);
+      upstream.dispatcher().cuts().count(DisconnectReason.SLOW_NODE);
       if (now - readMs >= upstream.dispatcher().limits().nodeAnswer().graceMs()) {
         garbage("an answer that does not end");
       } else {
@@ -400,8 +400,8 @@
    * Its answer is a long value, which this line begins. Null: nobody wants it, it is to be read
    * past.
    */
-  Passage begin(ByteBuf head) {
-    Passage begun = upstream.dispatcher().begin(attempts.peek(), this, head);
+  StreamedResponse begin(ByteBuf head) {
+    StreamedResponse begun = upstream.dispatcher().begin(attempts.peek(), this, head);
     if (closed) {
       return null;
     }
@@ -411,7 +411,7 @@
   }
 
   /** The next bytes of it; takes the buffer over. */
-  void passOn(Passage to, ByteBuf part) {
+  void passOn(StreamedResponse to, ByteBuf part) {
     if (to.attempt.exchange.over) {
       part.release(); // its client has left; what is on the connection behind it still comes
       reads(true);
@@ -532,7 +532,7 @@
     }
     closed = true;
     pace.end();
-    account.set(Holding.OUTPUT, 0);
+    account.set(BufferPurpose.OUTPUT, 0);
     account.close();
     upstream.closed(this);
     if (refused != null) {
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.Succession;
-import cacheproxy.limits.Settling;
-import cacheproxy.limits.StartSpan;
+import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.limits.WarmUpBudget;
+import cacheproxy.limits.WarmUpConvergence;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.ListKind;
 import cacheproxy.routing.RoutingApi.Member;
@@ -26,11 +26,11 @@
 
 /**
  * Takes requests through the proxy's own code and its own sockets, before there are clients, until
- * a request has become as cheap as it will ({@link Settling}). Guards the first seconds after a
- * start: on part of a core a JVM that still interprets can't keep up with the usual load, what it
- * is late with is asked again, and that feeds on itself. Hits, misses, the origin, writes,
+ * a request has become as cheap as it will ({@link WarmUpConvergence}). Guards the first seconds
+ * after a start: on part of a core a JVM that still interprets can't keep up with the usual load,
+ * what it is late with is asked again, and that feeds on itself. Hits, misses, the origin, writes,
  * refusals, failures, connections that break and clients that leave come in turn, as each takes
- * code of its own. {@link StartSpan} bounds how long that takes.
+ * code of its own. {@link WarmUpBudget} bounds how long that takes.
  */
 final class WarmUp {
   private static final int LEAST = 600;
@@ -57,13 +57,13 @@
   private final Config config;
   private final ByteBufAllocator allocator;
   private final Dispatcher dispatcher;
-  private final Door door;
+  private final ConnectionAdmission door;
   private final PeerSocket peers;
-  private final Settling settling = new Settling(BATCH, PART, LEAST);
-  private final Set<Mirror> open = new LinkedHashSet<>();
+  private final WarmUpConvergence settling = new WarmUpConvergence(BATCH, PART, LEAST);
+  private final Set<WarmUpPeer> open = new LinkedHashSet<>();
   private final Promise<Void> done;
   private final boolean beside;
-  private StartSpan span;
+  private WarmUpBudget span;
   private long startNanos;
   private long lastNanos;
   private int asked;
@@ -79,7 +79,7 @@
     this.config = config;
     this.allocator = allocator;
     dispatcher = new Dispatcher(loop, config, this::dial);
-    door = new Door(loop, dispatcher);
+    door = new ConnectionAdmission(loop, dispatcher);
     done = loop.newPromise();
   }
 
@@ -89,9 +89,9 @@
     dispatcher.rehearseRefusals(REFUSED);
     dispatcher.listed(ListKind.CHANGES, hosts());
     door.open(null);
-    span = new StartSpan(dispatcher.now(), peers.hasPeers());
+    span = new WarmUpBudget(dispatcher.now(), peers.hasPeers());
     if (beside) {
-      span.predecessor(Succession.WARM_MS);
+      span.predecessor(ListenerTakeover.WARM_MS);
     }
     ask();
     endInTime();
@@ -109,7 +109,7 @@
             span.oneServes();
             endInTime();
           });
-      loop.schedule(this::ask, StartSpan.ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::ask, WarmUpBudget.ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -129,7 +129,7 @@
     }
     done.setSuccess(null);
     door.close();
-    List.copyOf(open).forEach(Mirror::close);
+    List.copyOf(open).forEach(WarmUpPeer::close);
     dispatcher.stop();
   }
 
@@ -163,8 +163,8 @@
     return hosts;
   }
 
-  private Mirror mirror(Mirror.FarEnd farEnd) {
-    Mirror mirror = new Mirror(farEnd);
+  private WarmUpPeer mirror(WarmUpPeer.FarEnd farEnd) {
+    WarmUpPeer mirror = new WarmUpPeer(farEnd);
     open.add(mirror);
     return mirror;
   }
@@ -175,14 +175,14 @@
    * Asks, and asks again when it has its answer. One that has left, or was sent away, is followed
    * by another.
    */
-  private final class Client implements Mirror.FarEnd {
+  private final class Client implements WarmUpPeer.FarEnd {
     private int left = ASKS;
     private boolean connected;
     private boolean leaves;
 
     void connect() {
-      Mirror mirror = mirror(this);
-      Mirror.open(
+      WarmUpPeer mirror = mirror(this);
+      WarmUpPeer.open(
               loop,
               allocator,
               config.listen(),
@@ -206,7 +206,7 @@
               });
     }
 
-    private void ask(Mirror mirror) {
+    private void ask(WarmUpPeer mirror) {
       left--;
       leaves = ++asked % 32 == 0;
       mirror.say(request(asked));
@@ -214,14 +214,14 @@
 
     /** Some leave with their request open. */
     @Override
-    public void taken(Mirror mirror) {
+    public void taken(WarmUpPeer mirror) {
       if (leaves) {
         mirror.close();
       }
     }
 
     @Override
-    public void said(Mirror mirror, String text) {
+    public void said(WarmUpPeer mirror, String text) {
       if (done.isDone()) {
         return;
       }
@@ -238,7 +238,7 @@
     }
 
     @Override
-    public void gone(Mirror mirror) {
+    public void gone(WarmUpPeer mirror) {
       open.remove(mirror);
       if (connected && !done.isDone()) {
         new Client().connect();
@@ -266,8 +266,8 @@
   // ---- a server
 
   private ChannelFuture dial(InetSocketAddress to, ChannelHandler... handlers) {
-    Mirror mirror = mirror(new Server());
-    return Mirror.open(loop, allocator, config.listen(), mirror, handlers)
+    WarmUpPeer mirror = mirror(new Server());
+    return WarmUpPeer.open(loop, allocator, config.listen(), mirror, handlers)
         .addListener(
             f -> {
               if (f.isSuccess() && done.isDone()) {
@@ -277,12 +277,12 @@
   }
 
   /** A cache node or the origin, as what it is asked tells. */
-  private final class Server implements Mirror.FarEnd {
+  private final class Server implements WarmUpPeer.FarEnd {
     private final StringBuilder asked = new StringBuilder();
     private int answers;
 
     @Override
-    public void said(Mirror mirror, String text) {
+    public void said(WarmUpPeer mirror, String text) {
       asked.append(text);
       String answer = answer();
       if (answer != null) {
@@ -296,7 +296,7 @@
     }
 
     @Override
-    public void gone(Mirror mirror) {
+    public void gone(WarmUpPeer mirror) {
       open.remove(mirror);
     }
 
--- a/src/main/java/cacheproxy/proxy/Mirror.java
+++ b/src/main/java/cacheproxy/proxy/WarmUpPeer.java
@@ -23,16 +23,16 @@
  * nothing listens anywhere. What they write comes back to this end; what this end says is written
  * as well, and handed on to them when it has come back.
  */
-final class Mirror extends ChannelDuplexHandler {
+final class WarmUpPeer extends ChannelDuplexHandler {
   /** What the far end does with what the proxy's side has written; all of one write in one call. */
   interface FarEnd {
-    void said(Mirror mirror, String text);
+    void said(WarmUpPeer mirror, String text);
 
     /** The proxy's side has been handed the whole of one thing that was said to it. */
-    default void taken(Mirror mirror) {}
+    default void taken(WarmUpPeer mirror) {}
 
     /** The connection has ended, whoever ended it. */
-    default void gone(Mirror mirror) {}
+    default void gone(WarmUpPeer mirror) {}
   }
 
   private record Segment(int bytes, boolean toProxy) {}
@@ -46,7 +46,7 @@
   private ChannelHandlerContext ctx;
   private int taken;
 
-  Mirror(FarEnd farEnd) {
+  WarmUpPeer(FarEnd farEnd) {
     this.farEnd = farEnd;
   }
 
@@ -58,7 +58,7 @@
       EventLoop loop,
       ByteBufAllocator allocator,
       InetSocketAddress at,
-      Mirror mirror,
+      WarmUpPeer mirror,
       ChannelHandler... handlers) {
     ChannelFuture ready =
         new Bootstrap()
--- a/src/main/java/cacheproxy/proxy/peers/SharedLink.java
+++ b/src/main/java/cacheproxy/proxy/peers/SharedLink.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy.peers;
 
 import cacheproxy.routing.RoutingApi;
-import cacheproxy.shared.Evidence;
 import cacheproxy.shared.SharedState;
+import cacheproxy.shared.VerdictEvidence;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import io.netty.channel.EventLoop;
@@ -187,7 +187,7 @@
     all.addProperty("sent_bytes", view.sentBytes());
     all.addProperty("unsent_messages", view.unsent());
     JsonArray evidence = new JsonArray();
-    for (Evidence e : view.evidence()) {
+    for (VerdictEvidence e : view.evidence()) {
       JsonObject one = new JsonObject();
       one.addProperty("node", name(e.node()));
       one.addProperty("kind", e.kind().name().toLowerCase(Locale.ROOT));
--- a/src/main/java/cacheproxy/routing/Throttle.java
+++ b/src/main/java/cacheproxy/routing/AdaptiveThrottle.java
@@ -4,7 +4,7 @@
  * What the origin was asked and what it answered in time of that, both fading. Guards against the
  * jam in which late and refused fetches are asked for again and the origin works for nobody.
  */
-final class Throttle {
+final class AdaptiveThrottle {
   /** Halves in this time: some ten fetches at a proxy with a few a second. */
   static final double HALF_MS = 4000;
 
--- a/src/main/java/cacheproxy/routing/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -88,18 +88,18 @@
   private final Settings cfg;
   private final SplittableRandom random;
   private final Map<Integer, Server> servers = new HashMap<>();
-  private final Map<Integer, Flight> flights = new HashMap<>();
-  private final Map<Integer, Flight> timers = new HashMap<>();
-  private final Map<Long, Flight> fetches = new HashMap<>();
+  private final Map<Integer, InFlightRequest> flights = new HashMap<>();
+  private final Map<Integer, InFlightRequest> timers = new HashMap<>();
+  private final Map<Long, InFlightRequest> fetches = new HashMap<>();
   private final HotKeys hot = new HotKeys();
-  private final Throttle throttle = new Throttle();
-  private final Throttle crowd = new Throttle();
+  private final AdaptiveThrottle throttle = new AdaptiveThrottle();
+  private final AdaptiveThrottle crowd = new AdaptiveThrottle();
 
   /** What comes to this instance: whose part is too much for its processor. */
-  private final Throttle door = new Throttle();
+  private final AdaptiveThrottle door = new AdaptiveThrottle();
 
-  private final Ranks ranks;
-  private final Shares shares;
+  private final PriorityLevels ranks;
+  private final TenantQuotas shares;
 
   /** Taken out by hand, by id, with the time at which. */
   private final Map<Integer, Double> byHand = new HashMap<>();
@@ -193,7 +193,7 @@
   }
 
   /** A request the instance holds, with its attempts. */
-  private final class Flight {
+  private final class InFlightRequest {
     final Request request;
     final ServiceClass kind;
     final boolean safe;
@@ -220,12 +220,12 @@
     Server maybeRanAt;
 
     /** Those who wait for this request's fetch; null while it has none out. */
-    ArrayDeque<Flight> followers;
+    ArrayDeque<InFlightRequest> followers;
 
     /** The attempt that is the fetch. */
     int fetch;
 
-    Flight(Request request, double now) {
+    InFlightRequest(Request request, double now) {
       this.request = request;
       arrivedMs = now - request.waitedMs();
       kind = cfg.classes().get(request.serviceClass());
@@ -241,7 +241,8 @@
   }
 
   /** Whether to refuse this one where a part of all must be refused. */
-  private boolean refused(double now, boolean repeat, int tenant, Throttle by, double excess) {
+  private boolean refused(
+      double now, boolean repeat, int tenant, AdaptiveThrottle by, double excess) {
     double part = by.refuse(now, repeat, excess);
     if (excess <= 0) {
       return false;
@@ -249,12 +250,12 @@
     return random.nextDouble() < (shares == null ? part : shares.refuse(tenant, excess));
   }
 
-  private boolean refused(double now, Flight f, Throttle by, double excess) {
+  private boolean refused(double now, InFlightRequest f, AdaptiveThrottle by, double excess) {
     return refused(now, f.request.repeat(), f.request.tenant(), by, excess);
   }
 
   @Override
-  public double turnAway(double now, Glance g, double excess) {
+  public double turnAway(double now, RequestSummary g, double excess) {
     int rank = ranks.of(g, pace);
     ranks.asked(now, rank);
     // Who has no time left for a server's usual answer only takes the time of others.
@@ -278,9 +279,9 @@
     random = new SplittableRandom(seed);
     zones = new Zone[settings.zones()];
     Arrays.setAll(zones, z -> new Zone());
-    ranks = new Ranks(settings.classes());
+    ranks = new PriorityLevels(settings.classes());
     boolean shared = settings.overShareWorth() < 1 && settings.tenants().size() > 1;
-    shares = shared ? new Shares(settings.tenants()) : null;
+    shares = shared ? new TenantQuotas(settings.tenants()) : null;
     double shortestAim =
         settings.classes().stream()
             .mapToDouble(ServiceClass::aimMs)
@@ -407,7 +408,7 @@
    * one.
    */
   private void elsewhere(double now, Predicate<Server> where, Actions out) {
-    for (Flight f : List.copyOf(flights.values())) {
+    for (InFlightRequest f : List.copyOf(flights.values())) {
       int a = f.attempts - 1;
       if (a >= 0 && f.safe && !f.ended[a] && !f.at[a].ofOrigin && where.test(f.at[a])) {
         advance(now, f, out);
@@ -472,7 +473,7 @@
       shares.asked(now, request.tenant());
     }
     trials = Math.min(1, trials + DOUBT_SHARE);
-    Flight f = new Flight(request, now);
+    InFlightRequest f = new InFlightRequest(request, now);
     flights.put(request.id(), f);
     timer(Math.max(0, request.dueMs() - now), DUE, f, out);
     f.toOrigin = cfg.aside() && request.write();
@@ -492,7 +493,7 @@
     return Math.max(1, Math.min(n, ranked.length));
   }
 
-  private void advance(double now, Flight f, Actions out) {
+  private void advance(double now, InFlightRequest f, Actions out) {
     f.waiting = false;
     boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
     if (f.done || f.streaming) {
@@ -526,7 +527,7 @@
       return;
     }
     if (s == origin && !f.request.write() && f.request.key() != 0) {
-      Flight leader = fetches.get(f.request.key());
+      InFlightRequest leader = fetches.get(f.request.key());
       if (leader != null) {
         f.waiting = leader != f && leader.followers.add(f);
         return;
@@ -549,7 +550,7 @@
     place(now, f, s, out);
   }
 
-  private void place(double now, Flight f, Server s, Actions out) {
+  private void place(double now, InFlightRequest f, Server s, Actions out) {
     int a = f.attempts++;
     f.at[a] = s;
     f.sentAt[a] = now;
@@ -566,7 +567,7 @@
    * How long a cache server may take before it is doubted: three deviations over the usual time for
    * the work hinted at, but early enough that runner-up and origin can still answer within the aim.
    */
-  private double patience(double now, Flight f) {
+  private double patience(double now, InFlightRequest f) {
     double usual = (pace + 3 * paceDeviation) * f.work();
     double left = Math.min(f.kind.aimMs(), f.request.dueMs() - now);
     return Math.max(left / 4, Math.min(usual, left - 2 * fetchMs));
@@ -580,7 +581,7 @@
    * sooner, a request each time. Where the attempt must be called off, one slow answer is no
    * evidence, two in a row are: shunning sound servers moves their keys to the origin.
    */
-  private void overdue(double now, Flight f, Actions out) {
+  private void overdue(double now, InFlightRequest f, Actions out) {
     int a = f.attempts - 1;
     Server s = f.at[a];
     if (f.done || f.streaming || f.ended[a] || s.ofOrigin) {
@@ -658,7 +659,7 @@
     }
   }
 
-  private boolean maySend(double now, Flight f, Server s) {
+  private boolean maySend(double now, InFlightRequest f, Server s) {
     if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
       return false;
     }
@@ -679,7 +680,7 @@
     };
   }
 
-  private void giveUp(double now, Flight f, Actions out) {
+  private void giveUp(double now, InFlightRequest f, Actions out) {
     if (f.out > 0 && f.safe) {
       return;
     }
@@ -688,7 +689,7 @@
   }
 
   /** The final answer: a refusal only where no attempt may have run. */
-  private void answer(double now, Flight f, Actions out) {
+  private void answer(double now, InFlightRequest f, Actions out) {
     if (f.safe || Double.isNaN(f.maybeRanSince) && f.out == 0) {
       out.deny(f.request.id(), comeBackMs(now));
     } else {
@@ -704,13 +705,13 @@
     if (!cfg.retryAdvice()) {
       return 0;
     }
-    double over = Math.max(crowd.pressure(now), throttle.pressure(now)) - Throttle.HEADROOM;
+    double over = Math.max(crowd.pressure(now), throttle.pressure(now)) - AdaptiveThrottle.HEADROOM;
     return over <= 0
         ? 0
         : cfg.maxRetryAfterMs() * Math.min(1, over) * (0.5 + random.nextDouble() / 2);
   }
 
-  private void finish(Flight f) {
+  private void finish(InFlightRequest f) {
     f.done = true;
     if (f.out == 0) {
       flights.remove(f.request.id());
@@ -719,7 +720,7 @@
 
   // ---- choice of a server
 
-  private Server choose(double now, Flight f, Actions out) {
+  private Server choose(double now, InFlightRequest f, Actions out) {
     safeReadMs = f.safe ? now : safeReadMs;
     int want = Math.min(ranked.length, Math.max(RANKS, f.spread + RANKS));
     Server stay = f.stayAt;
@@ -762,7 +763,7 @@
     return near || top[second].member.zone() != cfg.zone() ? first : second;
   }
 
-  private static boolean tried(Flight f, Server s) {
+  private static boolean tried(InFlightRequest f, Server s) {
     for (int a = 0; a < f.attempts; a++) {
       if (f.at[a] == s) {
         return true;
@@ -778,7 +779,7 @@
    * traffic: a proxy that meets a server once in many seconds cannot spend a request on each
    * meeting.
    */
-  private boolean open(double now, Flight f, Server s, Actions out) {
+  private boolean open(double now, InFlightRequest f, Server s, Actions out) {
     if (now < s.noPlaceUntil || now < zones[s.member.zone()].outUntil) {
       return false; // the draft's member that cannot be contacted, though it may be well
     }
@@ -809,7 +810,7 @@
    * instances, lies under its ramp; the others stay with their runner-up. Repeats and hot keys keep
    * off it: they are what pushes it over.
    */
-  private boolean warmEnough(double now, Flight f, Server s) {
+  private boolean warmEnough(double now, InFlightRequest f, Server s) {
     if (!cold(now, s)) {
       return true;
     }
@@ -896,7 +897,7 @@
 
   @Override
   public void onAttemptEnd(double now, AttemptEnd end, Actions out) {
-    Flight f = flights.get(end.request());
+    InFlightRequest f = flights.get(end.request());
     if (f == null || end.attempt() >= f.attempts || f.ended[end.attempt()]) {
       return;
     }
@@ -922,7 +923,7 @@
     }
   }
 
-  private void next(double now, Flight f, Server s, AttemptEnd end, Actions out) {
+  private void next(double now, InFlightRequest f, Server s, AttemptEnd end, Actions out) {
     if (end.outcome() == Outcome.MISS) {
       f.toOrigin = true;
       f.missedAt = s;
@@ -958,7 +959,7 @@
     }
   }
 
-  private void cancelRest(Flight f, Actions out) {
+  private void cancelRest(InFlightRequest f, Actions out) {
     for (int a = 0; cfg.mayCancel() && a < f.attempts; a++) {
       if (!f.ended[a]) {
         out.cancel(f.request.id(), a);
@@ -970,11 +971,11 @@
    * Those who waited for a fetch find its object where it was missed; where the fetch failed, one
    * of them tries.
    */
-  private void fetchEnded(double now, Flight f, boolean stored, Actions out) {
-    ArrayDeque<Flight> followers = f.followers;
+  private void fetchEnded(double now, InFlightRequest f, boolean stored, Actions out) {
+    ArrayDeque<InFlightRequest> followers = f.followers;
     fetches.remove(f.request.key());
     f.followers = null;
-    for (Flight w : followers) {
+    for (InFlightRequest w : followers) {
       if (w.done || !w.waiting) {
         continue;
       }
@@ -983,7 +984,7 @@
     }
   }
 
-  private void learn(double now, Flight f, Server s, AttemptEnd end, Actions out) {
+  private void learn(double now, InFlightRequest f, Server s, AttemptEnd end, Actions out) {
     if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
       doubts++;
     }
@@ -1005,7 +1006,7 @@
         // Answering only after the aim is no better than silence and does not clear a server,
         // unless all are slow together: a shared slowdown must not become mass ejection.
         boolean timely =
-            end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > Throttle.HEADROOM;
+            end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > AdaptiveThrottle.HEADROOM;
         if (s.ofOrigin || timely) {
           s.failures = s.doubts = 0;
         }
@@ -1038,7 +1039,7 @@
           }
         } else if (!s.ofOrigin) {
           // One already doubted is likely hung: no sign of crowding unless others are late too.
-          boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
+          boolean shared = crowd.pressure(now) > AdaptiveThrottle.HEADROOM;
           if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
             crowd.asked(now);
           }
@@ -1060,7 +1061,7 @@
 
   @Override
   public void onFirstByte(double now, int request, int attempt, int server, Actions out) {
-    Flight f = flights.get(request);
+    InFlightRequest f = flights.get(request);
     if (f == null || f.done) {
       return;
     }
@@ -1078,7 +1079,7 @@
 
   @Override
   public void onGone(double now, int request, Actions out) {
-    Flight f = flights.get(request);
+    InFlightRequest f = flights.get(request);
     if (f != null && !f.done) {
       leave(f, out);
     }
@@ -1088,7 +1089,7 @@
    * The request is over without an answer of a server: its attempts are called off, who waited on
    * it goes on.
    */
-  private void leave(Flight f, Actions out) {
+  private void leave(InFlightRequest f, Actions out) {
     finish(f);
     if (f.streaming) {
       return;
@@ -1100,7 +1101,7 @@
 
   @Override
   public void onTimer(double now, int token, Actions out) {
-    Flight f = timers.remove(token);
+    InFlightRequest f = timers.remove(token);
     switch (token & 3) {
       case DUE -> {
         if (f != null && !f.done && !f.streaming) {
@@ -1127,7 +1128,7 @@
     }
   }
 
-  private void timer(double afterMs, int kind, Flight f, Actions out) {
+  private void timer(double afterMs, int kind, InFlightRequest f, Actions out) {
     int token = nextToken++ << 2 | kind;
     if (f != null) {
       timers.put(token, f);
--- a/src/main/java/cacheproxy/routing/Ranks.java
+++ b/src/main/java/cacheproxy/routing/PriorityLevels.java
@@ -1,6 +1,6 @@
 package cacheproxy.routing;
 
-import cacheproxy.routing.RoutingApi.Glance;
+import cacheproxy.routing.RoutingApi.RequestSummary;
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import java.util.List;
 
@@ -8,7 +8,7 @@
  * What comes, by what it is worth if it is served now, fading. What is too much for the processor
  * comes off what is worth least; a request that is late already counts as such.
  */
-final class Ranks {
+final class PriorityLevels {
   /** Halves in this time: the mix of classes changes slowly, that of late ones within a round. */
   static final double HALF_MS = 500;
 
@@ -17,7 +17,7 @@
   private final double[] asked;
   private double at;
 
-  Ranks(List<ServiceClass> classes) {
+  PriorityLevels(List<ServiceClass> classes) {
     this.classes = classes;
     worth = new double[2 * classes.size()];
     asked = new double[worth.length];
@@ -27,7 +27,7 @@
     }
   }
 
-  int of(Glance g, double pace) {
+  int of(RequestSummary g, double pace) {
     boolean late = g.waitedMs() + pace > classes.get(g.serviceClass()).aimMs();
     return 2 * g.serviceClass() + (late ? 1 : 0);
   }
--- a/src/main/java/cacheproxy/routing/RoutingApi.java
+++ b/src/main/java/cacheproxy/routing/RoutingApi.java
@@ -158,7 +158,8 @@
    * What is seen of a request before anything is spent on it. Waited: how long ago it came;
    * patience: how long its client waits from then on; both in milliseconds.
    */
-  record Glance(int serviceClass, int tenant, boolean repeat, double waitedMs, double patienceMs) {}
+  record RequestSummary(
+      int serviceClass, int tenant, boolean repeat, double waitedMs, double patienceMs) {}
 
   /** What {@link #turnAway} says of a request that is to be taken. */
   double TAKEN = -1;
@@ -231,7 +232,7 @@
    * milliseconds the client is to come back; 0: no advice. Nothing is sent for one that is turned
    * away, so that trying it again is harmless.
    */
-  double turnAway(double now, Glance request, double excess);
+  double turnAway(double now, RequestSummary request, double excess);
 
   /** A client's request; the instance now owes exactly one final answer. */
   void onRequest(double now, Request request, Actions out);
--- a/src/main/java/cacheproxy/routing/Shares.java
+++ b/src/main/java/cacheproxy/routing/TenantQuotas.java
@@ -7,18 +7,18 @@
  * What each tenant asks of this instance, fading. What must be refused comes off those that ask
  * most over their quotas (max-min fair), as that is worth little. Clients' repeats swell all alike.
  */
-final class Shares {
+final class TenantQuotas {
   private final List<Tenant> tenants;
   private final double[] asked;
   private double at;
 
-  Shares(List<Tenant> tenants) {
+  TenantQuotas(List<Tenant> tenants) {
     this.tenants = tenants;
     asked = new double[tenants.size()];
   }
 
   void asked(double now, int tenant) {
-    double f = Throttle.left(now - at);
+    double f = AdaptiveThrottle.left(now - at);
     at = now;
     for (int t = 0; t < asked.length; t++) {
       asked[t] *= f;
--- a/src/main/java/cacheproxy/shared/Datagram.java
+++ b/src/main/java/cacheproxy/shared/Datagram.java
@@ -1,6 +1,6 @@
 package cacheproxy.shared;
 
-import cacheproxy.shared.Evidence.Kind;
+import cacheproxy.shared.VerdictEvidence.Kind;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +18,7 @@
  * @param evidence with ages in place of times: {@code atMs} and {@code untilMs} are from now, back
  *     and ahead
  * @param rights questions in an ASK, answers in a TELL
- * @param totals of {@link Counts}
+ * @param totals of {@link TierCounters}
  */
 record Datagram(
     Type type,
@@ -26,7 +26,7 @@
     int nonce,
     int digest,
     int cursor,
-    List<Evidence> evidence,
+    List<VerdictEvidence> evidence,
     List<Right> rights,
     List<Total> totals) {
   enum Type {
@@ -38,13 +38,13 @@
   /**
    * @param node whose cold budget it is about
    */
-  record Right(int node, Rights.Message message) {}
+  record Right(int node, SlowStartQuota.Message message) {}
 
   /**
    * @param kind what is counted
    * @param ageMs how long ago it was so
    */
-  record Total(int kind, Counts.Total total, double ageMs) {}
+  record Total(int kind, TierCounters.Total total, double ageMs) {}
 
   static final byte MARK = (byte) 0xC1;
   static final byte TYPE = 's';
@@ -96,7 +96,7 @@
       return b.array();
     }
     b.put((byte) evidence.size()).put((byte) rights.size()).put((byte) totals.size());
-    for (Evidence e : evidence) {
+    for (VerdictEvidence e : evidence) {
       b.putInt(e.node())
           .put((byte) (e.kind().ordinal() << 6 | e.zone()))
           .putShort((short) e.witness())
@@ -140,7 +140,7 @@
     int nonce = b.getInt();
     int digest = b.getInt();
     int cursor = u16(b);
-    List<Evidence> evidence = new ArrayList<>();
+    List<VerdictEvidence> evidence = new ArrayList<>();
     List<Right> rights = new ArrayList<>();
     List<Total> totals = new ArrayList<>();
     if (type == Type.NUDGE) {
@@ -167,7 +167,7 @@
       int serial = u16(b);
       double at = 0 - u16(b) * STEP_MS;
       evidence.add(
-          new Evidence(
+          new VerdictEvidence(
               node, Kind.values()[bits >> 6], witness, bits & 0x3F, serial, at, u16(b) * STEP_MS));
     }
     for (int i = 0; i < grants; i++) {
@@ -175,7 +175,9 @@
       int bits = b.getInt();
       int of = b.getInt();
       rights.add(
-          new Right(node, new Rights.Message(bits < 0, of, bits & Integer.MAX_VALUE, b.getInt())));
+          new Right(
+              node,
+              new SlowStartQuota.Message(bits < 0, of, bits & Integer.MAX_VALUE, b.getInt())));
     }
     for (int i = 0; i < counts; i++) {
       int kind = b.get();
@@ -186,7 +188,7 @@
       if (count < 0 || itsLife == 0) {
         return null;
       }
-      totals.add(new Total(kind, new Counts.Total(proxy, itsLife, count), age));
+      totals.add(new Total(kind, new TierCounters.Total(proxy, itsLife, count), age));
     }
     return new Datagram(type, life, nonce, digest, cursor, evidence, rights, totals);
   }
--- a/src/main/java/cacheproxy/shared/Judgements.java
+++ b/src/main/java/cacheproxy/shared/HealthVerdicts.java
@@ -1,6 +1,6 @@
 package cacheproxy.shared;
 
-import cacheproxy.shared.Evidence.Kind;
+import cacheproxy.shared.VerdictEvidence.Kind;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -35,7 +35,7 @@
  * <p>A lie or a mistake that all make is over {@link #LASTS_MS} after it was last told. Bounded: a
  * few pieces of evidence for each listed node. Times in milliseconds of one clock.
  */
-public final class Judgements {
+public final class HealthVerdicts {
   /** Parts that can be left out to see what each is for; all are on in use. */
   public enum Part {
     OWN_FIRST,
@@ -109,7 +109,7 @@
   private static final class Node {
     final int id;
     int zone;
-    final List<Evidence> evidence = new ArrayList<>(2);
+    final List<VerdictEvidence> evidence = new ArrayList<>(2);
     double answeredMs = Double.NEGATIVE_INFINITY;
 
     /** A trial of this one's is under way since; negative infinity: none is. */
@@ -147,7 +147,8 @@
    * @param serial where its evidence is counted from: drawn at the start, so that a former life's
    *     is not taken for this one's
    */
-  public Judgements(int tier, int me, int zone, int serial, Listener listener, Part... without) {
+  public HealthVerdicts(
+      int tier, int me, int zone, int serial, Listener listener, Part... without) {
     this.me = me;
     this.zone = zone;
     this.serial = serial;
@@ -194,12 +195,12 @@
    * An own attempt, begun then, has shown it out of reach. The evidence to tell; null: none is
    * worth it.
    */
-  public Evidence failed(double now, int id, double sinceMs, double forMs) {
+  public VerdictEvidence failed(double now, int id, double sinceMs, double forMs) {
     Node n = nodes.get(id);
     if (n == null || forMs < LEAST_MS || sinceMs < n.answeredMs) {
       return null;
     }
-    for (Evidence e : n.evidence) {
+    for (VerdictEvidence e : n.evidence) {
       if (e.kind() == Kind.BACK
           && e.witness() != me
           && sinceMs - e.atMs() > 0
@@ -213,7 +214,7 @@
   }
 
   /** It had no place for a connection of this proxy's. */
-  public Evidence noPlace(double now, int id, double forMs) {
+  public VerdictEvidence noPlace(double now, int id, double forMs) {
     Node n = nodes.get(id);
     return n == null ? null : tell(now, n, Kind.FULL, now, now + Math.min(forMs, FULL_MS));
   }
@@ -222,7 +223,7 @@
    * It has answered this proxy's attempt, begun then. The evidence to tell, where somebody holds it
    * out of reach; null: nobody does.
    */
-  public Evidence answered(double now, int id, double sentMs) {
+  public VerdictEvidence answered(double now, int id, double sentMs) {
     Node n = nodes.get(id);
     if (n == null) {
       return null;
@@ -233,7 +234,7 @@
       return null;
     }
     boolean held = false;
-    for (Evidence e : n.evidence) {
+    for (VerdictEvidence e : n.evidence) {
       if (e.kind() == Kind.OUT && now < e.untilMs()) {
         held = true;
         if (e.witness() != me && e.atMs() > sentMs) {
@@ -244,9 +245,9 @@
     return held ? tell(now, n, Kind.BACK, now, now + LASTS_MS) : null;
   }
 
-  private Evidence tell(double now, Node n, Kind kind, double at, double until) {
+  private VerdictEvidence tell(double now, Node n, Kind kind, double at, double until) {
     serial = serial + 1 & 0xFFFF;
-    Evidence own = new Evidence(n.id, kind, me, zone, serial, at, until);
+    VerdictEvidence own = new VerdictEvidence(n.id, kind, me, zone, serial, at, until);
     put(now, n, own);
     return own;
   }
@@ -257,7 +258,7 @@
    * Another's word, first-hand or passed on, dated by this one's clock. True: it was news, to be
    * passed on in turn.
    */
-  public boolean heard(double now, Evidence e) {
+  public boolean heard(double now, VerdictEvidence e) {
     Node n = nodes.get(e.node());
     if (n == null
         || e.witness() < 0
@@ -270,7 +271,7 @@
       dropped += n != null && e.witness() != me ? 1 : 0;
       return false;
     }
-    for (Evidence old : n.evidence) {
+    for (VerdictEvidence old : n.evidence) {
       if (old.sameMatter(e) && (old.serial() == e.serial() || old.atMs() >= e.atMs())) {
         return false;
       }
@@ -289,7 +290,7 @@
   }
 
   /** Takes its place among what is held; false: there are enough that say the same. */
-  private boolean put(double now, Node n, Evidence e) {
+  private boolean put(double now, Node n, VerdictEvidence e) {
     n.evidence.removeIf(
         old -> {
           boolean over =
@@ -309,10 +310,10 @@
         >= (e.kind() == Kind.OUT ? WITNESSES : 1)) {
       // The oldest of others makes room, so that a trial's failure is known; not for what is older
       // still.
-      Evidence oldest =
+      VerdictEvidence oldest =
           n.evidence.stream()
               .filter(o -> o.kind() == e.kind() && o.witness() != me)
-              .min(Comparator.comparingDouble(Evidence::atMs))
+              .min(Comparator.comparingDouble(VerdictEvidence::atMs))
               .orElse(null);
       if (oldest == null || oldest.atMs() >= e.atMs() && e.witness() != me) {
         return false;
@@ -352,7 +353,7 @@
     int witnesses = 0;
     boolean side = false;
     int firstZone = -1;
-    for (Evidence e : n.evidence) {
+    for (VerdictEvidence e : n.evidence) {
       boolean counts =
           e.kind() == Kind.OUT
               && now < e.untilMs()
@@ -381,16 +382,16 @@
     return another && kept <= MOST_OUT * nodes.size();
   }
 
-  private boolean saysFull(double now, Evidence e) {
+  private boolean saysFull(double now, VerdictEvidence e) {
     return e.kind() == Kind.FULL && e.witness() != me && now < e.untilMs();
   }
 
   /**
    * @param by what has just come; null: only time has passed
    */
-  private void review(double now, Node n, Evidence by) {
+  private void review(double now, Node n, VerdictEvidence by) {
     double next = Double.POSITIVE_INFINITY;
-    for (Evidence e : n.evidence) {
+    for (VerdictEvidence e : n.evidence) {
       next = Math.min(next, e.untilMs());
     }
     n.reviewMs = next;
@@ -459,7 +460,7 @@
     }
     double last = Double.NEGATIVE_INFINITY;
     int mark = 0;
-    for (Evidence e : n.evidence) {
+    for (VerdictEvidence e : n.evidence) {
       if (e.kind() == Kind.OUT && e.atMs() > last) {
         last = e.atMs();
         mark = e.mark();
@@ -494,8 +495,8 @@
   }
 
   /** All that is held and not over, in the order of the nodes. */
-  public List<Evidence> held(double now) {
-    List<Evidence> all = new ArrayList<>();
+  public List<VerdictEvidence> held(double now) {
+    List<VerdictEvidence> all = new ArrayList<>();
     nodes.values().stream()
         .filter(n -> !n.evidence.isEmpty())
         .sorted(Comparator.comparingInt(n -> n.id))
--- a/src/main/java/cacheproxy/shared/SharedState.java
+++ b/src/main/java/cacheproxy/shared/SharedState.java
@@ -152,11 +152,11 @@
 
   private static final class ColdNode {
     /** Null: this one is no keeper. */
-    final Rights rights;
+    final SlowStartQuota rights;
 
     double askedMs;
 
-    ColdNode(Rights rights) {
+    ColdNode(SlowStartQuota rights) {
       this.rights = rights;
     }
   }
@@ -167,8 +167,8 @@
   private final Set<Part> without;
   private final int life;
   private final double startedMs;
-  private final Judgements judgements;
-  private final Counts[] answers = new Counts[KINDS];
+  private final HealthVerdicts judgements;
+  private final TierCounters[] answers = new TierCounters[KINDS];
   private final Map<Integer, ColdNode> cold = new HashMap<>();
   private final List<Question> questions = new ArrayList<>();
   private final Map<Integer, Integer> told = new HashMap<>();
@@ -200,7 +200,7 @@
       double now,
       Outlet out,
       Set<Part> without,
-      Judgements.Part... withoutOfThem) {
+      HealthVerdicts.Part... withoutOfThem) {
     this.terms = terms;
     this.out = out;
     this.without = without.isEmpty() ? EnumSet.noneOf(Part.class) : EnumSet.copyOf(without);
@@ -213,12 +213,12 @@
     heardMs = new double[terms.tier()];
     Arrays.fill(heardMs, Double.NEGATIVE_INFINITY);
     judgements =
-        new Judgements(
+        new HealthVerdicts(
             terms.tier(),
             terms.me(),
             terms.zone() & 0x3F,
             lots.nextInt(0x10000),
-            new Judgements.Listener() {
+            new HealthVerdicts.Listener() {
               @Override
               public void changed(
                   double at, int node, boolean isOut, boolean byOther, String cause) {
@@ -230,7 +230,7 @@
             },
             withoutOfThem);
     for (int k = 0; k < KINDS; k++) {
-      answers[k] = new Counts(terms.tier(), terms.me(), life, WINDOW_MS, now);
+      answers[k] = new TierCounters(terms.tier(), terms.me(), life, WINDOW_MS, now);
     }
   }
 
@@ -267,7 +267,7 @@
     news(now, judgements.answered(now, server, sinceMs));
   }
 
-  private void news(double now, Evidence own) {
+  private void news(double now, VerdictEvidence own) {
     if (own != null) {
       nudge(now);
     }
@@ -322,7 +322,7 @@
       node =
           new ColdNode(
               keeper(server, terms.me())
-                  ? new Rights(rightsOf(), lots.nextInt(), now, startedMs)
+                  ? new SlowStartQuota(rightsOf(), lots.nextInt(), now, startedMs)
                   : null);
       cold.put(server, node);
       if (node.rights != null && beside) {
@@ -344,8 +344,8 @@
     return RoutingApi.Cold.REFUSED;
   }
 
-  private Rights.Terms rightsOf() {
-    return new Rights.Terms(Math.min(terms.tier(), KEEPERS), 0.3, 1e-6, 1, 2000, 0.001);
+  private SlowStartQuota.Terms rightsOf() {
+    return new SlowStartQuota.Terms(Math.min(terms.tier(), KEEPERS), 0.3, 1e-6, 1, 2000, 0.001);
   }
 
   /**
@@ -459,7 +459,7 @@
    */
   private int wanted(double now) {
     for (Map.Entry<Integer, ColdNode> e : cold.entrySet()) {
-      Rights r = e.getValue().rights;
+      SlowStartQuota r = e.getValue().rights;
       if (r == null) {
         continue;
       }
@@ -485,7 +485,7 @@
       if (rights.size() < Datagram.MOST_RIGHTS
           && e.getValue().rights != null
           && keeper(e.getKey(), whom)) {
-        Rights.Message m = e.getValue().rights.asks(now, whom);
+        SlowStartQuota.Message m = e.getValue().rights.asks(now, whom);
         if (m != null) {
           rights.add(new Right(e.getKey(), m));
         }
@@ -557,21 +557,21 @@
           coldNode(
               now,
               r.node()); // where nobody asks this one for that node yet its part is free to lend
-      Rights.Message grant = node == null ? null : node.rights.heard(now, to, r.message());
+      SlowStartQuota.Message grant = node == null ? null : node.rights.heard(now, to, r.message());
       if (grant != null) {
         rights.add(new Right(r.node(), grant));
       }
     }
-    List<Evidence> pieces = new ArrayList<>();
+    List<VerdictEvidence> pieces = new ArrayList<>();
     int next = NEWEST;
     if (question.digest() != judgements.digest()) {
       int room = Datagram.room(rights.size(), KINDS);
-      List<Evidence> held = judgements.held(now);
+      List<VerdictEvidence> held = judgements.held(now);
       if (question.cursor() == NEWEST) {
-        List<Evidence> by = new ArrayList<>(held);
+        List<VerdictEvidence> by = new ArrayList<>(held);
         by.sort(
-            Comparator.<Evidence>comparingInt(e -> told.getOrDefault(e.mark(), 0))
-                .thenComparing(Comparator.comparingDouble(Evidence::atMs).reversed()));
+            Comparator.<VerdictEvidence>comparingInt(e -> told.getOrDefault(e.mark(), 0))
+                .thenComparing(Comparator.comparingDouble(VerdictEvidence::atMs).reversed()));
         pieces = by.subList(0, Math.min(room, by.size()));
         next = by.size() > room ? 0 : NEWEST;
       } else if (question.cursor() < held.size()) {
@@ -583,11 +583,11 @@
       }
       pieces.forEach(e -> told.merge(e.mark(), 1, Integer::sum));
     }
-    List<Evidence> aged =
+    List<VerdictEvidence> aged =
         pieces.stream()
             .map(
                 e ->
-                    new Evidence(
+                    new VerdictEvidence(
                         e.node(),
                         e.kind(),
                         e.witness(),
@@ -619,7 +619,7 @@
   private List<Total> totals(double now, int asker, int room) {
     List<Total> all = new ArrayList<>();
     for (int k = 0; k < KINDS && sharesCold(); k++) {
-      Counts.Total own = answers[k].latest(terms.me());
+      TierCounters.Total own = answers[k].latest(terms.me());
       if (own.count() > 0) {
         all.add(new Total(k, own, 0));
       }
@@ -638,12 +638,12 @@
 
   private void believe(double now, int from, Datagram d) {
     boolean news = false;
-    for (Evidence e : d.evidence()) {
+    for (VerdictEvidence e : d.evidence()) {
       news |=
           terms.judgements()
               && judgements.heard(
                   now,
-                  new Evidence(
+                  new VerdictEvidence(
                       e.node(),
                       e.kind(),
                       e.witness(),
@@ -694,7 +694,7 @@
 
   /** What this proxy believes, holds and did not hear, at one moment. */
   public record View(
-      List<Evidence> evidence,
+      List<VerdictEvidence> evidence,
       int outs,
       List<ColdView> cold,
       double[] heardMs,
@@ -719,9 +719,9 @@
                     : new ColdView(
                         node,
                         true,
-                        c.rights.units(now) / (double) Rights.WHOLE,
-                        c.rights.lent(now) / (double) Rights.WHOLE,
-                        c.rights.borrowed(now) / (double) Rights.WHOLE)));
+                        c.rights.units(now) / (double) SlowStartQuota.WHOLE,
+                        c.rights.lent(now) / (double) SlowStartQuota.WHOLE,
+                        c.rights.borrowed(now) / (double) SlowStartQuota.WHOLE)));
     double[] heard = new double[terms.tier()];
     List<Integer> unheard = new ArrayList<>();
     for (int p = 0; p < heard.length; p++) {
--- a/src/main/java/cacheproxy/shared/Rights.java
+++ b/src/main/java/cacheproxy/shared/SlowStartQuota.java
@@ -22,7 +22,7 @@
  * <p>Bounded: so many loans each way; a question and an answer of eleven bytes a period. Times in
  * milliseconds of one clock that does not go back.
  */
-public final class Rights {
+public final class SlowStartQuota {
   /** The units that a budget has. */
   public static final int WHOLE = 1 << 20;
 
@@ -151,7 +151,7 @@
    *
    * @param nonce drawn anew at each start: answers to a former life's questions are not taken
    */
-  public Rights(Terms terms, int nonce, double now, Part... without) {
+  public SlowStartQuota(Terms terms, int nonce, double now, Part... without) {
     this(terms, nonce, now, now, without);
   }
 
@@ -159,7 +159,7 @@
    * The same of a process that has run since then: its former life may have lent what it does not
    * know of.
    */
-  public Rights(Terms terms, int nonce, double now, double startedMs, Part... without) {
+  public SlowStartQuota(Terms terms, int nonce, double now, double startedMs, Part... without) {
     this.terms = terms;
     perMs = terms.perMs();
     burst = terms.burst();
--- a/src/main/java/cacheproxy/shared/Counts.java
+++ b/src/main/java/cacheproxy/shared/TierCounters.java
@@ -15,12 +15,12 @@
  * the window and one in it, and by the silent since, at the rate that the caller says none can
  * pass, makes the most. So a total that is heard for the first time, or after a cut, adds nothing
  * to the least, however great it is. It serves to judge how much there is to do; what must not be
- * passed is held by {@link Rights}, never by a reading.
+ * passed is held by {@link SlowStartQuota}, never by a reading.
  *
  * <p>Bounded: {@link #LIVES} lives of each number, {@link #MARKS} words of each. Times in
  * milliseconds of one clock.
  */
-public final class Counts {
+public final class TierCounters {
   /** Of a number: the present one and one that ran beside or before it. */
   static final int LIVES = 2;
 
@@ -55,7 +55,7 @@
    * @param life drawn at the start, not 0; two lives of one number differ by it
    * @param windowMs the longest window that will be read
    */
-  public Counts(int tier, int me, int life, double windowMs, double now) {
+  public TierCounters(int tier, int me, int life, double windowMs, double now) {
     if (life == 0 || me < 0 || me >= tier) {
       throw new IllegalArgumentException("life " + life + " of proxy " + me + " of " + tier);
     }
--- a/src/main/java/cacheproxy/shared/Evidence.java
+++ b/src/main/java/cacheproxy/shared/VerdictEvidence.java
@@ -14,7 +14,7 @@
  * @param atMs when it was so
  * @param untilMs from then on it says nothing any more
  */
-public record Evidence(
+public record VerdictEvidence(
     int node, Kind kind, int witness, int zone, int serial, double atMs, double untilMs) {
   /** Out of reach; answered after it was; has no place for one more connection. */
   public enum Kind {
@@ -30,7 +30,7 @@
     return h ^ h >>> 13;
   }
 
-  boolean sameMatter(Evidence other) {
+  boolean sameMatter(VerdictEvidence other) {
     return node == other.node && kind == other.kind && witness == other.witness;
   }
 }
--- a/src/main/java/cacheproxy/site/Hole.java
+++ b/src/main/java/cacheproxy/site/BlackholeListener.java
@@ -12,14 +12,14 @@
  * gone: a listener that never accepts and whose queue is full, so that the system drops what else
  * wants to come.
  */
-final class Hole implements AutoCloseable {
+final class BlackholeListener implements AutoCloseable {
   /** More than the system lets wait for a queue of one. */
   private static final int FILLERS = 4;
 
   private final ServerSocket listener;
   private final List<SocketChannel> fillers = new ArrayList<>();
 
-  Hole(InetSocketAddress at) throws IOException {
+  BlackholeListener(InetSocketAddress at) throws IOException {
     listener = new ServerSocket();
     try {
       listener.setReuseAddress(true);
--- a/src/main/java/cacheproxy/site/CacheFront.java
+++ b/src/main/java/cacheproxy/site/CacheFront.java
@@ -43,12 +43,12 @@
 
   private final Site site;
   private final String name;
-  private final Station<Job> station;
-  private final Shelf shelf;
-  private final ColdGuard guard;
+  private final ServiceQueue<Job> station;
+  private final ValueStore shelf;
+  private final SlowStartGuard guard;
   private final Set<Connection> connections = new HashSet<>();
   private List<Channel> listeners = List.of();
-  private final List<Hole> holes = new ArrayList<>();
+  private final List<BlackholeListener> holes = new ArrayList<>();
   private int port;
   private boolean draining;
   private boolean silent;
@@ -56,12 +56,12 @@
   private int life;
   private long came;
 
-  CacheFront(Site site, String name, Station<Job> station, Shelf shelf) {
+  CacheFront(Site site, String name, ServiceQueue<Job> station, ValueStore shelf) {
     this.site = site;
     this.name = name;
     this.station = station;
     this.shelf = shelf;
-    guard = new ColdGuard(site.plan().tipMultiple(), Site.FALL_MS);
+    guard = new SlowStartGuard(site.plan().tipMultiple(), Site.FALL_MS);
   }
 
   void bound(List<Channel> at) {
@@ -74,11 +74,11 @@
     return port;
   }
 
-  Station<Job> station() {
+  ServiceQueue<Job> station() {
     return station;
   }
 
-  Shelf shelf() {
+  ValueStore shelf() {
     return shelf;
   }
 
@@ -106,12 +106,12 @@
     listeners.forEach(l -> l.close().syncUninterruptibly());
   }
 
-  void hole(Hole in) {
+  void hole(BlackholeListener in) {
     holes.add(in);
   }
 
   void fillHoles() throws IOException {
-    for (Hole h : holes) {
+    for (BlackholeListener h : holes) {
       h.close();
     }
     holes.clear();
@@ -207,7 +207,7 @@
     private ChannelHandlerContext ctx;
     private int skip;
     private boolean turnedAway;
-    private Looks.Taken taken;
+    private SelectTimes.Taken taken;
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -215,7 +215,7 @@
       taken = site.taken();
       turnedAway = connections.size() >= site.plan().places();
       connections.add(this);
-      site.ways().enter(ctx.channel(), Ways.To.NODES);
+      site.ways().enter(ctx.channel(), NetworkPaths.To.NODES);
     }
 
     @Override
@@ -272,7 +272,7 @@
       site.ways()
           .pass(
               ctx.channel(),
-              Ways.To.NODES,
+              NetworkPaths.To.NODES,
               () -> ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1)));
     }
 
--- a/src/main/java/cacheproxy/site/DiscoveryFront.java
+++ b/src/main/java/cacheproxy/site/DiscoveryFront.java
@@ -32,7 +32,7 @@
   private static final double MOST_QUEUE_MS = 2000;
 
   private final Site site;
-  private final Roster roster;
+  private final EndpointRegistry roster;
   private final Set<Watch> watches = new LinkedHashSet<>();
   private final Set<Channel> open = new LinkedHashSet<>();
   private List<Channel> listeners = List.of();
@@ -41,7 +41,7 @@
 
   private record Watch(ChannelHandlerContext ctx, long since) {}
 
-  DiscoveryFront(Site site, Roster roster) {
+  DiscoveryFront(Site site, EndpointRegistry roster) {
     this.site = site;
     this.roster = roster;
   }
@@ -133,7 +133,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) throws Exception {
       open.add(ctx.channel());
-      site.ways().enter(ctx.channel(), Ways.To.LISTS);
+      site.ways().enter(ctx.channel(), NetworkPaths.To.LISTS);
       if (out) {
         ctx.close();
       }
@@ -158,6 +158,6 @@
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-    site.ways().pass(ctx.channel(), Ways.To.LISTS, () -> ctx.writeAndFlush(response));
+    site.ways().pass(ctx.channel(), NetworkPaths.To.LISTS, () -> ctx.writeAndFlush(response));
   }
 }
--- a/src/main/java/cacheproxy/site/Roster.java
+++ b/src/main/java/cacheproxy/site/EndpointRegistry.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** Discovery's list: entries with the version at which each last changed. Rules alone. */
-public final class Roster {
+public final class EndpointRegistry {
   /** How a host stands. */
   public enum Health {
     UP,
--- a/src/main/java/cacheproxy/site/Ways.java
+++ b/src/main/java/cacheproxy/site/NetworkPaths.java
@@ -15,7 +15,7 @@
  * Unlike on a real wire a new connection still comes up, as the system accepts it, and then says
  * nothing. On the site's loop; bounded by the connections there are.
  */
-final class Ways {
+final class NetworkPaths {
   /** Where a way leads. */
   enum To {
     NODES,
--- a/src/main/java/cacheproxy/site/OriginFront.java
+++ b/src/main/java/cacheproxy/site/OriginFront.java
@@ -36,10 +36,10 @@
       double workMs) {}
 
   private final Site site;
-  private final Station<Job> station;
-  private final Shelf repeats = new Shelf(1, Site.KEYED_MS);
+  private final ServiceQueue<Job> station;
+  private final ValueStore repeats = new ValueStore(1, Site.KEYED_MS);
 
-  OriginFront(Site site, Station<Job> station) {
+  OriginFront(Site site, ServiceQueue<Job> station) {
     this.site = site;
     this.station = station;
   }
@@ -51,12 +51,12 @@
   }
 
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private Looks.Taken taken;
+    private SelectTimes.Taken taken;
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) throws Exception {
       taken = site.taken();
-      site.ways().enter(ctx.channel(), Ways.To.NODES);
+      site.ways().enter(ctx.channel(), NetworkPaths.To.NODES);
       super.channelActive(ctx);
     }
 
@@ -132,6 +132,6 @@
     if (declined) {
       response.headers().set("Srv-Declined", "1");
     }
-    site.ways().pass(ctx.channel(), Ways.To.NODES, () -> ctx.writeAndFlush(response));
+    site.ways().pass(ctx.channel(), NetworkPaths.To.NODES, () -> ctx.writeAndFlush(response));
   }
 }
--- a/src/main/java/cacheproxy/site/Looks.java
+++ b/src/main/java/cacheproxy/site/SelectTimes.java
@@ -11,7 +11,7 @@
  * when the round before asked, so that it came at that round's beginning at the earliest. On the
  * loop.
  */
-final class Looks implements SelectStrategy {
+final class SelectTimes implements SelectStrategy {
   /** So many rounds after a connection was taken it has been looked at by itself. */
   private static final int FIRST_ROUNDS = 2;
 
--- a/src/main/java/cacheproxy/site/Station.java
+++ b/src/main/java/cacheproxy/site/ServiceQueue.java
@@ -9,7 +9,7 @@
  *
  * @param <J> what is worked on
  */
-public final class Station<J> {
+public final class ServiceQueue<J> {
   /**
    * @param slots worked on at a time
    * @param room so many wait at most
@@ -47,7 +47,7 @@
   private int busy;
   private double spentMs;
 
-  public Station(Traits traits) {
+  public ServiceQueue(Traits traits) {
     this.traits = traits;
   }
 
--- a/src/main/java/cacheproxy/site/Site.java
+++ b/src/main/java/cacheproxy/site/Site.java
@@ -102,7 +102,7 @@
    */
   private static final long LOOK_MS = 5;
 
-  private final Looks looks = new Looks();
+  private final SelectTimes looks = new SelectTimes();
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(
           1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> looks));
@@ -114,10 +114,10 @@
   private final SplittableRandom random;
   private final Loopback loopback;
   private final int views;
-  private final Ways ways = new Ways();
-  private final Roster roster = new Roster();
+  private final NetworkPaths ways = new NetworkPaths();
+  private final EndpointRegistry roster = new EndpointRegistry();
   private final Map<String, CacheFront> nodes = new LinkedHashMap<>();
-  private final Shelf.Missed missed = new Shelf.Missed();
+  private final ValueStore.Missed missed = new ValueStore.Missed();
   private final OriginFront origin;
   private final DiscoveryFront discovery;
   private int named;
@@ -140,9 +140,12 @@
     origin =
         new OriginFront(
             this,
-            new Station<>(new Station.Traits(plan.originSlots(), 4 * plan.originSlots(), 1, 1, 0)));
+            new ServiceQueue<>(
+                new ServiceQueue.Traits(plan.originSlots(), 4 * plan.originSlots(), 1, 1, 0)));
     List<Channel> at = bind(origin::connection, loopback.port());
-    roster.put(new Roster.Host("s-origin", dial(at), zone(0), "origin", Roster.Health.UP, 0));
+    roster.put(
+        new EndpointRegistry.Host(
+            "s-origin", dial(at), zone(0), "origin", EndpointRegistry.Health.UP, 0));
     for (int n = 0; n < plan.nodes(); n++) {
       add(false, 1);
     }
@@ -167,12 +170,12 @@
   }
 
   /** For a connection that is taken now, on the loop. */
-  Looks.Taken taken() {
+  SelectTimes.Taken taken() {
     return looks.taken();
   }
 
   /** What the loop reads now on this connection came after this time, on the ledger's clock. */
-  double cameAfterMs(Looks.Taken connection) {
+  double cameAfterMs(SelectTimes.Taken connection) {
     return (looks.cameAfter(connection) - startNanos) / 1e6;
   }
 
@@ -185,7 +188,7 @@
     return random;
   }
 
-  Shelf.Missed missed() {
+  ValueStore.Missed missed() {
     return missed;
   }
 
@@ -265,7 +268,7 @@
         : text.replace('"' + loopback.host() + ':', '"' + loopback.view(view) + ':');
   }
 
-  Ways ways() {
+  NetworkPaths ways() {
     return ways;
   }
 
@@ -274,10 +277,10 @@
     on(
         () -> {
           if (toNodes) {
-            ways.set(proxy, Ways.To.NODES, cut);
+            ways.set(proxy, NetworkPaths.To.NODES, cut);
           }
           if (toLists) {
-            ways.set(proxy, Ways.To.LISTS, cut);
+            ways.set(proxy, NetworkPaths.To.LISTS, cut);
           }
           return null;
         });
@@ -291,10 +294,11 @@
     int n = named++;
     boolean slow =
         n % 100 < plan.slowPart() * 100 || n * plan.slowPart() % 1 + plan.slowPart() >= 1;
-    Station<CacheFront.Job> station =
-        new Station<>(new Station.Traits(4, 32, slow ? 0.9 : 1.8, START_CAPACITY, WARM_UP_MS));
+    ServiceQueue<CacheFront.Job> station =
+        new ServiceQueue<>(
+            new ServiceQueue.Traits(4, 32, slow ? 0.9 : 1.8, START_CAPACITY, WARM_UP_MS));
     String name = String.format("s-%04x", n + 1);
-    CacheFront node = new CacheFront(this, name, station, new Shelf(plan.keys(), KEYED_MS));
+    CacheFront node = new CacheFront(this, name, station, new ValueStore(plan.keys(), KEYED_MS));
     List<Channel> at = bind(node::connection, loopback.port());
     node.bound(at);
     nodes.put(name, node);
@@ -302,12 +306,12 @@
       station.born(nowMs());
     }
     roster.put(
-        new Roster.Host(
+        new EndpointRegistry.Host(
             name,
             dial(at),
             zone(n),
             slow ? "slow" : "fast",
-            Roster.Health.UP,
+            EndpointRegistry.Health.UP,
             share,
             cold ? System.currentTimeMillis() : 0));
     return name;
@@ -361,7 +365,7 @@
     on(
         () -> {
           node(name).crash();
-          told(name, Roster.Health.REMOVED);
+          told(name, EndpointRegistry.Health.REMOVED);
           return null;
         });
   }
@@ -375,17 +379,17 @@
           node.bound(at);
           node.station().born(nowMs());
           node.shelf().clear();
-          Roster.Host host = roster.host(name);
+          EndpointRegistry.Host host = roster.host(name);
           later(
               plan.noticeMs(),
               () -> {
                 roster.put(
-                    new Roster.Host(
+                    new EndpointRegistry.Host(
                         name,
                         host.dial(),
                         host.zone(),
                         host.kind(),
-                        Roster.Health.UP,
+                        EndpointRegistry.Health.UP,
                         host.share(),
                         System.currentTimeMillis()));
                 synchronized (ledger) {
@@ -412,7 +416,7 @@
     for (int view = -1; view < views; view++) {
       InetSocketAddress at =
           new InetSocketAddress(view < 0 ? loopback.host() : loopback.view(view), node.port());
-      node.hole(bound(() -> new Hole(at)));
+      node.hole(bound(() -> new BlackholeListener(at)));
     }
   }
 
@@ -439,7 +443,7 @@
     on(
         () -> {
           node(name).drain();
-          told(name, Roster.Health.DRAINING);
+          told(name, EndpointRegistry.Health.DRAINING);
           return null;
         });
   }
@@ -507,7 +511,7 @@
     }
   }
 
-  private void told(String name, Roster.Health health) {
+  private void told(String name, EndpointRegistry.Health health) {
     later(
         plan.noticeMs(),
         () -> {
--- a/src/main/java/cacheproxy/site/ColdGuard.java
+++ b/src/main/java/cacheproxy/site/SlowStartGuard.java
@@ -7,7 +7,7 @@
  * do at that moment, within any window of a length, while it is cold. Rules alone; times in
  * milliseconds, work in milliseconds at a speed of 1.
  */
-public final class ColdGuard {
+public final class SlowStartGuard {
   /** A little for chance, on top of the budget: so many requests' work. */
   static final double SLACK_REQUESTS = 4;
 
@@ -20,7 +20,7 @@
   private boolean over;
 
   /** As the settings have them: {@code tip-multiple} and {@code fall}. */
-  public ColdGuard(double multiple, double windowMs) {
+  public SlowStartGuard(double multiple, double windowMs) {
     this.multiple = multiple;
     this.windowMs = windowMs;
   }
--- a/src/main/java/cacheproxy/site/Shelf.java
+++ b/src/main/java/cacheproxy/site/ValueStore.java
@@ -10,7 +10,7 @@
  * What a node keeps: keys, the least lately used go first; and idempotency keys for their window.
  * Rules alone.
  */
-public final class Shelf {
+public final class ValueStore {
   private final int most;
   private final double windowMs;
   private final LinkedHashSet<String> keys = new LinkedHashSet<>();
@@ -20,7 +20,7 @@
    * @param most keys that it has room for
    * @param windowMs how long it drops repeats of an idempotency key
    */
-  public Shelf(int most, double windowMs) {
+  public ValueStore(int most, double windowMs) {
     this.most = most;
     this.windowMs = windowMs;
   }
@@ -67,9 +67,9 @@
    */
   static final class Missed {
     private static final int MOST = 100_000;
-    private final Map<String, Set<Shelf>> at = new LinkedHashMap<>();
+    private final Map<String, Set<ValueStore>> at = new LinkedHashMap<>();
 
-    void missed(String id, Shelf shelf) {
+    void missed(String id, ValueStore shelf) {
       at.computeIfAbsent(id, i -> new LinkedHashSet<>()).add(shelf);
       if (at.size() > MOST) {
         Iterator<String> oldest = at.keySet().iterator();
@@ -79,7 +79,7 @@
     }
 
     void fetched(String id, String key) {
-      Set<Shelf> shelves = at.remove(id);
+      Set<ValueStore> shelves = at.remove(id);
       if (shelves != null) {
         shelves.forEach(s -> s.put(key));
       }
--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -31,23 +31,23 @@
   private static final List<String> RULES =
       List.of(
           "load.Arrivals",
-          "load.Ask",
+          "load.PlannedRequest",
           "load.Keys",
           "load.Kind",
-          "load.Patience",
+          "load.ClientTimeouts",
           "load.Plan",
-          "load.Shape",
-          "load.Tally",
-          "load.Wheel",
+          "load.LoadProfile",
+          "load.ResultRecorder",
+          "load.TimerWheel",
           "site.Breach",
-          "site.ColdGuard",
+          "site.SlowStartGuard",
           "site.Ledger",
-          "site.Roster",
+          "site.EndpointRegistry",
           "site.Scenario",
-          "site.Shelf",
-          "site.Station",
-          "fleet.Wire",
-          "fleet.Beliefs");
+          "site.ValueStore",
+          "site.ServiceQueue",
+          "fleet.LinkFaults",
+          "fleet.ObservedViews");
 
   private static DescribedPredicate<JavaClass> rules() {
     return DescribedPredicate.describe(
@@ -69,6 +69,12 @@
         });
   }
 
+  /** A renamed class must not fall out of the list unnoticed. */
+  @Test
+  void everyListedRulesClassExists() {
+    assertThat(RULES).allMatch(name -> ALL.contain("cacheproxy." + name));
+  }
+
   @Test
   void rulesKnowNoSocketsNoFilesAndNoThreads() {
     noClasses()
@@ -106,7 +112,7 @@
                     c.getName().startsWith("java.")
                         || c.getName()
                             .matches(
-                                "cacheproxy\\.routing\\.(Policy|Carp|RoutingApi|HotKeys|Throttle|Shares|Ranks).*")
+                                "cacheproxy\\.routing\\.(Policy|Carp|RoutingApi|HotKeys|AdaptiveThrottle|TenantQuotas|PriorityLevels).*")
                         || c.isPrimitive()
                         || c.isArray()))
         .check(ALL);
--- a/src/test/java/cacheproxy/admin/ControlRulesTest.java
+++ b/src/test/java/cacheproxy/admin/ControlRulesTest.java
@@ -26,7 +26,7 @@
       for (int i = 0; i < 30; i++) {
         String node = "s-" + random.nextInt(6);
         boolean down = random.nextBoolean();
-        byte[] record = HandLog.record(node, down);
+        byte[] record = ManualEjectionLog.record(node, down);
         boolean crash = random.nextInt(5) == 0;
         int bytes =
             crash ? random.nextInt(record.length - 1) : record.length; // without its end at most
@@ -37,18 +37,20 @@
           out.remove(node);
         }
       }
-      assertThat(HandLog.out(log.toByteArray())).as("seed " + seed).isEqualTo(out);
-      assertThat(HandLog.out(HandLog.whole(out))).as("seed " + seed).isEqualTo(out);
+      assertThat(ManualEjectionLog.out(log.toByteArray())).as("seed " + seed).isEqualTo(out);
+      assertThat(ManualEjectionLog.out(ManualEjectionLog.whole(out)))
+          .as("seed " + seed)
+          .isEqualTo(out);
     }
-    byte[] spoilt = HandLog.record("s-1", true);
+    byte[] spoilt = ManualEjectionLog.record("s-1", true);
     spoilt[spoilt.length - 2] ^= 1;
-    assertThat(HandLog.out(spoilt)).isEmpty();
+    assertThat(ManualEjectionLog.out(spoilt)).isEmpty();
     assertThat(
             Arrays.asList(
-                HandLog.isName("s-1"),
-                HandLog.isName(""),
-                HandLog.isName("a b"),
-                HandLog.isName("a\n")))
+                ManualEjectionLog.isName("s-1"),
+                ManualEjectionLog.isName(""),
+                ManualEjectionLog.isName("a b"),
+                ManualEjectionLog.isName("a\n")))
         .containsExactly(true, false, false, false);
   }
 
@@ -64,8 +66,8 @@
   })
   void togetherTheyHoldWhatOneMay(
       int sockets, int places, int servers, int clients, int itsServers, int left) {
-    Succession.Holds other = new Succession.Holds(clients, itsServers, true);
-    assertThat(Succession.clientsLeft(sockets, places, servers, other)).isEqualTo(left);
+    ListenerTakeover.Holds other = new ListenerTakeover.Holds(clients, itsServers, true);
+    assertThat(ListenerTakeover.clientsLeft(sockets, places, servers, other)).isEqualTo(left);
   }
 
   /**
@@ -83,11 +85,11 @@
     "1200, starts, false"
   })
   void itListensUntilSomebodyElseDoes(double ms, String other, boolean listens) {
-    Succession.Holds holds =
+    ListenerTakeover.Holds holds =
         other.equals("nobody")
-            ? Succession.Holds.NOTHING
-            : new Succession.Holds(1, 0, other.equals("serves"));
-    assertThat(Succession.listens(ms, holds)).isEqualTo(listens);
-    assertThat(Succession.idleMs(holds) > 0).isEqualTo(other.equals("serves"));
+            ? ListenerTakeover.Holds.NOTHING
+            : new ListenerTakeover.Holds(1, 0, other.equals("serves"));
+    assertThat(ListenerTakeover.listens(ms, holds)).isEqualTo(listens);
+    assertThat(ListenerTakeover.idleMs(holds) > 0).isEqualTo(other.equals("serves"));
   }
 }
--- a/src/test/java/cacheproxy/fleet/MembershipFleetTest.java
+++ b/src/test/java/cacheproxy/fleet/MembershipFleetTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.load.Tally;
+import cacheproxy.load.ResultRecorder;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -37,7 +37,7 @@
   void membershipBearsAKillAPauseAOneSidedCutASplitAndLosses() throws Exception {
     try (Fleet fleet = new Fleet(Fleet.Plan.members(N, 12, 200, 1))) {
       fleet.start();
-      Beliefs b = fleet.beliefs();
+      ObservedViews b = fleet.beliefs();
       comesTo(fleet, "all know all", b::agreed);
       assertThat(
               FleetCommand.run(
@@ -108,10 +108,10 @@
       assertThat(
               b.changes().stream()
                   .filter(c -> c.of() == 7 && c.by() >= 0 && c.by() != 7 && c.atMs() > began))
-          .extracting(Beliefs.Change::state)
+          .extracting(ObservedViews.Change::state)
           .doesNotContain("dead", "leaving", "gone");
 
-      Tally tally = fleet.endLoad(true);
+      ResultRecorder tally = fleet.endLoad(true);
       assertThat(b.falseMajorities()).isEmpty();
       assertThat(tally.whole().served()).isPositive();
       assertThat(fleet.broken()).as("by the ledger").isEmpty();
--- a/src/test/java/cacheproxy/fleet/RigTest.java
+++ b/src/test/java/cacheproxy/fleet/RigTest.java
@@ -24,9 +24,9 @@
 class RigTest {
   @Test
   void aCutCutsOneWayAndALossOf30PercentIs30Percent() {
-    Wire wire = new Wire(3, 7);
+    LinkFaults wire = new LinkFaults(3, 7);
     wire.cut(0, 1, true);
-    wire.quality(new Wire.Quality(0.3, 2, 10, 0.25));
+    wire.quality(new LinkFaults.Quality(0.3, 2, 10, 0.25));
     int arrived = 0;
     int doubled = 0;
     double sum = 0;
@@ -43,7 +43,7 @@
     assertThat(wire.lost(0, 1)).isEqualTo(10_000);
     assertThat(wire.bytes(1)).isEqualTo(1_000_000);
     wire.heal();
-    wire.quality(Wire.Quality.CLEAN);
+    wire.quality(LinkFaults.Quality.CLEAN);
     assertThat(wire.arrivals(0, 1, 1)).containsExactly(0);
   }
 
@@ -53,7 +53,7 @@
    */
   @Test
   void aDeathOfALastLifeIsNoFalseOneUntilItIsFoundAgain() {
-    Beliefs b = new Beliefs(4);
+    ObservedViews b = new ObservedViews(4);
     List<Boolean> hears = List.of(true, true, true, true);
     IntStream.range(0, 4).forEach(p -> b.truth(0, p, "serving"));
     b.truth(10, 0, "down");
@@ -74,7 +74,7 @@
 
   @Test
   void mostWhoRunDecideAFalseMajorityAndTheDownAreNotAsked() {
-    Beliefs b = new Beliefs(4);
+    ObservedViews b = new ObservedViews(4);
     for (int p = 0; p < 4; p++) {
       b.truth(0, p, "serving");
     }
--- a/src/test/java/cacheproxy/gossip/ListVersionsTest.java
+++ b/src/test/java/cacheproxy/gossip/EndpointVersionGossipTest.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** One proxy's view in virtual time; the others are what it hears. */
-class ListVersionsTest {
+class EndpointVersionGossipTest {
   private static final int TIER = 14;
-  private final ListVersions versions = new ListVersions(TIER, 0);
+  private final EndpointVersionGossip versions = new EndpointVersionGossip(TIER, 0);
 
   /** What is done up to this time: calls of discovery, with the times at which. */
   private double asksBy(double end) {
@@ -33,11 +33,11 @@
   void aSilentWatchIsToldFromALateOne() {
     versions.own(0, 10, 0.5);
     versions.heard(1000, 3, 11, 0.5);
-    versions.own(1000 + ListVersions.LATE_MS - 1, 11, 0.5);
+    versions.own(1000 + EndpointVersionGossip.LATE_MS - 1, 11, 0.5);
     assertThat(asksBy(60_000)).isNaN();
     versions.heard(61_000, 3, 12, 1);
     assertThat(asksBy(70_000))
-        .isEqualTo(61_000 + ListVersions.LATE_MS + ListVersions.ASK_SPREAD_MS);
+        .isEqualTo(61_000 + EndpointVersionGossip.LATE_MS + EndpointVersionGossip.ASK_SPREAD_MS);
   }
 
   /**
@@ -54,7 +54,7 @@
     }
     assertThat(calls).isBetween(2, 9);
     versions.heard(600_000, 6, 11, 0);
-    assertThat(asksBy(600_000 + ListVersions.LATE_MS)).isNotNaN();
+    assertThat(asksBy(600_000 + EndpointVersionGossip.LATE_MS)).isNotNaN();
   }
 
   @Test
@@ -62,7 +62,7 @@
     versions.own(0, 10, 1);
     versions.heard(10, 1, 10, 0.5);
     versions.heard(20, 2, 10, 0.5);
-    assertThat(versions.tells(ListVersions.TELL_SPREAD_MS)).isZero();
+    assertThat(versions.tells(EndpointVersionGossip.TELL_SPREAD_MS)).isZero();
     versions.heard(1000, 4, 9, 0); // but who is behind is told
     assertThat(versions.tells(1000)).isEqualTo(10);
   }
@@ -81,13 +81,13 @@
 
   private static void twoWatchesThatLive(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    ListVersions[] tier = new ListVersions[TIER];
+    EndpointVersionGossip[] tier = new EndpointVersionGossip[TIER];
     long[] has = new long[TIER];
     double[] knownMs = new double[TIER];
     PriorityQueue<Map.Entry<Double, Runnable>> due =
         new PriorityQueue<>(Map.Entry.comparingByKey());
     for (int p = 0; p < TIER; p++) {
-      tier[p] = new ListVersions(TIER, p);
+      tier[p] = new EndpointVersionGossip(TIER, p);
       tier[p].own(0, 1, random.nextDouble());
       int me = p;
       if (p < 2) {
@@ -165,11 +165,11 @@
 
   private static int told(int n, boolean sized, long seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    ListVersions[] tier = new ListVersions[n];
+    EndpointVersionGossip[] tier = new EndpointVersionGossip[n];
     PriorityQueue<Map.Entry<Double, Runnable>> due =
         new PriorityQueue<>(Map.Entry.comparingByKey());
     for (int p = 0; p < n; p++) {
-      tier[p] = new ListVersions(n, p);
+      tier[p] = new EndpointVersionGossip(n, p);
       if (sized) {
         tier[p].tier(n, 34);
       }
@@ -220,7 +220,9 @@
     }
     assertThat(told)
         .as("seed %d", seed)
-        .isLessThanOrEqualTo((int) (100_000 / ListVersions.TELL_AGAIN_MS) + 1);
-    assertThat(asked).as("seed %d", seed).isBetween(1, (int) (100_000 / ListVersions.LATE_MS) + 1);
+        .isLessThanOrEqualTo((int) (100_000 / EndpointVersionGossip.TELL_AGAIN_MS) + 1);
+    assertThat(asked)
+        .as("seed %d", seed)
+        .isBetween(1, (int) (100_000 / EndpointVersionGossip.LATE_MS) + 1);
   }
 }
--- a/src/test/java/cacheproxy/limits/DoorRulesTest.java
+++ b/src/test/java/cacheproxy/limits/ConnectionAdmissionPolicyTest.java
@@ -8,12 +8,12 @@
 import org.junit.jupiter.api.Test;
 
 /** Who is shown out, in virtual time. */
-class DoorRulesTest {
+class ConnectionAdmissionPolicyTest {
   private static final int PLACES = 192;
   private static final int ROOM = 128;
   private static final int SPARE = 16;
 
-  private static final class Client implements DoorRules.Guest {
+  private static final class Client implements ConnectionAdmissionPolicy.Guest {
     boolean busy;
     boolean useless;
     double sinceMs;
@@ -53,7 +53,8 @@
     }
   }
 
-  private final DoorRules rules = new DoorRules(PLACES, ROOM, SPARE, true);
+  private final ConnectionAdmissionPolicy rules =
+      new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
   private final List<Client> in = new ArrayList<>();
 
   private Client idle(double since, long answered) {
@@ -94,7 +95,7 @@
 
   private double share(int perSecond, boolean ruled) {
     in.clear();
-    DoorRules door = new DoorRules(PLACES, ROOM, SPARE, true);
+    ConnectionAdmissionPolicy door = new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
     Random random = new Random(274);
     int wanted = 0;
     int entered = 0;
@@ -139,7 +140,7 @@
   void theStayOfTheIdleIsRoomOverRate() {
     for (int perSecond : new int[] {70, 100, 200, 400}) {
       in.clear();
-      DoorRules door = new DoorRules(PLACES, ROOM, SPARE, true);
+      ConnectionAdmissionPolicy door = new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
       double stays = 0;
       int shown = 0;
       for (double now = 0; now < 20_000; now += 1000.0 / perSecond) {
@@ -228,10 +229,10 @@
       Client c = idle(950, 100);
       c.gapMs = 30;
       c.busy = i % 2 == 0;
-      c.behindMs = !c.busy ? 0 : i % 4 == 0 ? DoorRules.BEHIND_MS : 600 + i;
+      c.behindMs = !c.busy ? 0 : i % 4 == 0 ? ConnectionAdmissionPolicy.BEHIND_MS : 600 + i;
     }
     List<Client> out = clear(1000);
-    assertThat(out).hasSize(SPARE).allMatch(c -> c.behindMs > DoorRules.BEHIND_MS);
+    assertThat(out).hasSize(SPARE).allMatch(c -> c.behindMs > ConnectionAdmissionPolicy.BEHIND_MS);
     assertThat(out.get(0).behindMs).isEqualTo(600 + PLACES - 2);
     in.forEach(c -> c.behindMs = 0);
     for (int i = 0; i < SPARE; i++) {
@@ -251,7 +252,8 @@
       in.clear();
       int places = 2 + random.nextInt(300);
       int spare = random.nextInt(Math.min(17, places));
-      DoorRules door = new DoorRules(places, 1 + random.nextInt(places), spare, true);
+      ConnectionAdmissionPolicy door =
+          new ConnectionAdmissionPolicy(places, 1 + random.nextInt(places), spare, true);
       int n = random.nextInt(places + 1);
       for (int i = 0; i < n; i++) {
         Client c = idle(random.nextInt(5000), random.nextInt(3));
@@ -272,12 +274,16 @@
                           !c.busy
                               && !c.useless
                               && 5000 - c.sinceMs
-                                  >= Math.min(DoorRules.HORIZON_MS, DoorRules.RHYTHM * c.gapMs))
+                                  >= Math.min(
+                                      ConnectionAdmissionPolicy.HORIZON_MS,
+                                      ConnectionAdmissionPolicy.RHYTHM * c.gapMs))
                   .count();
       int taken = random.nextInt(places - n + 1);
       int out = 0;
       for (Client c; (c = door.next(5000, in, taken)) != null; out++) {
-        assertThat(c.busy && c.behindMs <= DoorRules.BEHIND_MS).as("seed %d", seed).isFalse();
+        assertThat(c.busy && c.behindMs <= ConnectionAdmissionPolicy.BEHIND_MS)
+            .as("seed %d", seed)
+            .isFalse();
         in.remove(c);
       }
       int needed = Math.max(0, spare - (places - n - taken));
@@ -285,7 +291,8 @@
       assertThat(out).as("seed %d", seed).isLessThanOrEqualTo(needed + over);
       assertThat(
               places - in.size() - taken >= spare
-                  || in.stream().allMatch(c -> c.busy && c.behindMs <= DoorRules.BEHIND_MS))
+                  || in.stream()
+                      .allMatch(c -> c.busy && c.behindMs <= ConnectionAdmissionPolicy.BEHIND_MS))
           .as("seed %d", seed)
           .isTrue();
     }
--- a/src/test/java/cacheproxy/limits/PaceTest.java
+++ b/src/test/java/cacheproxy/limits/PaceTest.java
@@ -8,7 +8,7 @@
 
 /** Least rates in virtual time. */
 class PaceTest {
-  private static final LeastRate LEAST = new LeastRate(10_000, 2000);
+  private static final MinimumRate LEAST = new MinimumRate(10_000, 2000);
 
   @Test
   void whoMovesNothingIsTooSlowAfterTheGraceAndNotBefore() {
@@ -130,7 +130,7 @@
 
   @Test
   void aRateOfNothingIsRefused() {
-    assertThatThrownBy(() -> new LeastRate(0, 1)).isInstanceOf(IllegalArgumentException.class);
-    assertThatThrownBy(() -> new LeastRate(1, -1)).isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(() -> new MinimumRate(0, 1)).isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(() -> new MinimumRate(1, -1)).isInstanceOf(IllegalArgumentException.class);
   }
 }
--- a/src/test/java/cacheproxy/limits/PressureTest.java
+++ b/src/test/java/cacheproxy/limits/PressureTest.java
@@ -47,8 +47,8 @@
 
   @Test
   void whoComesAgainAtOnceWaitsLongerEachTimeAndIsForgotten() {
-    HoldOff hold = new HoldOff();
-    for (int i = 0; i < HoldOff.FREE; i++) {
+    ClientBackoff hold = new ClientBackoff();
+    for (int i = 0; i < ClientBackoff.FREE; i++) {
       hold.turnedAway(1000, "a");
     }
     assertThat(hold.waitMs(1000, "a")).isZero();
@@ -61,17 +61,17 @@
     for (int i = 0; i < 1000; i++) {
       hold.turnedAway(1002, "a");
     }
-    assertThat(hold.waitMs(1002, "a")).isEqualTo(HoldOff.MOST_MS);
+    assertThat(hold.waitMs(1002, "a")).isEqualTo(ClientBackoff.MOST_MS);
     assertThat(hold.waitMs(1002, "b")).isZero();
-    assertThat(hold.waitMs(1002 + HoldOff.WINDOW_MS, "a")).isZero();
-    assertThat(hold.waitMs(1002 + HoldOff.FORGET_MS + 1, "a")).isZero();
+    assertThat(hold.waitMs(1002 + ClientBackoff.WINDOW_MS, "a")).isZero();
+    assertThat(hold.waitMs(1002 + ClientBackoff.FORGET_MS + 1, "a")).isZero();
     assertThat(hold.size()).isZero();
   }
 
   /** Many clients behind one front: a few bad ones don't make the others wait. */
   @Test
   void anAddressThatIsServedMoreOftenThanTurnedAwayNeverWaits() {
-    HoldOff hold = new HoldOff();
+    ClientBackoff hold = new ClientBackoff();
     for (int i = 0; i < 2000; i++) {
       hold.turnedAway(1000 + i, "front");
       hold.served(1000 + i, "front");
@@ -82,23 +82,23 @@
 
   @Test
   void theTableOfAddressesHasABoundAndKeepsThoseHeardOfLast() {
-    HoldOff hold = new HoldOff();
+    ClientBackoff hold = new ClientBackoff();
     for (int i = 0; i < 100_000; i++) {
       hold.turnedAway(1000, i);
       hold.turnedAway(1000, "always");
     }
-    assertThat(hold.size()).isEqualTo(HoldOff.ADDRESSES);
+    assertThat(hold.size()).isEqualTo(ClientBackoff.ADDRESSES);
     assertThat(hold.waitMs(1000, "always")).isPositive();
   }
 
   @Test
   void cutsAreToldOnce() {
-    Cuts cuts = new Cuts();
-    cuts.count(Cut.IDLE);
-    cuts.count(Cut.SLOW_READER);
-    cuts.count(Cut.SLOW_READER);
+    DisconnectCounters cuts = new DisconnectCounters();
+    cuts.count(DisconnectReason.IDLE);
+    cuts.count(DisconnectReason.SLOW_READER);
+    cuts.count(DisconnectReason.SLOW_READER);
     assertThat(cuts.news()).isEqualTo("idle 1, slow reader 2");
     assertThat(cuts.news()).isEmpty();
-    assertThat(cuts.of(Cut.SLOW_READER)).isEqualTo(2);
+    assertThat(cuts.of(DisconnectReason.SLOW_READER)).isEqualTo(2);
   }
 }
--- a/src/test/java/cacheproxy/limits/StartTest.java
+++ b/src/test/java/cacheproxy/limits/StartTest.java
@@ -20,7 +20,7 @@
       double falls, int pauses, int from, int to) {
     for (long seed = 1; seed <= 20; seed++) {
       SplittableRandom random = new SplittableRandom(seed);
-      Settling settling = new Settling(96, 24, 200);
+      WarmUpConvergence settling = new WarmUpConvergence(96, 24, 200);
       while (!settling.settled() && settling.served() < 10_000) {
         double pause = pauses > 0 && random.nextInt(pauses) == 0 ? 5e7 : 0;
         settling.served(pause + 1e6 * Math.max(0.1, Math.pow(falls, settling.served())));
@@ -42,11 +42,11 @@
     "true, 2000, 3, 2000"
   })
   void itTakesLongOnlyWhereNobodyIsKeptWaiting(boolean peers, int heardMs, int asked, int ends) {
-    StartSpan span = new StartSpan(0, peers);
+    WarmUpBudget span = new WarmUpBudget(0, peers);
     int asks = 0;
     int now = 0;
     for (; span.leftMs(now) > 0 && now < heardMs; now++) {
-      asks += now % StartSpan.ASK_AGAIN_MS == 0 && span.asks() ? 1 : 0;
+      asks += now % WarmUpBudget.ASK_AGAIN_MS == 0 && span.asks() ? 1 : 0;
     }
     if (now == heardMs) {
       span.oneServes();
--- a/src/test/java/cacheproxy/limits/PassWindowTest.java
+++ b/src/test/java/cacheproxy/limits/StreamingWindowTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** How much of a long value may be in hand. */
-class PassWindowTest {
+class StreamingWindowTest {
   @ParameterizedTest
   @CsvSource({
     "0, 0, 99, true",
@@ -21,7 +21,7 @@
     "0, 1, 200, true"
   })
   void aValueGoesOnWhateverOthersHold(long pending, int behind, long heldPercent, boolean reads) {
-    assertThat(PassWindow.reads(pending, behind, heldPercent * 100_000, 10_000_000))
+    assertThat(StreamingWindow.reads(pending, behind, heldPercent * 100_000, 10_000_000))
         .isEqualTo(reads);
   }
 }
