--- a/src/test/java/cacheproxy/load/GeneratorTest.java
+++ b/src/test/java/cacheproxy/load/GeneratorTest.java
@@ -87,11 +87,11 @@
     say(ctx, "VA 2 O" + id + " h1\r\nhi\r\n");
   }
 
-  private static Supplier<Iterator<Ask>> plan(double rate, double seconds) {
+  private static Supplier<Iterator<PlannedRequest>> plan(double rate, double seconds) {
     return () ->
         new Plan(
             READS,
-            new Arrivals(rate, new Shape.Steady(), false, 1),
+            new Arrivals(rate, new LoadProfile.Steady(), false, 1),
             new Keys(100, 0.9, 0, Keys.Hot.NONE, 1),
             1,
             Plan.Overtaken.NONE,
@@ -101,23 +101,24 @@
   }
 
   private static Generator generator(
-      InetSocketAddress to, double rate, double seconds, Patience patience) {
+      InetSocketAddress to, double rate, double seconds, ClientTimeouts patience) {
     return new Generator(
         new Generator.Settings(List.of(to), READS, plan(rate, seconds), patience, 1, 256, "t", 1));
   }
 
-  private static Tally play(InetSocketAddress to, Patience patience) throws InterruptedException {
+  private static ResultRecorder play(InetSocketAddress to, ClientTimeouts patience)
+      throws InterruptedException {
     return generator(to, 200, 1, patience).run();
   }
 
-  private static final Patience ONCE = new Patience(0, 1, 10, 0, 1);
+  private static final ClientTimeouts ONCE = new ClientTimeouts(0, 1, 10, 0, 1);
 
   /** Clients that wait ten seconds. */
-  private static final Patience LONG = new Patience(0, 1, 10, 0, 10);
+  private static final ClientTimeouts LONG = new ClientTimeouts(0, 1, 10, 0, 10);
 
   @Test
   void aStallOfTheWholeTargetShowsInAllThatWasDueMeanwhile() throws Exception {
-    Tally t =
+    ResultRecorder t =
         generator(
                 target(
                     (ctx, n, id) -> {
@@ -134,7 +135,7 @@
                 4,
                 LONG)
             .run();
-    Tally.Part all = t.whole();
+    ResultRecorder.Part all = t.whole();
     assertThat(all.served()).isEqualTo(400);
     assertThat(all.servedMs(99.9)).isBetween(1900.0, 2600.0);
     // 200 of 400 were due within the stall, one each 10 ms: a closed loop would show one slow
@@ -149,9 +150,9 @@
   void aStallOfTheGeneratorIsSaidInTheFirstLineAndItsTimesCount() throws Exception {
     InetSocketAddress to = target((ctx, n, id) -> serve(ctx, id));
     boolean[] slept = new boolean[1];
-    Supplier<Iterator<Ask>> plan =
+    Supplier<Iterator<PlannedRequest>> plan =
         () -> {
-          Iterator<Ask> of = plan(100, 3).get();
+          Iterator<PlannedRequest> of = plan(100, 3).get();
           return new Iterator<>() {
             @Override
             public boolean hasNext() {
@@ -159,8 +160,8 @@
             }
 
             @Override
-            public Ask next() {
-              Ask ask = of.next();
+            public PlannedRequest next() {
+              PlannedRequest ask = of.next();
               if (ask.number() == 100 && !slept[0]) {
                 slept[0] = true;
                 try {
@@ -173,7 +174,7 @@
             }
           };
         };
-    Tally t =
+    ResultRecorder t =
         new Generator(new Generator.Settings(List.of(to), READS, plan, LONG, 1, 256, "t", 1)).run();
     assertThat(t.whole().served()).isEqualTo(300);
     assertThat(t.whole().servedMs(99.9)).isGreaterThan(900);
@@ -193,14 +194,14 @@
     try (ServerSocket gone = new ServerSocket(0)) {
       port = gone.getLocalPort();
     }
-    Tally refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
+    ResultRecorder refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
     assertThat(refused.unconnected).isEqualTo(200);
-    assertThat(refused.whole().of(Tally.Last.FAILED)).isEqualTo(200);
+    assertThat(refused.whole().of(ResultRecorder.Last.FAILED)).isEqualTo(200);
 
-    Tally never = play(target((ctx, n, id) -> {}), new Patience(0, 1, 10, 0, 0.2));
-    assertThat(never.whole().of(Tally.Last.LOST)).isEqualTo(200);
+    ResultRecorder never = play(target((ctx, n, id) -> {}), new ClientTimeouts(0, 1, 10, 0, 0.2));
+    assertThat(never.whole().of(ResultRecorder.Last.LOST)).isEqualTo(200);
 
-    Tally half =
+    ResultRecorder half =
         play(
             target(
                 (ctx, n, id) -> {
@@ -208,13 +209,14 @@
                   ctx.close();
                 }),
             ONCE);
-    assertThat(half.whole().of(Tally.Last.LOST)).isEqualTo(200);
+    assertThat(half.whole().of(ResultRecorder.Last.LOST)).isEqualTo(200);
 
-    Tally other = play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
-    assertThat(other.whole().of(Tally.Last.FAILED)).isEqualTo(100);
+    ResultRecorder other =
+        play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
+    assertThat(other.whole().of(ResultRecorder.Last.FAILED)).isEqualTo(100);
     assertThat(other.whole().served()).isEqualTo(100);
 
-    Tally twice =
+    ResultRecorder twice =
         play(
             target(
                 (ctx, n, id) -> {
@@ -247,7 +249,7 @@
           public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) {}
 
           @Override
-          public void ended(String id, Patience.End end, boolean gaveUp) {
+          public void ended(String id, ClientTimeouts.End end, boolean gaveUp) {
             ended.incrementAndGet();
           }
 
@@ -256,10 +258,19 @@
             crossed.incrementAndGet();
           }
         };
-    Tally t =
+    ResultRecorder t =
         new Generator(
                 new Generator.Settings(
-                    List.of(to), READS, plan(200, 1), ONCE, 1, 256, "t", 1, witness, Lane.SLACK_MS))
+                    List.of(to),
+                    READS,
+                    plan(200, 1),
+                    ONCE,
+                    1,
+                    256,
+                    "t",
+                    1,
+                    witness,
+                    LoadWorker.SLACK_MS))
             .run();
     assertThat(t.whole().served()).isEqualTo(200);
     assertThat(crossed.get())
@@ -279,29 +290,29 @@
             (ctx, n, id) ->
                 ctx.executor()
                     .schedule(() -> serve(ctx, id), n % 2 == 0 ? 300 : 0, TimeUnit.MILLISECONDS));
-    Map<Patience.End, Integer> told = new EnumMap<>(Patience.End.class);
+    Map<ClientTimeouts.End, Integer> told = new EnumMap<>(ClientTimeouts.End.class);
     Witness witness =
         new Witness() {
           @Override
           public void sent(String id, int target, Kind kind, String idempotency, double waitsMs) {}
 
           @Override
-          public void ended(String id, Patience.End end, boolean gaveUp) {
+          public void ended(String id, ClientTimeouts.End end, boolean gaveUp) {
             told.merge(end, 1, Integer::sum);
           }
 
           @Override
           public void crossed(String id) {}
         };
-    Patience brief = new Patience(0, 1, 10, 0, 0.1);
-    Tally t =
+    ClientTimeouts brief = new ClientTimeouts(0, 1, 10, 0, 0.1);
+    ResultRecorder t =
         new Generator(
                 new Generator.Settings(
                     List.of(to), READS, plan(200, 1), brief, 1, 256, "t", 1, witness, 5000))
             .run();
-    assertThat(t.whole().of(Tally.Last.LOST)).isEqualTo(100);
+    assertThat(t.whole().of(ResultRecorder.Last.LOST)).isEqualTo(100);
     assertThat(t.whole().served()).isEqualTo(100);
-    assertThat(told).containsExactly(Map.entry(Patience.End.SERVED, 200));
+    assertThat(told).containsExactly(Map.entry(ClientTimeouts.End.SERVED, 200));
   }
 
   @Test
@@ -319,7 +330,7 @@
             3600,
             ONCE);
     stop = generator::stop;
-    Tally t = generator.run();
+    ResultRecorder t = generator.run();
     assertThat(t.whole().served()).isBetween(40L, 60L);
     assertThat(new Report(t, 1, true).text()).contains("CUT SHORT");
     assertThat(new Report(t, 1, true).html()).contains("<svg").doesNotContain("http");
--- a/src/test/java/cacheproxy/load/LoadRulesTest.java
+++ b/src/test/java/cacheproxy/load/LoadRulesTest.java
@@ -19,13 +19,13 @@
 class LoadRulesTest {
   @TempDir Path folder;
 
-  private static List<Ask> plan(
+  private static List<PlannedRequest> plan(
       String shape, boolean poisson, Keys.Hot hot, Plan.Overtaken overtaken, long seed)
       throws UsageException {
-    List<Ask> asks = new ArrayList<>();
+    List<PlannedRequest> asks = new ArrayList<>();
     new Plan(
             Kind.USUAL,
-            new Arrivals(500, Shape.parse(shape), poisson, seed),
+            new Arrivals(500, LoadProfile.parse(shape), poisson, seed),
             new Keys(1000, 0.95, 0, hot, seed),
             4,
             overtaken,
@@ -36,7 +36,7 @@
     return asks;
   }
 
-  private static long between(List<Ask> asks, double from, double until) {
+  private static long between(List<PlannedRequest> asks, double from, double until) {
     return asks.stream().filter(a -> a.atMs() >= from && a.atMs() < until).count();
   }
 
@@ -50,7 +50,7 @@
   })
   void aShapeShowsInBothHalves(String shape, double first, double second) throws UsageException {
     for (boolean poisson : new boolean[] {false, true}) {
-      List<Ask> asks = plan(shape, poisson, Keys.Hot.NONE, Plan.Overtaken.NONE, 7);
+      List<PlannedRequest> asks = plan(shape, poisson, Keys.Hot.NONE, Plan.Overtaken.NONE, 7);
       double most = poisson ? 350 : 25;
       assertThat((double) between(asks, 0, 10_000)).isCloseTo(5000 * first, within(most * 2));
       assertThat((double) between(asks, 10_000, 20_000)).isCloseTo(5000 * second, within(most * 2));
@@ -59,11 +59,11 @@
 
   @Test
   void theSameSeedAsksTheSameAndAnotherDoesNot() throws UsageException {
-    List<Ask> one = plan("wave:5:0.4", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 1);
+    List<PlannedRequest> one = plan("wave:5:0.4", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 1);
     assertThat(plan("wave:5:0.4", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 1)).isEqualTo(one);
     assertThat(plan("wave:5:0.4", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 2)).isNotEqualTo(one);
     // One purpose does not move another: with a target overtaken, times, classes and keys stay.
-    List<Ask> other =
+    List<PlannedRequest> other =
         plan("wave:5:0.4", true, Keys.Hot.NONE, new Plan.Overtaken(2, 0.9, 0, 20_000), 1);
     assertThat(other)
         .usingRecursiveFieldByFieldElementComparatorIgnoringFields("target")
@@ -75,7 +75,8 @@
   @Test
   void popularityFollowsZipfAndAHotKeyItsWindow() throws UsageException {
     Map<String, Integer> counts = new HashMap<>();
-    List<Ask> asks = plan("steady", true, new Keys.Hot(0.25, 5000, 10_000), Plan.Overtaken.NONE, 3);
+    List<PlannedRequest> asks =
+        plan("steady", true, new Keys.Hot(0.25, 5000, 10_000), Plan.Overtaken.NONE, 3);
     asks.stream()
         .filter(a -> a.atMs() >= 10_000)
         .forEach(a -> counts.merge(a.key(), 1, Integer::sum));
@@ -106,27 +107,27 @@
       String kind,
       int tries,
       double since,
-      Patience.End end,
+      ClientTimeouts.End end,
       double advice,
       double lot,
       double again) {
     Kind of = Kind.USUAL.stream().filter(k -> k.name().equals(kind)).findFirst().orElseThrow();
-    assertThat(Patience.USUAL.againMs(of, end, tries, since, advice, lot)).isEqualTo(again);
+    assertThat(ClientTimeouts.USUAL.againMs(of, end, tries, since, advice, lot)).isEqualTo(again);
   }
 
   @Test
   void whatIsRecordedIsReplayedAtAnySpeed() throws Exception {
-    List<Ask> asks = plan("steady", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 5);
+    List<PlannedRequest> asks = plan("steady", true, Keys.Hot.NONE, Plan.Overtaken.NONE, 5);
     Path file = folder.resolve("trace.csv");
     Trace.write(file, asks.iterator(), Kind.USUAL);
-    List<Ask> again = Trace.read(file, "", 2, Kind.USUAL, 4, 5);
+    List<PlannedRequest> again = Trace.read(file, "", 2, Kind.USUAL, 4, 5);
     assertThat(again)
         .usingRecursiveFieldByFieldElementComparatorIgnoringFields("target", "atMs")
         .isEqualTo(asks);
     assertThat(again.get(99).atMs()).isCloseTo(asks.get(99).atMs() / 2, within(1e-9));
     Files.writeString(file, "when,object,class,x\n5,k1,text,9\n");
     assertThat(Trace.read(file, "at_ms=when,key=object", 1, Kind.USUAL, 1, 5))
-        .containsExactly(new Ask(0, 5, 0, "k1", 0, 0));
+        .containsExactly(new PlannedRequest(0, 5, 0, "k1", 0, 0));
   }
 
   @ParameterizedTest
--- a/src/test/java/cacheproxy/overload/BudgetTest.java
+++ b/src/test/java/cacheproxy/overload/CpuLoadShedderTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What the loop's rounds tell, and what a request is seen to cost. */
-class BudgetTest {
+class CpuLoadShedderTest {
   /**
    * A round selected at 1000; the next selection is begun and ends at these times, with a timer due
    * then; a request is read at the last.
@@ -24,7 +24,7 @@
   })
   void howLongARequestHasWaited(
       String what, double begun, double due, double ends, double read, double waited) {
-    Rounds rounds = new Rounds();
+    LoopIterations rounds = new LoopIterations();
     assertThat(rounds.waitedMs(900)).isZero();
     rounds.entering(999, 1050);
     rounds.selected(1000);
@@ -54,7 +54,7 @@
   /** A start: rounds of 400 ms where 62 are aimed at, and five requests a second. */
   @Test
   void nothingIsTurnedAwayBeforeACostIsKnownAndNothingIsTimedAsNoNumber() {
-    Budget budget = new Budget(62);
+    CpuLoadShedder budget = new CpuLoadShedder(62);
     double now = 0;
     for (int round = 1; round <= 60; round++) {
       if (budget.entering(now, now + 10)) {
@@ -80,7 +80,7 @@
     "a b c, NaN, NaN"
   })
   void whatTheSystemTellsOfTheThread(String line, double ran, double held) {
-    ThreadTime time = new ThreadTime();
+    ThreadCpuClock time = new ThreadCpuClock();
     time.read(0, "0 0 0");
     time.read(100, line);
     assertThat(List.of(time.ran(), time.held())).isEqualTo(List.of(ran, held));
--- a/src/test/java/cacheproxy/overload/OverloadModelTest.java
+++ b/src/test/java/cacheproxy/overload/OverloadModelTest.java
@@ -20,7 +20,7 @@
   private static List<LoopModel.Second> play(Plan plan, boolean budget, long seed, int seconds) {
     return new LoopModel(
             plan,
-            budget ? new Budget(Budget.targetMs(250)) : null,
+            budget ? new CpuLoadShedder(CpuLoadShedder.targetMs(250)) : null,
             LoopModel.Gate.module(250, 1000, seed),
             seed)
         .play(seconds);
--- a/src/test/java/cacheproxy/proxy/DoorTest.java
+++ b/src/test/java/cacheproxy/proxy/ConnectionAdmissionTest.java
@@ -22,7 +22,7 @@
 
 /** The bound on clients' descriptors, and what the loop survives. */
 @Timeout(60)
-class DoorTest {
+class ConnectionAdmissionTest {
   @TempDir Path folder;
 
   /**
@@ -45,7 +45,7 @@
     try (Stage stage = new Stage()) {
       stage.sockets = 128;
       stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
-      Door door = stage.proxy.door();
+      ConnectionAdmission door = stage.proxy.door();
       EventLoop loop = stage.proxy.loop();
       for (int round = 0; round < 4; round++) {
         CompletableFuture<Void> go = new CompletableFuture<>();
@@ -72,7 +72,7 @@
       for (int i = 0; i < 200; i++) {
         Stage.await(
             () -> {
-              held.removeIf(DoorTest::ended);
+              held.removeIf(ConnectionAdmissionTest::ended);
               return held.size() < 20; // of 22 places
             });
         Peer.Line client = stage.client();
--- a/src/test/java/cacheproxy/proxy/CrossingsTest.java
+++ b/src/test/java/cacheproxy/proxy/CrossingsTest.java
@@ -782,11 +782,11 @@
    */
   @Test
   void anEndWithinTheStartIsNeitherLostNorListenedThrough() throws Exception {
-    Begun<String> early = new Begun<>();
+    LifecycleSignals<String> early = new LifecycleSignals<>();
     assertThat(early.end()).isNull();
     assertThat(early.listen()).isFalse();
 
-    Begun<String> within = new Begun<>();
+    LifecycleSignals<String> within = new LifecycleSignals<>();
     assertThat(within.listen()).isTrue();
     List<String> answers = new ArrayList<>();
     Thread hook = new Thread(() -> answers.add(within.end()));
@@ -804,7 +804,7 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void aHangUpWithinTheStartIsHeededOnceItIsOver(boolean within) {
-    Begun<String> begun = new Begun<>();
+    LifecycleSignals<String> begun = new LifecycleSignals<>();
     List<String> reloaded = new ArrayList<>();
     if (within) {
       begun.hangUp(reloaded::add);
--- a/src/test/java/cacheproxy/proxy/LastLookTest.java
+++ b/src/test/java/cacheproxy/proxy/LastLookTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.limits.Cut;
+import cacheproxy.limits.DisconnectReason;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -62,7 +62,7 @@
       hold.release();
       assertThat(late.read()).isEqualTo("VA 2 Ol1");
       assertThat(silent.read()).isNull();
-      assertThat(stage.cuts(Cut.SILENT)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.SILENT)).isEqualTo(1);
     }
   }
 
@@ -95,7 +95,7 @@
       hold.release();
       assertThat(late.read()).isEqualTo("VA 2 Ol1");
       assertThat(slow.read()).isNull();
-      assertThat(stage.cuts(Cut.SLOW_WRITER)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.SLOW_WRITER)).isEqualTo(1);
     }
   }
 
@@ -130,7 +130,7 @@
         Stage.serves(stage.client(), "f" + i);
       }
       assertThat(late.read()).isEqualTo("VA 2 Ol1");
-      assertThat(stage.cuts(Cut.HELD_OFF)).isPositive();
+      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isPositive();
     }
   }
 
--- a/src/test/java/cacheproxy/proxy/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/LongValueTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.limits.Holding;
-import cacheproxy.limits.PassWindow;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.StreamingWindow;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -75,7 +75,7 @@
         assertThat(client.read()).isEqualTo("VA " + bytes + " Ox" + i);
         assertThat(client.bytes(bytes + 2).equals(value + "\r\n")).isTrue();
       }
-      Stage.await(() -> stage.held(Holding.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
     }
   }
 
@@ -108,8 +108,9 @@
             .as("client " + i)
             .isTrue();
       }
-      assertThat(stage.mostHeld(Holding.PASSING)).isLessThan(16L * 3 * PassWindow.LEAST_BYTES);
-      Stage.await(() -> stage.held(Holding.PASSING) == 0);
+      assertThat(stage.mostHeld(BufferPurpose.PASSING))
+          .isLessThan(16L * 3 * StreamingWindow.LEAST_BYTES);
+      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
     }
   }
 
@@ -137,7 +138,7 @@
       assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
       assertThat(client.bytes(BYTES + 2).length()).isLessThan(BYTES);
       assertThat(cache.heard).as("no second attempt").hasSize(1);
-      Stage.await(() -> stage.held(Holding.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
     }
   }
 
@@ -189,7 +190,7 @@
       client.write(Stage.read("a", "1"));
       assertThat(client.read()).startsWith("VA ");
       client.close();
-      Stage.await(() -> stage.held(Holding.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
       Stage.await(
           () ->
               stage
--- a/src/test/java/cacheproxy/proxy/LoopEnds.java
+++ b/src/test/java/cacheproxy/proxy/LoopEnds.java
@@ -1,8 +1,8 @@
 package cacheproxy.proxy;
 
 /**
- * A program of its own for {@link DoorTest}: a proxy whose event loop ends without anybody having
- * asked for it.
+ * A program of its own for {@link ConnectionAdmissionTest}: a proxy whose event loop ends without
+ * anybody having asked for it.
  */
 final class LoopEnds {
   private LoopEnds() {}
--- a/src/test/java/cacheproxy/proxy/RequestBench.java
+++ b/src/test/java/cacheproxy/proxy/RequestBench.java
@@ -77,7 +77,9 @@
       dispatcher.listed(ListKind.CHANGES, hosts);
       client
           .pipeline()
-          .addLast(new ClientConnection(dispatcher, new Door(client.eventLoop(), dispatcher)));
+          .addLast(
+              new ClientConnection(
+                  dispatcher, new ConnectionAdmission(client.eventLoop(), dispatcher)));
     }
   }
 
--- a/src/test/java/cacheproxy/proxy/SlowPeersTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowPeersTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.Holding;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.DisconnectReason;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.IOException;
 import java.net.SocketException;
@@ -59,7 +59,7 @@
   }
 
   private static void allIsGivenBack(Stage stage) throws InterruptedException {
-    for (Holding h : Holding.values()) {
+    for (BufferPurpose h : BufferPurpose.values()) {
       Stage.await(() -> stage.held(h) == 0);
     }
   }
@@ -80,13 +80,13 @@
       assertThat(slow.bytes(20_000)).hasSize(20_000);
       Peer.Line healthy = stage.client();
       long end = System.nanoTime() + Stage.PATIENCE.toNanos();
-      for (int i = 0; stage.cuts(Cut.SLOW_READER) == 0; i++) {
+      for (int i = 0; stage.cuts(DisconnectReason.SLOW_READER) == 0; i++) {
         Stage.serves(healthy, "h" + i);
         assertThat(System.nanoTime()).isLessThan(end);
       }
       Stage.serves(healthy, "after");
       assertThat(20_000 + rest(slow)).isLessThan(16L * Stage.LONG.length());
-      assertThat(stage.mostHeld(Holding.ANSWER)).isLessThanOrEqualTo(4 << 20);
+      assertThat(stage.mostHeld(BufferPurpose.ANSWER)).isLessThanOrEqualTo(4 << 20);
       allIsGivenBack(stage);
     }
   }
@@ -106,7 +106,7 @@
       }
       slow.write(all.toString());
       assertThat(slow.read()).isEqualTo("VA 65536 Os0");
-      Stage.await(() -> stage.cuts(Cut.SLOW_READER) == 1);
+      Stage.await(() -> stage.cuts(DisconnectReason.SLOW_READER) == 1);
       allIsGivenBack(stage);
     }
   }
@@ -126,7 +126,7 @@
         slow.write(Stage.read("long" + i, "s" + i));
       }
       long end = System.nanoTime() + Stage.PATIENCE.toNanos();
-      while (stage.cuts(Cut.SLOW_READER) == 0) {
+      while (stage.cuts(DisconnectReason.SLOW_READER) == 0) {
         slow.bytes(2048);
         assertThat(System.nanoTime()).isLessThan(end);
         Thread.sleep(400);
@@ -196,12 +196,12 @@
         assertThat(line.read()).startsWith("ERROR");
       }
       Stage.serves(stage.client(), "usual");
-      assertThat(stage.cuts(Cut.HELD_OFF)).isZero();
+      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isZero();
       long asked = System.nanoTime();
       Stage.serves(stage.clientFrom("127.0.0.77"), "again"); // late, and served all the same
       assertThat(System.nanoTime() - asked)
           .isGreaterThan(150_000_000L); // of 200 ms after six times
-      assertThat(stage.cuts(Cut.HELD_OFF)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isEqualTo(1);
     }
   }
 
@@ -218,7 +218,7 @@
       hoards.write(Stage.read("long1", "l1") + Stage.read("long2", "l2"));
       Stage.await(
           () ->
-              stage.held(Holding.ANSWER) > 120_000
+              stage.held(BufferPurpose.ANSWER) > 120_000
                   && stage
                           .proxy
                           .loop()
@@ -237,7 +237,7 @@
       Peer.Line asks = stage.client();
       asks.write(Stage.read("long3", "l3"));
       assertThat(asks.read()).isEqualTo("VA 65536 Ol3");
-      assertThat(stage.cuts(Cut.HOARDER)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.HOARDER)).isEqualTo(1);
       assertThat(rest(hoards)).isLessThan(2L * Stage.LONG.length());
       allIsGivenBack(stage);
     }
@@ -267,7 +267,7 @@
       client.write(Stage.read("long", "3").replace("c=read", "c=save,k=1"));
       assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
       Stage.serves(client, "4");
-      assertThat(stage.cuts(Cut.NO_ROOM)).isGreaterThanOrEqualTo(3);
+      assertThat(stage.cuts(DisconnectReason.NO_ROOM)).isGreaterThanOrEqualTo(3);
       assertThat(cache.lines).noneMatch(l -> l.ended);
       allIsGivenBack(stage);
     }
@@ -287,7 +287,7 @@
         slow.write(Stage.read("long" + i, "s" + i));
       }
       long end = System.nanoTime() + Stage.PATIENCE.toNanos();
-      while (stage.cuts(Cut.SLOW_READER) == 0) {
+      while (stage.cuts(DisconnectReason.SLOW_READER) == 0) {
         assertThat(slow.socket.getInputStream().read()).isNotNegative();
         assertThat(System.nanoTime()).isLessThan(end);
         Thread.sleep(20);
@@ -311,7 +311,7 @@
       List<Peer.Line> slow = List.of(used, stage.client());
       String command = "ms a 60000 Os Pc=pay,t=a,d=8000,k=1\r\n" + "x".repeat(500);
       int at = 0;
-      while (stage.cuts(Cut.SLOW_WRITER) < 2 && at < command.length()) {
+      while (stage.cuts(DisconnectReason.SLOW_WRITER) < 2 && at < command.length()) {
         for (Peer.Line line : slow) {
           try {
             line.write(command.substring(at, at + 1));
@@ -322,7 +322,7 @@
         at++;
         Thread.sleep(10);
       }
-      assertThat(stage.cuts(Cut.SLOW_WRITER)).isEqualTo(2);
+      assertThat(stage.cuts(DisconnectReason.SLOW_WRITER)).isEqualTo(2);
       assertThat(cache.heard).hasSize(1);
       allIsGivenBack(stage);
     }
@@ -352,7 +352,7 @@
       }
       slow.write("\r\n");
       assertThat(slow.read()).isEqualTo("HD O1 cr1");
-      assertThat(stage.cuts(Cut.SLOW_WRITER)).isZero();
+      assertThat(stage.cuts(DisconnectReason.SLOW_WRITER)).isZero();
     }
   }
 
@@ -374,7 +374,7 @@
         next = after;
         Thread.sleep(10);
       }
-      assertThat(stage.cuts(Cut.SLOW_WRITER)).isZero();
+      assertThat(stage.cuts(DisconnectReason.SLOW_WRITER)).isZero();
     }
   }
 
@@ -405,7 +405,7 @@
         assertThat(client.read()).isEqualTo("VA 2 Oq" + i);
         assertThat(client.read()).isEqualTo("hi");
       }
-      assertThat(stage.cuts(Cut.SLOW_NODE)).isPositive();
+      assertThat(stage.cuts(DisconnectReason.SLOW_NODE)).isPositive();
       assertThat(trickling.heard).isNotEmpty();
     }
   }
@@ -437,7 +437,7 @@
       assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
       Stage.serves(client, "2");
       assertThat(ran).hasValue(1);
-      assertThat(stage.cuts(Cut.SLOW_NODE)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.SLOW_NODE)).isEqualTo(1);
     }
   }
 
@@ -475,18 +475,19 @@
       // A writer that holds the most when answers have no room goes as a hoarder, before its grace
       // is over.
       assertThat(slow).hasSize(48);
-      while (stage.cuts(Cut.SLOW_WRITER) + stage.cuts(Cut.HOARDER) < 24
-          || stage.held(Holding.ANSWER) + stage.held(Holding.VALUE) > 0) {
+      while (stage.cuts(DisconnectReason.SLOW_WRITER) + stage.cuts(DisconnectReason.HOARDER) < 24
+          || stage.held(BufferPurpose.ANSWER) + stage.held(BufferPurpose.VALUE) > 0) {
         assertThat(System.nanoTime()).isLessThan(end);
         for (int i = 0; i < healthy.size(); i++) {
           usual(stage, healthy, i, "h" + served++);
         }
       }
-      assertThat(stage.cuts(Cut.SLOW_READER) + stage.cuts(Cut.HOARDER)).isPositive();
+      assertThat(stage.cuts(DisconnectReason.SLOW_READER) + stage.cuts(DisconnectReason.HOARDER))
+          .isPositive();
       for (int i = 0; i < healthy.size(); i++) {
         usual(stage, healthy, i, "after" + served++);
       }
-      assertThat(stage.mostHeld(Holding.ANSWER)).isLessThanOrEqualTo((4 << 20) + 80 * 1024);
+      assertThat(stage.mostHeld(BufferPurpose.ANSWER)).isLessThanOrEqualTo((4 << 20) + 80 * 1024);
       allIsGivenBack(stage);
     }
   }
@@ -534,7 +535,7 @@
       for (int i = 0; i < 20; i++) { // lines without an end stay in the decoders' buffers
         stage.client().write("mg " + "k".repeat(3000));
       }
-      Stage.await(() -> stage.held(Holding.INPUT) >= 20 * 3000);
+      Stage.await(() -> stage.held(BufferPurpose.INPUT) >= 20 * 3000);
       List<CompletableFuture<Void>> clients = new ArrayList<>();
       for (int c = 0; c < 8; c++) {
         int seed = c;
@@ -549,7 +550,7 @@
                 .submit(
                     () -> {
                       long accounted = 0;
-                      for (Holding h : Holding.values()) {
+                      for (BufferPurpose h : BufferPurpose.values()) {
                         accounted += stage.proxy.dispatcher().accounts().held(h);
                       }
                       return new long[] {used(allocator), accounted};
--- a/src/test/java/cacheproxy/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -2,10 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.limits.Cut;
-import cacheproxy.limits.Holding;
-import cacheproxy.limits.LeastRate;
+import cacheproxy.limits.BufferPurpose;
+import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.Limits;
+import cacheproxy.limits.MinimumRate;
 import com.google.gson.JsonParser;
 import io.netty.buffer.ByteBufAllocator;
 import java.net.Socket;
@@ -239,8 +239,8 @@
         l.readingBytes(),
         l.answerBytes(),
         l.clientAnswerBytes(),
-        new LeastRate(l.clientWrite().bytesPerS(), writeGraceMs),
-        new LeastRate(l.clientRead().bytesPerS(), readGraceMs),
+        new MinimumRate(l.clientWrite().bytesPerS(), writeGraceMs),
+        new MinimumRate(l.clientRead().bytesPerS(), readGraceMs),
         l.nodeAnswer(),
         l.silentMs(),
         8 << 10,
@@ -249,7 +249,7 @@
   }
 
   /** How often the proxy has cut somebody off for this. */
-  long cuts(Cut why) {
+  long cuts(DisconnectReason why) {
     return proxy
         .loop()
         .submit(() -> proxy.dispatcher().cuts().of(why))
@@ -257,7 +257,7 @@
         .getNow();
   }
 
-  long held(Holding kind) {
+  long held(BufferPurpose kind) {
     return proxy
         .loop()
         .submit(() -> proxy.dispatcher().accounts().held(kind))
@@ -265,7 +265,7 @@
         .getNow();
   }
 
-  long mostHeld(Holding kind) {
+  long mostHeld(BufferPurpose kind) {
     return proxy
         .loop()
         .submit(() -> proxy.dispatcher().accounts().most(kind))
--- a/src/test/java/cacheproxy/proxy/WarmUpTest.java
+++ b/src/test/java/cacheproxy/proxy/WarmUpTest.java
@@ -34,7 +34,7 @@
   void aMirrorHandsEachEndWhatTheOtherWrote() {
     for (int cut = 0; cut <= 7; cut++) {
       List<String> far = new ArrayList<>();
-      Mirror mirror = new Mirror((m, text) -> far.add(text));
+      WarmUpPeer mirror = new WarmUpPeer((m, text) -> far.add(text));
       EmbeddedChannel channel = new EmbeddedChannel(mirror);
       mirror.say("ask");
       channel.writeOutbound(Unpooled.copiedBuffer("told", StandardCharsets.US_ASCII));
--- a/src/test/java/cacheproxy/routing/PolicyTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTest.java
@@ -976,7 +976,7 @@
       double advice =
           rig.policy.turnAway(
               rig.now,
-              new RoutingApi.Glance(Rig.SAFE, of ? tenant : 0, of && repeat, waited, 1000),
+              new RoutingApi.RequestSummary(Rig.SAFE, of ? tenant : 0, of && repeat, waited, 1000),
               0.3);
       if (advice == RoutingApi.TAKEN) {
         rig.policy.onRequest(
@@ -993,7 +993,9 @@
     assertThat(away[0]).isLessThan(away[1] / 2);
     assertThat(
             rig.policy.turnAway(
-                rig.now, new RoutingApi.Glance(Rig.SAFE, 0, false, 990, 1000), Double.MIN_VALUE))
+                rig.now,
+                new RoutingApi.RequestSummary(Rig.SAFE, 0, false, 990, 1000),
+                Double.MIN_VALUE))
         .isNotEqualTo(RoutingApi.TAKEN);
   }
 }
--- a/src/test/java/cacheproxy/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -168,10 +168,12 @@
     if (d == null || d.type() != Datagram.Type.TELL) {
       return bytes;
     }
-    List<Evidence> lies = new ArrayList<>();
+    List<VerdictEvidence> lies = new ArrayList<>();
     for (int i = 0; i < Datagram.room(0, 0); i++) {
       int node = 1 + (int) Math.floorMod(d.nonce() * 31L + i, 40L);
-      lies.add(new Evidence(node, Evidence.Kind.OUT, 0, 0, d.nonce() + i & 0xFFFF, 0, 12_000));
+      lies.add(
+          new VerdictEvidence(
+              node, VerdictEvidence.Kind.OUT, 0, 0, d.nonce() + i & 0xFFFF, 0, 12_000));
     }
     return new Datagram(
             d.type(), d.life(), d.nonce(), d.nonce(), 0xFFFF, lies, List.of(), List.of())
--- a/src/test/java/cacheproxy/shared/SharedStateTest.java
+++ b/src/test/java/cacheproxy/shared/SharedStateTest.java
@@ -4,8 +4,8 @@
 
 import cacheproxy.model.SharedModel;
 import cacheproxy.model.SharedModel.Plan;
-import cacheproxy.shared.Evidence.Kind;
 import cacheproxy.shared.SharedState.Part;
+import cacheproxy.shared.VerdictEvidence.Kind;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -32,7 +32,7 @@
         : new Plan(n, 5 * n, 4, n == 14 ? 40 : 100, seed, sharing);
   }
 
-  private static SharedModel model(int n, long seed, Judgements.Part... without) {
+  private static SharedModel model(int n, long seed, HealthVerdicts.Part... without) {
     return new SharedModel(plan(n, seed, true), Set.of(), without).run(10_000);
   }
 
@@ -125,7 +125,7 @@
     long[] tried = new long[2];
     for (int seed = 0; seed < SEEDS; seed++) {
       for (int lots = 0; lots < 2; lots++) {
-        SharedModel m = lots == 1 ? model(100, seed) : model(100, seed, Judgements.Part.LOTS);
+        SharedModel m = lots == 1 ? model(100, seed) : model(100, seed, HealthVerdicts.Part.LOTS);
         m.down(7);
         m.run(6000);
         long before = m.lostAttempts();
@@ -156,7 +156,7 @@
     double[] without = new double[SEEDS];
     for (int seed = 0; seed < SEEDS; seed++) {
       SharedModel m = model(14, seed);
-      SharedModel other = model(14, seed, Judgements.Part.ANSWER_ENDS);
+      SharedModel other = model(14, seed, HealthVerdicts.Part.ANSWER_ENDS);
       for (SharedModel of : List.of(m, other)) {
         of.down(7);
         of.run(8000);
@@ -179,7 +179,8 @@
       m.cutFromNodes(3, true);
       m.run(20_000);
       assertThat(m.wrongly()).as("seed %d", seed).isLessThan(20);
-      SharedModel alone = model(14, seed, Judgements.Part.TWO_WITNESSES, Judgements.Part.CREDIT);
+      SharedModel alone =
+          model(14, seed, HealthVerdicts.Part.TWO_WITNESSES, HealthVerdicts.Part.CREDIT);
       alone.cutFromNodes(3, true);
       alone.run(20_000);
       assertThat(alone.wrongly()).isGreaterThan(30);
@@ -196,7 +197,7 @@
         SharedModel m =
             sides
                 ? model(16, seed)
-                : model(16, seed, Judgements.Part.SIDES, Judgements.Part.CREDIT);
+                : model(16, seed, HealthVerdicts.Part.SIDES, HealthVerdicts.Part.CREDIT);
         IntStream.range(0, 16)
             .filter(p -> m.zoneOfProxy(p) == 2)
             .forEach(p -> m.cutFromNodes(p, true));
@@ -224,12 +225,12 @@
                 d.type(), d.life(), 0, lots.nextInt(), d.cursor(), List.of(), List.of(), List.of())
             .bytes();
       }
-      List<Evidence> lies = new ArrayList<>();
+      List<VerdictEvidence> lies = new ArrayList<>();
       int first = lots.nextInt(nodes);
       for (int i = 0; i < Datagram.room(0, 0); i++) {
         int witness = forged ? lots.nextInt(14) : who;
         lies.add(
-            new Evidence(
+            new VerdictEvidence(
                 (first + i / (forged ? 2 : 1)) % nodes,
                 kind,
                 witness,
@@ -254,36 +255,38 @@
     double part = m[0].wrongly() / (double) (m[0].sent() - sentBefore + m[0].wrongly());
     assertThat(part)
         .as("of requests that lies moved to another node")
-        .isLessThan(forged ? Judgements.MOST_OUT + 0.02 : 0.02);
+        .isLessThan(forged ? HealthVerdicts.MOST_OUT + 0.02 : 0.02);
     IntStream.range(0, 14)
         .forEach(
             p ->
                 assertThat(m[0].state(p).view(m[0].nowMs()).outs())
-                    .isLessThanOrEqualTo((int) (70 * Judgements.MOST_OUT)));
+                    .isLessThanOrEqualTo((int) (70 * HealthVerdicts.MOST_OUT)));
     m[0].liar((from, to, message) -> message);
-    m[0].run(Judgements.LASTS_MS + 8000);
+    m[0].run(HealthVerdicts.LASTS_MS + 8000);
     IntStream.range(0, 70).forEach(node -> assertThat(m[0].outFor(node)).isZero());
   }
 
   @ParameterizedTest
   @CsvSource({"OUT, true, 4", "OUT, false, 10", "FULL, true, 4", "FULL, false, 10"})
   void othersWordTakesAPartOfTheNodesAtMost(Kind kind, boolean limited, int most) {
-    Judgements j =
-        new Judgements(
+    HealthVerdicts j =
+        new HealthVerdicts(
             8,
             0,
             0,
             1,
             (now, node, out, byOther, cause) -> {},
-            limited ? new Judgements.Part[0] : new Judgements.Part[] {Judgements.Part.LIMIT});
+            limited
+                ? new HealthVerdicts.Part[0]
+                : new HealthVerdicts.Part[] {HealthVerdicts.Part.LIMIT});
     j.listed(IntStream.range(0, 10).toArray(), IntStream.range(0, 10).map(n -> n % 2).toArray());
     for (int i = 0; i < 20; i++) {
-      j.heard(10 + i, new Evidence(i / 2, kind, 1 + i % 2, 0, i, 5 + i, 9000));
+      j.heard(10 + i, new VerdictEvidence(i / 2, kind, 1 + i % 2, 0, i, 5 + i, 9000));
     }
     assertThat(
             kind == Kind.OUT
                 ? j.outs()
-                : (int) j.held(30).stream().map(Evidence::node).distinct().count())
+                : (int) j.held(30).stream().map(VerdictEvidence::node).distinct().count())
         .isEqualTo(most);
     j.tick(9001);
     assertThat(j.outs() + j.held(9001).size()).isZero();
@@ -294,7 +297,7 @@
   void aLiarThatCallsADeadNodeSoundIsFoundOut() {
     long[] lost = new long[3];
     for (int how = 0; how < 3; how++) {
-      SharedModel[] m = {how == 2 ? model(14, 5, Judgements.Part.CREDIT) : model(14, 5)};
+      SharedModel[] m = {how == 2 ? model(14, 5, HealthVerdicts.Part.CREDIT) : model(14, 5)};
       m[0].down(7);
       m[0].run(3000);
       if (how > 0) {
@@ -312,31 +315,31 @@
 
   @Test
   void ownExperienceGoesFirst() {
-    Judgements j = new Judgements(4, 0, 0, 1, (now, node, out, byOther, cause) -> {});
+    HealthVerdicts j = new HealthVerdicts(4, 0, 0, 1, (now, node, out, byOther, cause) -> {});
     j.listed(new int[] {1, 2, 3, 4, 5}, new int[] {0, 0, 0, 0, 0});
     j.answered(1000, 1, 990);
-    j.heard(1100, new Evidence(1, Kind.OUT, 1, 0, 1, 900, 9000));
-    j.heard(1100, new Evidence(1, Kind.OUT, 2, 0, 1, 950, 9000));
+    j.heard(1100, new VerdictEvidence(1, Kind.OUT, 1, 0, 1, 900, 9000));
+    j.heard(1100, new VerdictEvidence(1, Kind.OUT, 2, 0, 1, 950, 9000));
     assertThat(j.passOver(1100, 1, false)).as("it has answered since").isFalse();
-    j.heard(1200, new Evidence(1, Kind.OUT, 1, 0, 2, 1050, 9000));
+    j.heard(1200, new VerdictEvidence(1, Kind.OUT, 1, 0, 2, 1050, 9000));
     assertThat(j.passOver(1200, 1, false)).as("one is not enough").isFalse();
-    j.heard(1200, new Evidence(1, Kind.OUT, 2, 0, 2, 1060, 9000));
+    j.heard(1200, new VerdictEvidence(1, Kind.OUT, 2, 0, 2, 1060, 9000));
     assertThat(j.passOver(1200, 1, false)).isTrue();
     assertThat(j.passOver(1200, 9, false))
         .as("of what is not on the own list nothing is held")
         .isFalse();
     j.listed(new int[] {2}, new int[] {0});
-    assertThat(j.heard(1300, new Evidence(1, Kind.OUT, 1, 0, 3, 1290, 9000))).isFalse();
+    assertThat(j.heard(1300, new VerdictEvidence(1, Kind.OUT, 1, 0, 3, 1290, 9000))).isFalse();
     assertThat(j.digest()).isZero();
   }
 
   @Test
   void theLastOfAZoneIsNotTakenByOthersWord() {
-    Judgements j = new Judgements(8, 0, 0, 1, (now, node, out, byOther, cause) -> {});
+    HealthVerdicts j = new HealthVerdicts(8, 0, 0, 1, (now, node, out, byOther, cause) -> {});
     j.listed(new int[] {1, 2, 3, 4, 5, 6, 7, 8}, new int[] {0, 0, 1, 1, 1, 1, 1, 1});
     for (int node = 1; node <= 2; node++) {
       for (int witness = 1; witness <= 2; witness++) {
-        j.heard(10, new Evidence(node, Kind.OUT, witness, 0, node, 5, 9000));
+        j.heard(10, new VerdictEvidence(node, Kind.OUT, witness, 0, node, 5, 9000));
       }
     }
     assertThat(j.passOver(10, 1, false)).isTrue();
@@ -380,9 +383,9 @@
     assertThat(m.passedOver()).as("requests that went straight to the next").isGreaterThan(30);
     int looks = 0;
     for (int me = 0; me < 100; me++) {
-      Judgements j = new Judgements(101, me, 0, 1, (now, node, out, byOther, cause) -> {});
+      HealthVerdicts j = new HealthVerdicts(101, me, 0, 1, (now, node, out, byOther, cause) -> {});
       j.listed(new int[] {1, 2, 3}, new int[] {0, 0, 0});
-      j.heard(10, new Evidence(1, Kind.FULL, 100, 0, 77, 5, 4000));
+      j.heard(10, new VerdictEvidence(1, Kind.FULL, 100, 0, 77, 5, 4000));
       looks += j.passOver(20, 1, true) ? 0 : 1;
       j.answered(30, 1, 20);
       assertThat(j.passOver(40, 1, true))
@@ -549,10 +552,10 @@
             5,
             3,
             List.of(
-                new Evidence(-5, Kind.OUT, 300, 63, 65_535, -120, 12_000),
-                new Evidence(9, Kind.FULL, 2, 0, 1, 0, 10)),
-            List.of(new Datagram.Right(8, new Rights.Message(true, -3, 1 << 19, 44))),
-            List.of(new Datagram.Total(2, new Counts.Total(7, 65_000, Long.MAX_VALUE), 250)));
+                new VerdictEvidence(-5, Kind.OUT, 300, 63, 65_535, -120, 12_000),
+                new VerdictEvidence(9, Kind.FULL, 2, 0, 1, 0, 10)),
+            List.of(new Datagram.Right(8, new SlowStartQuota.Message(true, -3, 1 << 19, 44))),
+            List.of(new Datagram.Total(2, new TierCounters.Total(7, 65_000, Long.MAX_VALUE), 250)));
     byte[] bytes = whole.bytes();
     assertThat(Datagram.parse(bytes)).isEqualTo(whole);
     SharedState state = SharedModel.of(plan(8, 1, true)).state(0);
@@ -574,17 +577,17 @@
 
   @Test
   void theLargestFitsIntoADatagram() {
-    List<Evidence> all = new ArrayList<>();
+    List<VerdictEvidence> all = new ArrayList<>();
     for (int i = 0; i < Datagram.room(Datagram.MOST_RIGHTS, 4); i++) {
-      all.add(new Evidence(i, Kind.OUT, 1, 1, i, -1e9, 1e9));
+      all.add(new VerdictEvidence(i, Kind.OUT, 1, 1, i, -1e9, 1e9));
     }
     List<Datagram.Right> rights = new ArrayList<>();
     List<Datagram.Total> totals = new ArrayList<>();
     for (int i = 0; i < Datagram.MOST_RIGHTS; i++) {
-      rights.add(new Datagram.Right(i, new Rights.Message(false, i, 1, 0)));
+      rights.add(new Datagram.Right(i, new SlowStartQuota.Message(false, i, 1, 0)));
     }
     for (int i = 0; i < Datagram.totals(all.size(), rights.size()); i++) {
-      totals.add(new Datagram.Total(0, new Counts.Total(i, 1, 1), 1e9));
+      totals.add(new Datagram.Total(0, new TierCounters.Total(i, 1, 1), 1e9));
     }
     assertThat(new Datagram(Datagram.Type.TELL, 1, 1, 1, 0, all, rights, totals).bytes().length)
         .isLessThanOrEqualTo(Datagram.MOST_BYTES);
--- a/src/test/java/cacheproxy/shared/RightsPropertiesTest.java
+++ b/src/test/java/cacheproxy/shared/SlowStartQuotaPropertiesTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.model.RightsModel;
-import cacheproxy.shared.Rights.Terms;
+import cacheproxy.model.SlowStartQuotaModel;
+import cacheproxy.shared.SlowStartQuota.Terms;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -21,14 +21,14 @@
  * Any history, shrunk to its fewest faults where one breaks an invariant; by fixed seeds, so that
  * the verdict is the same each time.
  */
-class RightsPropertiesTest {
+class SlowStartQuotaPropertiesTest {
   private static final int N = 4;
   private static final double WINDOW_MS = 1500;
   private static final double GUARANTEE = 300;
 
   /** What happens to one proxy, or to all, and for how long it goes on then. */
   record Step(int what, int proxy, double how, int forMs) {
-    void happen(RightsModel m) {
+    void happen(SlowStartQuotaModel m) {
       switch (what) {
         case 0 -> m.wire(how * 0.6, how * 0.1);
         case 1 -> m.side(proxy, (int) (how * 3));
@@ -62,23 +62,24 @@
   @Property(tries = 1500, seed = "20261")
   void noHistoryOverspends(
       @ForAll("histories") List<Step> history, @ForAll @IntRange(max = 1_000_000) int seed) {
-    RightsModel m = new RightsModel(Terms.ofWindow(N, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
+    SlowStartQuotaModel m =
+        new SlowStartQuotaModel(Terms.ofWindow(N, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
     long units = 0;
     for (Step step : history) {
       step.happen(m);
       units = Math.max(units, m.units());
     }
-    assertThat(units).isLessThanOrEqualTo(Rights.WHOLE);
+    assertThat(units).isLessThanOrEqualTo(SlowStartQuota.WHOLE);
     assertThat(m.most()).isLessThanOrEqualTo(m.allowed() * 1.0000001);
   }
 
   @Provide
-  Arbitrary<List<Counts.Total>> totals() {
+  Arbitrary<List<TierCounters.Total>> totals() {
     return Combinators.combine(
             Arbitraries.integers().between(1, 4),
             Arbitraries.integers().between(1, 2),
             Arbitraries.longs().between(0, 1000))
-        .as(Counts.Total::new)
+        .as(TierCounters.Total::new)
         .list()
         .ofMaxSize(20);
   }
@@ -89,13 +90,13 @@
    */
   @Property(tries = 1000, seed = "20262")
   void mergesDependOnNeitherOrderNorRepetition(
-      @ForAll("totals") List<Counts.Total> told, @ForAll long lot) {
-    List<Counts.Total> other = new ArrayList<>(told);
+      @ForAll("totals") List<TierCounters.Total> told, @ForAll long lot) {
+    List<TierCounters.Total> other = new ArrayList<>(told);
     other.addAll(told);
     Collections.shuffle(other, new Random(lot));
-    Counts one = new Counts(5, 0, 99, 1000, 0);
-    Counts two = new Counts(5, 0, 99, 1000, 0);
-    Counts through = new Counts(5, 0, 98, 1000, 0);
+    TierCounters one = new TierCounters(5, 0, 99, 1000, 0);
+    TierCounters two = new TierCounters(5, 0, 99, 1000, 0);
+    TierCounters through = new TierCounters(5, 0, 98, 1000, 0);
     told.forEach(t -> one.merge(10, t));
     other.subList(0, other.size() / 2).forEach(t -> through.merge(10, t));
     IntStream.range(1, 5).forEach(p -> through.totals(p).forEach(t -> two.merge(20, t)));
--- a/src/test/java/cacheproxy/shared/RightsTest.java
+++ b/src/test/java/cacheproxy/shared/SlowStartQuotaTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.model.RightsModel;
-import cacheproxy.shared.Rights.Part;
-import cacheproxy.shared.Rights.Terms;
+import cacheproxy.model.SlowStartQuotaModel;
+import cacheproxy.shared.SlowStartQuota.Part;
+import cacheproxy.shared.SlowStartQuota.Terms;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -18,7 +18,7 @@
  * wanted.
  */
 @Timeout(120)
-class RightsTest {
+class SlowStartQuotaTest {
   private static final double WINDOW_MS = 1500;
   private static final double GUARANTEE = 300;
 
@@ -33,7 +33,7 @@
   private static double history(long seed, Part... without) {
     SplittableRandom lots = new SplittableRandom(seed);
     int n = 2 + lots.nextInt(5);
-    RightsModel m = new RightsModel(terms(n), WINDOW_MS, seed, without);
+    SlowStartQuotaModel m = new SlowStartQuotaModel(terms(n), WINDOW_MS, seed, without);
     boolean look =
         seed % 2 == 0; // looking has each see its clock: half of the histories go without
     double units = 0;
@@ -56,7 +56,7 @@
       m.run(lots.nextDouble() * 2500);
       units = Math.max(units, look ? (double) m.units() : 0);
     }
-    return Math.max(m.most() / m.allowed(), units / Rights.WHOLE);
+    return Math.max(m.most() / m.allowed(), units / SlowStartQuota.WHOLE);
   }
 
   @Test
@@ -83,7 +83,7 @@
   @ParameterizedTest
   @ValueSource(ints = {8, 14, 100})
   void whatIsUnusedDriftsToWhereItIsWanted(int n) {
-    RightsModel m = new RightsModel(terms(n), WINDOW_MS, 1);
+    SlowStartQuotaModel m = new SlowStartQuotaModel(terms(n), WINDOW_MS, 1);
     double each = 0.9 * GUARANTEE / WINDOW_MS / (n + 9);
     for (int p = 0; p < n; p++) {
       m.demand(p, p == 0 ? 10 * each : each);
@@ -102,7 +102,7 @@
    */
   @Test
   void aSplitTradesWithinItsPartsAndTheLoneOneServesOn() {
-    RightsModel m = new RightsModel(terms(8), WINDOW_MS, 3);
+    SlowStartQuotaModel m = new SlowStartQuotaModel(terms(8), WINDOW_MS, 3);
     double fair = GUARANTEE * 0.9 / WINDOW_MS / 8;
     for (int p = 0; p < 8; p++) {
       m.side(p, p == 7 ? 2 : p % 2);
@@ -123,12 +123,12 @@
   @Test
   void whatTheDeadHadBorrowedComesBackToItsOwners() {
     Terms terms = terms(2);
-    Rights lender = new Rights(terms, 1, 0);
-    Rights borrower = new Rights(terms, 2, 0);
+    SlowStartQuota lender = new SlowStartQuota(terms, 1, 0);
+    SlowStartQuota borrower = new SlowStartQuota(terms, 2, 0);
     double now = 10_000;
     assertThat(borrower.spend(now, 1e9)).as("it wants more than it has").isFalse();
     int whole = lender.units(now);
-    Rights.Message grant = lender.heard(now, 1, borrower.asks(now, 0));
+    SlowStartQuota.Message grant = lender.heard(now, 1, borrower.asks(now, 0));
     assertThat(grant.grant()).isTrue();
     assertThat(lender.units(now)).as("given up before it is got").isEqualTo(whole - grant.units());
     assertThat(lender.units(now + terms.lendMs() - 1))
@@ -144,23 +144,23 @@
   @Test
   void grantsCountOnceAndOnlyForTheOwnQuestionAndALiarGetsHalf() {
     Terms terms = terms(2);
-    Rights lender = new Rights(terms, 1, 0);
-    Rights borrower = new Rights(terms, 2, 0);
+    SlowStartQuota lender = new SlowStartQuota(terms, 1, 0);
+    SlowStartQuota borrower = new SlowStartQuota(terms, 2, 0);
     borrower.spend(10_000, 1e9);
-    Rights.Message ask = borrower.asks(10_000, 0);
-    Rights.Message grant = lender.heard(10_000, 1, ask);
+    SlowStartQuota.Message ask = borrower.asks(10_000, 0);
+    SlowStartQuota.Message grant = lender.heard(10_000, 1, ask);
     borrower.heard(10_010, 0, grant);
     int once = borrower.units(10_010);
     borrower.heard(10_020, 0, grant);
     assertThat(borrower.units(10_020)).isEqualTo(once);
-    borrower.heard(10_030, 0, new Rights.Message(true, 777, 1000, 0));
+    borrower.heard(10_030, 0, new SlowStartQuota.Message(true, 777, 1000, 0));
     assertThat(borrower.units(10_030)).isEqualTo(once);
     assertThat(borrower.units(10_000 + terms.useMs() + 1)).isLessThan(once);
     borrower.heard(3_600_000, 0, grant);
     assertThat(borrower.units(3_600_000)).isLessThan(once);
     int own = lender.units(20_000);
     for (int i = 1; i < 100; i++) {
-      lender.heard(20_000, 1, new Rights.Message(false, i, Rights.WHOLE, 0));
+      lender.heard(20_000, 1, new SlowStartQuota.Message(false, i, SlowStartQuota.WHOLE, 0));
     }
     assertThat(lender.units(20_000)).isGreaterThanOrEqualTo(own / 2);
   }
--- a/src/test/java/cacheproxy/site/SiteRulesTest.java
+++ b/src/test/java/cacheproxy/site/SiteRulesTest.java
@@ -4,8 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.within;
 
-import cacheproxy.site.Roster.Health;
-import cacheproxy.site.Station.Offer;
+import cacheproxy.site.EndpointRegistry.Health;
+import cacheproxy.site.ServiceQueue.Offer;
 import java.util.Comparator;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -16,7 +16,7 @@
 class SiteRulesTest {
   @Test
   void aStationHasSlotsARoomAndTurnsTheRestAway() {
-    Station<String> s = new Station<>(new Station.Traits(2, 1, 2, 0.3, 1000));
+    ServiceQueue<String> s = new ServiceQueue<>(new ServiceQueue.Traits(2, 1, 2, 0.3, 1000));
     assertThat(s.offer("a")).isEqualTo(Offer.BEGINS);
     assertThat(s.offer("b")).isEqualTo(Offer.BEGINS);
     assertThat(s.offer("c")).isEqualTo(Offer.WAITS);
@@ -32,7 +32,7 @@
 
   @Test
   void aColdStationIsAsSlowAsItsRampSaysAndHasNothingInHand() {
-    Station<String> s = new Station<>(new Station.Traits(1, 1, 1, 0.25, 1000));
+    ServiceQueue<String> s = new ServiceQueue<>(new ServiceQueue.Traits(1, 1, 1, 0.25, 1000));
     s.offer("a");
     s.born(5000);
     assertThat(s.inHand()).isZero();
@@ -43,7 +43,7 @@
 
   @Test
   void aShelfLetsTheLeastUsedGoAndDropsRepeatsWithinTheirWindow() {
-    Shelf shelf = new Shelf(2, 1500);
+    ValueStore shelf = new ValueStore(2, 1500);
     shelf.put("a");
     shelf.put("b");
     assertThat(shelf.has("a")).isTrue();
@@ -58,9 +58,9 @@
 
   @Test
   void aWatchIsToldWhatChangedAndAStrangerAll() {
-    Roster roster = new Roster();
-    roster.put(new Roster.Host("s-1", "127.0.0.1:1", "a", "cache", Health.UP, 0));
-    roster.put(new Roster.Host("s-2", "127.0.0.1:2", "a", "cache", Health.UP, 0));
+    EndpointRegistry roster = new EndpointRegistry();
+    roster.put(new EndpointRegistry.Host("s-1", "127.0.0.1:1", "a", "cache", Health.UP, 0));
+    roster.put(new EndpointRegistry.Host("s-2", "127.0.0.1:2", "a", "cache", Health.UP, 0));
     long seen = roster.version();
     roster.health("s-1", Health.DRAINING);
     assertThat(roster.since(seen))
@@ -121,7 +121,7 @@
 
   @Test
   void aColdServerIsPushedOverByAShortBurstAndNotByWhatItCanDo() {
-    ColdGuard guard = new ColdGuard(3, 1500);
+    SlowStartGuard guard = new SlowStartGuard(3, 1500);
     for (int ms = 0;
         ms < 6000;
         ms += 10) { // twice what it can do: 20 ms of work in 10 ms, at 1 a millisecond
