GeneratorTest: second answers and patience are checked without counting on speed

whatHasNoFormNoConnectionOrNoAnswerIsCountedAsSuchAndOnce failed alone in a cold JVM. The generator had counted all 200 requests once each; the test counted on a speed that a cold process does not have, in two places:

- "never" gave its clients 200 ms.
The first requests of a cold process are written up to some 190 ms late on a quiet machine, so some had 1 ms or less left, were never written and rightly counted as failed (unsent) instead of lost.
Its clients now wait five seconds, and that all 200 were written is a check of its own.
- "twice" sent its two answers by two writes.
Between them the generator had read the first, freed the connection and written the next request on it, which then met another's answer and rightly failed.
Both answers are now one write, so that both are there in one read.

The checks are as strict or stricter: exact counts as before, and now also the sum of all ends; strays and connections are exactly 200 where "positive" was enough. The case that made the test fail is a test of its own, made certain by the target: the request that meets the second answer fails, and no other. A failed check now says all counts of the tally.

--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -14,9 +14,11 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.List;
@@ -67,8 +69,12 @@
         ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
+    private static String answer(String id) {
+        return "VA 2 O" + id + " h1\r\nhi\r\n";
+    }
+
     private static void serve(ChannelHandlerContext ctx, String id) {
-        say(ctx, "VA 2 O" + id + " h1\r\nhi\r\n");
+        say(ctx, answer(id));
     }
 
     private static Supplier<Iterator<Ask>> plan(double rate, double seconds) {
@@ -87,6 +93,21 @@
     private static final Patience ONCE = new Patience(0, 1, 10, 0, 1);
     /** Clients that wait ten seconds. */
     private static final Patience LONG = new Patience(0, 1, 10, 0, 10);
+    /** Clients that wait five seconds: far more than the first requests of a cold process are late by. */
+    private static final Patience FIVE_SECONDS = new Patience(0, 1, 10, 0, 5);
+
+    /** All counts of a tally, to tell from a failed check where the requests went. */
+    private static String counts(Tally t) {
+        return Arrays.toString(Tally.Last.values()) + " = " + Arrays.toString(t.whole().ends) + ", tries " + t.tries + ", resent "
+                + t.resent + ", unconnected " + t.unconnected + ", strays " + t.strays + ", unsent " + t.unsent + ", connections "
+                + t.connections + ", latest " + t.lagMs(100) + " ms";
+    }
+
+    /** Every one of the 200 requests of {@link #play} has come to this end. */
+    private static void assertAllEnded(Tally t, Tally.Last last) {
+        assertThat(t.whole().of(last)).as(counts(t)).isEqualTo(200);
+        assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+    }
 
     @Test
     void aStallOfTheWholeTargetShowsInAllThatWasDueMeanwhile() throws Exception {
@@ -149,29 +170,52 @@
         try (ServerSocket gone = new ServerSocket(0)) {
             port = gone.getLocalPort();
         }
-        Tally refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
-        assertThat(refused.unconnected).isEqualTo(200);
-        assertThat(refused.whole().of(Tally.Last.FAILED)).isEqualTo(200);
+        Tally refused = play(new InetSocketAddress("127.0.0.1", port), LONG);
+        assertThat(refused.unconnected).as(counts(refused)).isEqualTo(200);
+        assertAllEnded(refused, Tally.Last.FAILED);
 
-        Tally never = play(target((ctx, n, id) -> { }), new Patience(0, 1, 10, 0, 0.2));
-        assertThat(never.whole().of(Tally.Last.LOST)).isEqualTo(200);
+        Tally never = play(target((ctx, n, id) -> { }), FIVE_SECONDS);
+        assertThat(never.tries).as(counts(never)).isEqualTo(200);
+        assertAllEnded(never, Tally.Last.LOST);
 
         Tally half = play(target((ctx, n, id) -> {
             say(ctx, "VA 20 O" + id + "\r\nhal");
             ctx.close();
-        }), ONCE);
-        assertThat(half.whole().of(Tally.Last.LOST)).isEqualTo(200);
+        }), LONG);
+        assertAllEnded(half, Tally.Last.LOST);
+
+        Tally other = play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), LONG);
+        assertThat(other.whole().of(Tally.Last.FAILED)).as(counts(other)).isEqualTo(100);
+        assertThat(other.whole().served()).as(counts(other)).isEqualTo(100);
+    }
 
-        Tally other = play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
-        assertThat(other.whole().of(Tally.Last.FAILED)).isEqualTo(100);
-        assertThat(other.whole().served()).isEqualTo(100);
+    /** Both answers in one write: the second one is there before the connection can have another request. */
+    @Test
+    void aSecondAnswerToAServedRequestIsAStrayAndCostsNoRequest() throws Exception {
+        Tally t = play(target((ctx, n, id) -> say(ctx, answer(id) + answer(id))), LONG);
+        assertThat(t.whole().served()).as(counts(t)).isEqualTo(200);
+        assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+        assertThat(t.strays).as(counts(t)).isEqualTo(200);
+        assertThat(t.connections).as(counts(t)).isEqualTo(200); // none is used after its stray
+    }
 
-        Tally twice = play(target((ctx, n, id) -> {
-            serve(ctx, id);
-            serve(ctx, id);
-        }), ONCE);
-        assertThat(twice.whole().served()).isEqualTo(200);
-        assertThat(twice.strays).isPositive();
+    /** The second answer comes late, to the next request on the connection: that one has no answer of its own, and fails. */
+    @Test
+    void aSecondAnswerThatMeetsTheNextRequestFailsThatOneAndNoOther() throws Exception {
+        AttributeKey<String> before = AttributeKey.valueOf(GeneratorTest.class, "answered before");
+        AtomicInteger met = new AtomicInteger();
+        Tally t = play(target((ctx, n, id) -> {
+            String first = ctx.channel().attr(before).getAndSet(id);
+            if (first != null) {
+                met.incrementAndGet();
+            }
+            serve(ctx, first == null ? id : first);
+        }), LONG);
+        assertThat(met).as(counts(t)).hasPositiveValue();
+        assertThat(t.whole().of(Tally.Last.FAILED)).as(counts(t)).isEqualTo(met.get());
+        assertThat(t.whole().served()).as(counts(t)).isEqualTo(200 - met.get());
+        assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+        assertThat(t.connections).as(counts(t)).isEqualTo(200 - met.get()); // none is used after its stray
     }
 
     @Test
