GeneratorTest: ended connections and late answers are checked by condition, not by time

- aConnectionThatEnds... closed the connection at every twentieth request and took it for used.
The target now closes only a connection that it has served, and the same request once at most, which it tells by its key.
At most 100 connections make sure that at least 100 requests meet a used one.
- anAnswerThatComesTooLate... gave its clients 100 ms; requests that were later than that were never written and counted as failed.
The target now holds back every second answer until all 200 requests have ended for their clients, where it slept 300 ms before, and clients wait five seconds.

The checks are the same exact counts. Seen to fail on a scratch copy with one fault each: a connection left open after its stray, any id taken for its own, an unanswered request counted as failed, no second write after an ended connection, a late answer told as lost.

--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -20,11 +20,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -35,6 +38,9 @@
 class GeneratorTest {
     private static final List<Kind> READS = List.of(Kind.USUAL.get(0));
 
+    /** What the last request on a target's connection asked for. */
+    private static final AttributeKey<String> ASKED_KEY = AttributeKey.valueOf(GeneratorTest.class, "asked key");
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     @AfterEach
@@ -58,6 +64,7 @@
                             protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
                                 String text = line.toString(StandardCharsets.ISO_8859_1);
                                 String id = text.substring(text.indexOf(" O") + 2, text.indexOf(" P"));
+                                ctx.channel().attr(ASKED_KEY).set(text.split(" ")[1]);
                                 script.asked(ctx, n.incrementAndGet(), id);
                             }
                         });
@@ -82,6 +89,25 @@
                 Plan.Overtaken.NONE, 0, seconds * 1000, 1);
     }
 
+    /** The same plan, where no two requests are of one key: a target knows by it which request comes once more. */
+    private static Supplier<Iterator<Ask>> distinctKeys(Supplier<Iterator<Ask>> plan) {
+        return () -> {
+            Iterator<Ask> asks = plan.get();
+            return new Iterator<>() {
+                @Override
+                public boolean hasNext() {
+                    return asks.hasNext();
+                }
+
+                @Override
+                public Ask next() {
+                    Ask ask = asks.next();
+                    return new Ask(ask.number(), ask.atMs(), ask.kind(), "key" + ask.number(), ask.target(), ask.bytes());
+                }
+            };
+        };
+    }
+
     private static Generator generator(InetSocketAddress to, double rate, double seconds, Patience patience) {
         return new Generator(new Generator.Settings(List.of(to), READS, plan(rate, seconds), patience, 1, 256, "t", 1));
     }
@@ -221,8 +247,14 @@
     @Test
     void aConnectionThatEndsBetweenTwoRequestsCostsNeither() throws Exception {
         AtomicInteger closed = new AtomicInteger();
+        Set<String> closedOn = new HashSet<>(); // on the target's one thread, as is the rest of the script
+        AtomicInteger sinceClosed = new AtomicInteger();
+        AttributeKey<Boolean> served = AttributeKey.valueOf(GeneratorTest.class, "served");
         InetSocketAddress to = target((ctx, n, id) -> {
-            if (n % 10 == 0 && n % 20 != 0) { // never the first on its connection
+            // Never the first on its connection, and never the same request twice: it may be written once more, not more often.
+            boolean used = ctx.channel().attr(served).getAndSet(true) != null;
+            if (used && sinceClosed.incrementAndGet() >= 10 && closedOn.add(ctx.channel().attr(ASKED_KEY).get())) {
+                sinceClosed.set(0);
                 closed.incrementAndGet();
                 ctx.close();
             } else {
@@ -245,8 +277,10 @@
                 crossed.incrementAndGet();
             }
         };
-        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), ONCE, 1, 256, "t", 1, witness, Lane.SLACK_MS)).run();
-        assertThat(t.whole().served()).isEqualTo(200);
+        // Of 100 connections at least 100 requests find a used one, however late the first are written.
+        Tally t = new Generator(new Generator.Settings(List.of(to), READS, distinctKeys(plan(200, 1)), LONG, 1, 100, "t", 1, witness,
+                Lane.SLACK_MS)).run();
+        assertThat(t.whole().served()).as(counts(t)).isEqualTo(200);
         assertThat(crossed.get()).isEqualTo(closed.get()); // nobody has taken those: no account is owed of them
         assertThat(ended.get()).isEqualTo(200);
         assertThat(t.resent).isEqualTo(closed.get()).isPositive();
@@ -255,7 +289,14 @@
     /** Its client has gone, and the judge of the target still learns that it came, late, and was not lost. */
     @Test
     void anAnswerThatComesTooLateIsLostToItsClientAndToldToTheWitnessAsWhatItIs() throws Exception {
-        InetSocketAddress to = target((ctx, n, id) -> ctx.executor().schedule(() -> serve(ctx, id), n % 2 == 0 ? 300 : 0, TimeUnit.MILLISECONDS));
+        AtomicReference<Generator> generator = new AtomicReference<>();
+        InetSocketAddress to = target((ctx, n, id) -> {
+            if (n % 2 == 0) {
+                serveOnceAllHaveEnded(ctx, id, generator.get());
+            } else {
+                serve(ctx, id);
+            }
+        });
         Map<Patience.End, Integer> told = new EnumMap<>(Patience.End.class);
         Witness witness = new Witness() {
             @Override
@@ -269,13 +310,23 @@
             @Override
             public void crossed(String id) { }
         };
-        Patience brief = new Patience(0, 1, 10, 0, 0.1);
-        Tally t = new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), brief, 1, 256, "t", 1, witness, 5000)).run();
-        assertThat(t.whole().of(Tally.Last.LOST)).isEqualTo(100);
-        assertThat(t.whole().served()).isEqualTo(100);
+        generator.set(new Generator(new Generator.Settings(List.of(to), READS, plan(200, 1), FIVE_SECONDS, 1, 256, "t", 1, witness,
+                40_000)));
+        Tally t = generator.get().run();
+        assertThat(t.whole().of(Tally.Last.LOST)).as(counts(t)).isEqualTo(100);
+        assertThat(t.whole().served()).as(counts(t)).isEqualTo(100);
         assertThat(told).containsExactly(Map.entry(Patience.End.SERVED, 200));
     }
 
+    /** Serves it when each of the 200 requests of a load has been answered or given up by its client. */
+    private static void serveOnceAllHaveEnded(ChannelHandlerContext ctx, String id, Generator generator) {
+        if (generator.progress().ended() == 200) {
+            serve(ctx, id);
+        } else {
+            ctx.executor().schedule(() -> serveOnceAllHaveEnded(ctx, id, generator), 10, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Test
     void aLoadThatIsEndedReportsWhatWasDone() throws Exception {
         Generator generator = generator(target((ctx, n, id) -> {
