--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -184,7 +184,7 @@
    * has had its turn.
    */
   private void beginAgain(long behind) {
-    double left = YOUNG_MS - watchLine.outMs();
+    double left = Math.max(YOUNG_MS, versions.queueMs(dispatcher.now())) - watchLine.outMs();
     if (!watching || version != behind) {
       return;
     }
@@ -466,6 +466,22 @@
       to.writeAndFlush(request);
     }
 
+    /**
+     * Notes how long the call took, where it can only have waited for its turn: it was refused, or
+     * there was something to tell. A refusal at once says that the service's queue is full.
+     */
+    private void noteQueue(boolean answered) {
+      if (versions == null) {
+        return;
+      }
+      double tookMs = outMs();
+      if (!answered) {
+        versions.queued(dispatcher.now(), EndpointVersionGossip.MOST_QUEUE_MS);
+      } else if (tookMs <= EndpointVersionGossip.MOST_QUEUE_MS) {
+        versions.queued(dispatcher.now(), tookMs);
+      }
+    }
+
     /** How long the present call has been out, in milliseconds; 0: none is. */
     double outMs() {
       return waiting == null ? 0 : dispatcher.now() - calledMs;
@@ -506,6 +522,7 @@
           return;
         }
         JsonObject json = null;
+        noteQueue(response.status().code() == 200);
         if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
           try {
             json =
--- a/src/test/java/cacheproxy/load/GeneratorTest.java
+++ b/src/test/java/cacheproxy/load/GeneratorTest.java
@@ -14,15 +14,20 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +41,10 @@
 class GeneratorTest {
   private static final List<Kind> READS = List.of(Kind.USUAL.get(0));
 
+  /** What the last request on a target's connection asked for. */
+  private static final AttributeKey<String> ASKED_KEY =
+      AttributeKey.valueOf(GeneratorTest.class, "asked key");
+
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -68,6 +77,7 @@
                                 String text = line.toString(StandardCharsets.ISO_8859_1);
                                 String id =
                                     text.substring(text.indexOf(" O") + 2, text.indexOf(" P"));
+                                ctx.channel().attr(ASKED_KEY).set(text.split(" ")[1]);
                                 script.asked(ctx, n.incrementAndGet(), id);
                               }
                             });
@@ -83,8 +93,12 @@
     ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
   }
 
+  private static String answer(String id) {
+    return "VA 2 O" + id + " h1\r\nhi\r\n";
+  }
+
   private static void serve(ChannelHandlerContext ctx, String id) {
-    say(ctx, "VA 2 O" + id + " h1\r\nhi\r\n");
+    say(ctx, answer(id));
   }
 
   private static Supplier<Iterator<PlannedRequest>> plan(double rate, double seconds) {
@@ -100,6 +114,35 @@
             1);
   }
 
+  /**
+   * The same plan, where no two requests are of one key: a target knows by it which request comes
+   * once more.
+   */
+  private static Supplier<Iterator<PlannedRequest>> distinctKeys(
+      Supplier<Iterator<PlannedRequest>> plan) {
+    return () -> {
+      Iterator<PlannedRequest> asks = plan.get();
+      return new Iterator<>() {
+        @Override
+        public boolean hasNext() {
+          return asks.hasNext();
+        }
+
+        @Override
+        public PlannedRequest next() {
+          PlannedRequest ask = asks.next();
+          return new PlannedRequest(
+              ask.number(),
+              ask.atMs(),
+              ask.kind(),
+              "key" + ask.number(),
+              ask.target(),
+              ask.bytes());
+        }
+      };
+    };
+  }
+
   private static Generator generator(
       InetSocketAddress to, double rate, double seconds, ClientTimeouts patience) {
     return new Generator(
@@ -116,6 +159,39 @@
   /** Clients that wait ten seconds. */
   private static final ClientTimeouts LONG = new ClientTimeouts(0, 1, 10, 0, 10);
 
+  /**
+   * Clients that wait five seconds: far more than the first requests of a cold process are late by.
+   */
+  private static final ClientTimeouts FIVE_SECONDS = new ClientTimeouts(0, 1, 10, 0, 5);
+
+  /** All counts of a tally, to tell from a failed check where the requests went. */
+  private static String counts(ResultRecorder t) {
+    return Arrays.toString(ResultRecorder.Last.values())
+        + " = "
+        + Arrays.toString(t.whole().ends)
+        + ", tries "
+        + t.tries
+        + ", resent "
+        + t.resent
+        + ", unconnected "
+        + t.unconnected
+        + ", strays "
+        + t.strays
+        + ", unsent "
+        + t.unsent
+        + ", connections "
+        + t.connections
+        + ", latest "
+        + t.lagMs(100)
+        + " ms";
+  }
+
+  /** Every one of the 200 requests of {@link #play} has come to this end. */
+  private static void assertAllEnded(ResultRecorder t, ResultRecorder.Last last) {
+    assertThat(t.whole().of(last)).as(counts(t)).isEqualTo(200);
+    assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+  }
+
   @Test
   void aStallOfTheWholeTargetShowsInAllThatWasDueMeanwhile() throws Exception {
     ResultRecorder t =
@@ -194,12 +270,13 @@
     try (ServerSocket gone = new ServerSocket(0)) {
       port = gone.getLocalPort();
     }
-    ResultRecorder refused = play(new InetSocketAddress("127.0.0.1", port), ONCE);
-    assertThat(refused.unconnected).isEqualTo(200);
-    assertThat(refused.whole().of(ResultRecorder.Last.FAILED)).isEqualTo(200);
+    ResultRecorder refused = play(new InetSocketAddress("127.0.0.1", port), LONG);
+    assertThat(refused.unconnected).as(counts(refused)).isEqualTo(200);
+    assertAllEnded(refused, ResultRecorder.Last.FAILED);
 
-    ResultRecorder never = play(target((ctx, n, id) -> {}), new ClientTimeouts(0, 1, 10, 0, 0.2));
-    assertThat(never.whole().of(ResultRecorder.Last.LOST)).isEqualTo(200);
+    ResultRecorder never = play(target((ctx, n, id) -> {}), FIVE_SECONDS);
+    assertThat(never.tries).as(counts(never)).isEqualTo(200);
+    assertAllEnded(never, ResultRecorder.Last.LOST);
 
     ResultRecorder half =
         play(
@@ -208,33 +285,73 @@
                   say(ctx, "VA 20 O" + id + "\r\nhal");
                   ctx.close();
                 }),
-            ONCE);
-    assertThat(half.whole().of(ResultRecorder.Last.LOST)).isEqualTo(200);
+            LONG);
+    assertAllEnded(half, ResultRecorder.Last.LOST);
 
     ResultRecorder other =
-        play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), ONCE);
-    assertThat(other.whole().of(ResultRecorder.Last.FAILED)).isEqualTo(100);
-    assertThat(other.whole().served()).isEqualTo(100);
+        play(target((ctx, n, id) -> serve(ctx, n % 2 == 0 ? id : "another")), LONG);
+    assertThat(other.whole().of(ResultRecorder.Last.FAILED)).as(counts(other)).isEqualTo(100);
+    assertThat(other.whole().served()).as(counts(other)).isEqualTo(100);
+  }
+
+  /**
+   * Both answers in one write: the second one is there before the connection can have another
+   * request.
+   */
+  @Test
+  void aSecondAnswerToAServedRequestIsAStrayAndCostsNoRequest() throws Exception {
+    ResultRecorder t = play(target((ctx, n, id) -> say(ctx, answer(id) + answer(id))), LONG);
+    assertThat(t.whole().served()).as(counts(t)).isEqualTo(200);
+    assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+    assertThat(t.strays).as(counts(t)).isEqualTo(200);
+    assertThat(t.connections).as(counts(t)).isEqualTo(200); // none is used after its stray
+  }
 
-    ResultRecorder twice =
+  /**
+   * The second answer comes late, to the next request on the connection: that one has no answer of
+   * its own, and fails.
+   */
+  @Test
+  void aSecondAnswerThatMeetsTheNextRequestFailsThatOneAndNoOther() throws Exception {
+    AttributeKey<String> before = AttributeKey.valueOf(GeneratorTest.class, "answered before");
+    AtomicInteger met = new AtomicInteger();
+    ResultRecorder t =
         play(
             target(
                 (ctx, n, id) -> {
-                  serve(ctx, id);
-                  serve(ctx, id);
+                  String first = ctx.channel().attr(before).getAndSet(id);
+                  if (first != null) {
+                    met.incrementAndGet();
+                  }
+                  serve(ctx, first == null ? id : first);
                 }),
-            ONCE);
-    assertThat(twice.whole().served()).isEqualTo(200);
-    assertThat(twice.strays).isPositive();
+            LONG);
+    assertThat(met).as(counts(t)).hasPositiveValue();
+    assertThat(t.whole().of(ResultRecorder.Last.FAILED)).as(counts(t)).isEqualTo(met.get());
+    assertThat(t.whole().served()).as(counts(t)).isEqualTo(200 - met.get());
+    assertThat(t.whole().sent()).as(counts(t)).isEqualTo(200);
+    assertThat(t.connections)
+        .as(counts(t))
+        .isEqualTo(200 - met.get()); // none is used after its stray
   }
 
   @Test
   void aConnectionThatEndsBetweenTwoRequestsCostsNeither() throws Exception {
     AtomicInteger closed = new AtomicInteger();
+    Set<String> closedOn =
+        new HashSet<>(); // on the target's one thread, as is the rest of the script
+    AtomicInteger sinceClosed = new AtomicInteger();
+    AttributeKey<Boolean> served = AttributeKey.valueOf(GeneratorTest.class, "served");
     InetSocketAddress to =
         target(
             (ctx, n, id) -> {
-              if (n % 10 == 0 && n % 20 != 0) { // never the first on its connection
+              // Never the first on its connection, and never the same request twice: it may be
+              // written once more, not more often.
+              boolean used = ctx.channel().attr(served).getAndSet(true) != null;
+              if (used
+                  && sinceClosed.incrementAndGet() >= 10
+                  && closedOn.add(ctx.channel().attr(ASKED_KEY).get())) {
+                sinceClosed.set(0);
                 closed.incrementAndGet();
                 ctx.close();
               } else {
@@ -258,21 +375,22 @@
             crossed.incrementAndGet();
           }
         };
+    // Of 100 connections at least 100 requests find a used one, however late the first are written.
     ResultRecorder t =
         new Generator(
                 new Generator.Settings(
                     List.of(to),
                     READS,
-                    plan(200, 1),
-                    ONCE,
+                    distinctKeys(plan(200, 1)),
+                    LONG,
                     1,
-                    256,
+                    100,
                     "t",
                     1,
                     witness,
                     LoadWorker.SLACK_MS))
             .run();
-    assertThat(t.whole().served()).isEqualTo(200);
+    assertThat(t.whole().served()).as(counts(t)).isEqualTo(200);
     assertThat(crossed.get())
         .isEqualTo(closed.get()); // nobody has taken those: no account is owed of them
     assertThat(ended.get()).isEqualTo(200);
@@ -285,11 +403,16 @@
    */
   @Test
   void anAnswerThatComesTooLateIsLostToItsClientAndToldToTheWitnessAsWhatItIs() throws Exception {
+    AtomicReference<Generator> generator = new AtomicReference<>();
     InetSocketAddress to =
         target(
-            (ctx, n, id) ->
-                ctx.executor()
-                    .schedule(() -> serve(ctx, id), n % 2 == 0 ? 300 : 0, TimeUnit.MILLISECONDS));
+            (ctx, n, id) -> {
+              if (n % 2 == 0) {
+                serveOnceAllHaveEnded(ctx, id, generator.get());
+              } else {
+                serve(ctx, id);
+              }
+            });
     Map<ClientTimeouts.End, Integer> told = new EnumMap<>(ClientTimeouts.End.class);
     Witness witness =
         new Witness() {
@@ -304,17 +427,29 @@
           @Override
           public void crossed(String id) {}
         };
-    ClientTimeouts brief = new ClientTimeouts(0, 1, 10, 0, 0.1);
-    ResultRecorder t =
+    generator.set(
         new Generator(
-                new Generator.Settings(
-                    List.of(to), READS, plan(200, 1), brief, 1, 256, "t", 1, witness, 5000))
-            .run();
-    assertThat(t.whole().of(ResultRecorder.Last.LOST)).isEqualTo(100);
-    assertThat(t.whole().served()).isEqualTo(100);
+            new Generator.Settings(
+                List.of(to), READS, plan(200, 1), FIVE_SECONDS, 1, 256, "t", 1, witness, 40_000)));
+    ResultRecorder t = generator.get().run();
+    assertThat(t.whole().of(ResultRecorder.Last.LOST)).as(counts(t)).isEqualTo(100);
+    assertThat(t.whole().served()).as(counts(t)).isEqualTo(100);
     assertThat(told).containsExactly(Map.entry(ClientTimeouts.End.SERVED, 200));
   }
 
+  /**
+   * Serves it when each of the 200 requests of a load has been answered or given up by its client.
+   */
+  private static void serveOnceAllHaveEnded(
+      ChannelHandlerContext ctx, String id, Generator generator) {
+    if (generator.progress().ended() == 200) {
+      serve(ctx, id);
+    } else {
+      ctx.executor()
+          .schedule(() -> serveOnceAllHaveEnded(ctx, id, generator), 10, TimeUnit.MILLISECONDS);
+    }
+  }
+
   @Test
   void aLoadThatIsEndedReportsWhatWasDone() throws Exception {
     Generator generator =
