Tests hold operators' responses, metrics and shared files to the byte

Need: the operators' front is about to be split and moved, and only parts of its responses and of its stored files were checked.

Change: tests compare every response of the operators' calls, the metrics' JSON and the two files damsonworks.hand and damsonworks.slots with their full text, and say what each of two processes reads of the other.

--- a/src/test/java/cacheproxy/admin/ControlRulesTest.java
+++ b/src/test/java/cacheproxy/admin/ControlRulesTest.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -54,6 +55,22 @@
         .containsExactly(true, false, false, false);
   }
 
+  @Test
+  void writesMetricsToTheByte() {
+    Metrics metrics = new Metrics(List.of("read", "a\"\n"));
+    metrics.ended(0, Metrics.End.ANSWERED);
+    metrics.ended(1, Metrics.End.DEFERRED);
+    metrics.ended(1, Metrics.End.ERRORED);
+    metrics.sent();
+    assertThat(metrics.json(1, 2, 3, 4, 5))
+        .isEqualTo(
+            "{\"answered\":{\"read\":1,\"a\\\"\\u000a\":0},"
+                + "\"deferred\":{\"read\":0,\"a\\\"\\u000a\":1},"
+                + "\"errored\":{\"read\":0,\"a\\\"\\u000a\":1},"
+                + "\"sends\":1,\"current\":1,\"cluster_size\":2,\"cluster_unhealthy\":3,"
+                + "\"conf_loaded\":4,\"conf_invalid\":5}\n");
+  }
+
   /** Sockets, places, own servers, the other's clients and servers: places left to the other. */
   @ParameterizedTest
   @CsvSource({
--- a/src/test/java/cacheproxy/proxy/ControlTest.java
+++ b/src/test/java/cacheproxy/proxy/ControlTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +33,23 @@
     }
   }
 
+  /** All bytes of the response. */
+  private static String rawResponse(int port, String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private static String response(String statusLine, String body) {
+    return "HTTP/1.1 "
+        + statusLine
+        + "\r\ncontent-type: text/plain\r\ncontent-length: "
+        + body.length()
+        + "\r\nconnection: close\r\n\r\n"
+        + body;
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket free = new ServerSocket(0)) {
       return free.getLocalPort();
@@ -78,6 +96,36 @@
     }
   }
 
+  @Test
+  void writesEachResponseToTheByte() throws Exception {
+    try (Stage stage = new Stage()) {
+      int port = start(stage, stage.fullCache());
+      String put = " HTTP/1.1\r\nContent-Length: 3\r\n\r\n";
+      assertThat(rawResponse(port, "GET /ops/readiness?x=1 HTTP/1.1\r\n\r\n"))
+          .isEqualTo(response("200 OK", "ready\n"));
+      assertThat(rawResponse(port, "GET /ops/none HTTP/1.1\r\n\r\n"))
+          .isEqualTo(response("404 Not Found", "no such call\n"));
+      assertThat(rawResponse(port, "PUT /ops/stats" + put + "s-1"))
+          .isEqualTo(response("405 Method Not Allowed", "this call is a GET\n"));
+      assertThat(rawResponse(port, "GET /ops/cache-nodes/up HTTP/1.1\r\n\r\n"))
+          .isEqualTo(response("405 Method Not Allowed", "this call is a PUT\n"));
+      assertThat(rawResponse(port, "GET /ops/members HTTP/1.1\r\n\r\n"))
+          .isEqualTo(response("404 Not Found", "membership is off\n"));
+      assertThat(rawResponse(port, "GET /ops/shared HTTP/1.1\r\n\r\n"))
+          .isEqualTo(response("404 Not Found", "nothing is shared\n"));
+      assertThat(rawResponse(port, "PUT /ops/cache-nodes/down" + put + "a b"))
+          .isEqualTo(response("400 Bad Request", "the body is a cache node's id\n"));
+      assertThat(rawResponse(port, "PUT /ops/cache-nodes/down" + put + "s-9"))
+          .isEqualTo(response("404 Not Found", "no such cache node\n"));
+      assertThat(rawResponse(port, "PUT /ops/cache-nodes/down" + put + "s-1"))
+          .isEqualTo(response("200 OK", "s-1 is out\n"));
+      assertThat(rawResponse(port, "PUT /ops/cache-nodes/up" + put + "s-1"))
+          .isEqualTo(response("200 OK", "s-1 is in use\n"));
+      assertThat(rawResponse(port, "nonsense\r\n\r\n"))
+          .isEqualTo(response("400 Bad Request", "not HTTP\n"));
+    }
+  }
+
   /** More callers than there is room for, who finish no call: the one that does is answered. */
   @Test
   void callersThatStopHalfWayKeepNobodyWaiting() throws Exception {
--- /dev/null
+++ b/src/test/java/cacheproxy/proxy/SharedFolderTest.java
@@ -0,0 +1,75 @@
+package cacheproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import cacheproxy.admin.ListenerTakeover;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The files that two processes of one proxy share: names, bytes and what the other reads. */
+class SharedFolderTest {
+  @TempDir Path directory;
+
+  @Test
+  void writesTheStoredFilesToTheByte() throws IOException {
+    SharedFolder folder = new SharedFolder(directory);
+    folder.add("s-1", true);
+    folder.add("s-1", false);
+    folder.exchange(new ListenerTakeover.Holds(258, 3, true));
+    folder.close();
+    assertThat(Files.readString(directory.resolve("damsonworks.hand")))
+        .isEqualTo("\n0ceaa238 down s-1\n\nf47f228a up s-1\n");
+    byte[] slots = Files.readAllBytes(directory.resolve("damsonworks.slots"));
+    assertThat(slots)
+        .isEqualTo(ByteBuffer.allocate(20).putLong(0).putInt(258).putInt(3).putInt(1).array());
+  }
+
+  @Test
+  void tellsEachProcessWhatTheOtherHolds() throws IOException {
+    SharedFolder first = new SharedFolder(directory);
+    ListenerTakeover.Holds firstHolds = new ListenerTakeover.Holds(7, 5, true);
+    ListenerTakeover.Holds secondHolds = new ListenerTakeover.Holds(2, 1, false);
+    assertThat(first.exchange(firstHolds)).isEqualTo(ListenerTakeover.Holds.NOTHING);
+    SharedFolder second = new SharedFolder(directory);
+    assertThat(first.exchange(firstHolds))
+        .as("the second runs and has written nothing yet")
+        .isEqualTo(new ListenerTakeover.Holds(1, 0, false));
+    assertThat(second.exchange(secondHolds)).isEqualTo(firstHolds);
+    assertThat(first.exchange(firstHolds)).isEqualTo(secondHolds);
+    assertThatThrownBy(() -> new SharedFolder(directory))
+        .isInstanceOf(IOException.class)
+        .hasMessage("two processes of this proxy already run");
+    second.close();
+    assertThat(first.exchange(firstHolds)).isEqualTo(ListenerTakeover.Holds.NOTHING);
+    first.close();
+  }
+
+  @Test
+  void reportsEjectionsOfTheOtherProcessOnce() throws IOException {
+    SharedFolder first = new SharedFolder(directory);
+    SharedFolder second = new SharedFolder(directory);
+    assertThat(second.news()).isNull();
+    assertThat(first.add("s-1", true)).containsExactly("s-1");
+    assertThat(second.news()).containsExactly("s-1");
+    assertThat(second.news()).isNull();
+    first.close();
+    second.close();
+  }
+
+  @Test
+  void keepsEjectionsInMemoryWithoutAFolder() throws IOException {
+    SharedFolder folder = new SharedFolder(null);
+    assertThat(folder.add("s-1", true)).containsExactly("s-1");
+    assertThat(folder.add("s-2", true)).containsExactly("s-1", "s-2");
+    assertThat(folder.add("s-1", false)).containsExactly("s-2");
+    assertThat(folder.news()).isNull();
+    assertThat(folder.exchange(new ListenerTakeover.Holds(1, 1, true)))
+        .isEqualTo(ListenerTakeover.Holds.NOTHING);
+    folder.close();
+  }
+}
