--- a/src/main/java/cacheproxy/admin/ListenerTakeover.java
+++ b/src/main/java/cacheproxy/admin/ListenerTakeover.java
@@ -1,121 +1,133 @@
 package cacheproxy.admin;
 
 /**
- * Two processes of one proxy at the same addresses, an old and a new version: who holds how much
- * while both run, and how the old one leaves. Together they may hold what one may; new connections
- * come to either as the kernel deals them.
+ * Rules for an upgrade in which the old and the new process of one proxy listen at the same
+ * addresses: how many descriptors each leaves to the other, and how the old one shuts down. The
+ * kernel distributes new connections over both listeners. Pure functions, callable from any thread.
  */
 public final class ListenerTakeover {
   /**
-   * How long a new one may warm up beside the old, in milliseconds. It has 6 s until the old one is
-   * told to end, and the JVM takes one to three of them; nobody is kept waiting meanwhile, as the
-   * old one serves.
+   * Longest warm-up of a new process beside the old one, in milliseconds. The old one is told to
+   * end after 6 s, of which the JVM's start takes one to three; clients are served by the old one
+   * meanwhile.
    */
-  public static final double WARM_MS = 3200;
+  public static final double MAX_WARM_UP_MS = 3200;
 
   /**
-   * Connections go on coming for so long after a planned end where nobody takes over, with room for
+   * For so long after SIGTERM a process without a successor accepts connections, with a margin for
    * a slow machine.
    */
-  private static final double LISTEN_ON_MS = 500;
+  private static final double LISTEN_ALONE_MS = 500;
 
   /**
-   * Where another process is there and does not serve yet, the old one listens for it for so long
-   * at most: it is told to end by the clock, and is killed when its own requests must be over.
+   * For so long after SIGTERM a process accepts connections while its successor does not serve yet.
+   * Bounds the wait, as the process is killed once its own requests must be over.
    */
-  private static final double WAIT_MS = 1200;
+  private static final double LISTEN_FOR_SUCCESSOR_MS = 1200;
 
   /**
-   * With a successor, connections leave over this time, each behind the answer to its next request:
-   * a client whose request crosses the end of its connection has to send it again. Guards the
-   * successor against all clients at once, when its code has served few of them yet.
+   * With a successor, connections are closed over this time, each behind the response to its next
+   * request: a request that crosses the close of its connection has to be sent again. Guards the
+   * successor, whose code has served few requests yet, against all clients at once.
    */
-  private static final double LEAVE_MS = 1000;
+  private static final double DRAIN_SPREAD_MS = 1000;
 
-  /** After that, those that stand idle. */
-  private static final double IDLE_MS = 1200;
+  /** With a successor, connections that are idle after this time are closed too. */
+  private static final double IDLE_GRACE_MS = 1200;
 
   /**
-   * One that is told to end is killed so long after its longest request must be over (PROTOCOL),
-   * less some room.
+   * A process is killed 700 ms after its longest request must be over; this leaves 100 ms of that.
    */
-  private static final double KILLED_MS = 700 - 100;
+  private static final double KILL_DELAY_MS = 700 - 100;
 
-  /** Longer deadlines do not count for that. */
-  private static final double LONGEST_MS = 3000;
+  /** Longer request deadlines do not delay the kill further. */
+  private static final double MAX_COUNTED_DEADLINE_MS = 3000;
 
   /**
    * Descriptors that both processes need for themselves: JVM, listeners, discovery, peers,
    * operators' calls.
    */
-  private static final int OWN = 64;
+  private static final int PROCESS_DESCRIPTORS = 64;
 
   /**
-   * Room for what both open before they next hear of each other. Guards the bound on what they hold
-   * together; a crowd that comes to both in that time is bounded by {@link #LEAST} as well.
+   * Descriptors that both may open before either reads the other's next report. Guards the bound on
+   * their sum; a burst of clients at both in that time is bounded by {@link #MIN_OWN_FRACTION} too.
    */
-  private static final int MARGIN = 48;
+  private static final int REPORT_DELAY_DESCRIPTORS = 48;
 
-  /** Whatever the other holds, this part of the places is this one's. */
-  private static final int LEAST = 4;
+  /** One part in so many of the client slots stays with this process whatever the other holds. */
+  private static final int MIN_OWN_FRACTION = 4;
 
   private ListenerTakeover() {}
 
-  /** Descriptors that a process holds, and whether it takes clients' requests. */
-  public record Holds(int clients, int servers, boolean serves) {
-    public static final Holds NOTHING = new Holds(0, 0, false);
-  }
-
   /**
-   * How many places for clients this one leaves free for the other. By what both hold and not by
-   * halves, as clients that have just connected would be shown out of one half while the other
-   * stands empty.
+   * Returns how many client slots this process leaves free for the other. It depends on what both
+   * hold: with fixed halves, new clients would be rejected by one process while the other has free
+   * slots.
    *
-   * @param sockets descriptors that both together may hold
-   * @param places clients that there is room for where one runs alone
-   * @param servers connections to servers that this one holds
+   * @param maxDescriptors descriptors that both processes may hold together
+   * @param clientSlots client connections that one process alone may hold
+   * @param serverConnections connections to servers that this process holds
+   * @param other the other process
+   * @return 0 to three quarters of {@code clientSlots}; 0 where the other is absent
    */
-  public static int clientsLeft(int sockets, int places, int servers, Holds other) {
-    if (other.equals(Holds.NOTHING)) {
+  public static int reservedClientSlots(
+      int maxDescriptors, int clientSlots, int serverConnections, ProcessStatus other) {
+    if (other.isAbsent()) {
       return 0;
     }
-    int room = sockets - OWN - MARGIN - servers - other.clients() - other.servers();
-    return Math.max(0, Math.min(places - room, places - places / LEAST));
+    int available =
+        maxDescriptors
+            - PROCESS_DESCRIPTORS
+            - REPORT_DELAY_DESCRIPTORS
+            - serverConnections
+            - other.clientConnections()
+            - other.serverConnections();
+    int mostReserved = clientSlots - clientSlots / MIN_OWN_FRACTION;
+    return Math.max(0, Math.min(clientSlots - available, mostReserved));
   }
 
-  /** How many of so many connections to servers this one leaves to the other. */
-  public static int serversLeft(int most, Holds other) {
-    return Math.min(most / 2, other.servers());
+  /**
+   * Returns how many of {@code maxConnections} connections to servers this process leaves to the
+   * other: as many as that one holds, at most half.
+   */
+  public static int reservedServerConnections(int maxConnections, ProcessStatus other) {
+    return Math.min(maxConnections / 2, other.serverConnections());
   }
 
-  /** Whether one that was told to end so long ago still takes connections. */
-  public static boolean listens(double toldMs, Holds other) {
-    return toldMs < (other.serves() || other.equals(Holds.NOTHING) ? LISTEN_ON_MS : WAIT_MS);
+  /** Returns whether a process accepts connections so long after it received SIGTERM. */
+  public static boolean acceptsConnections(double sinceTerminationMs, ProcessStatus other) {
+    boolean waitsForSuccessor = !other.isAbsent() && !other.serving();
+    return sinceTerminationMs < (waitsForSuccessor ? LISTEN_FOR_SUCCESSOR_MS : LISTEN_ALONE_MS);
   }
 
   /**
-   * Over how long clients leave, from when the successor serves or from when it has stopped
-   * listening.
+   * Returns the time over which connections are closed, in milliseconds, counted from when the
+   * successor serves or from when this process has stopped accepting.
    */
-  public static double leaveMs(Holds other) {
-    return other.serves() ? LEAVE_MS : 0;
+  public static double drainSpreadMs(ProcessStatus other) {
+    return other.serving() ? DRAIN_SPREAD_MS : 0;
   }
 
   /**
-   * How long after it was told to end all that it has taken must be answered, where the longest
-   * deadline is this.
+   * Returns the time after SIGTERM by which every request must be answered, in milliseconds.
+   *
+   * @param longestDeadlineMs the longest deadline of any request class
    */
-  public static double answeredMs(double deadlineMs) {
-    return countedMs(deadlineMs) + KILLED_MS;
+  public static double answerWithinMs(double longestDeadlineMs) {
+    return countedDeadlineMs(longestDeadlineMs) + KILL_DELAY_MS;
   }
 
-  /** What of the longest deadline counts for when it is killed. */
-  public static double countedMs(double deadlineMs) {
-    return Math.min(deadlineMs, LONGEST_MS);
+  /** Returns the part of the longest deadline that delays the kill, in milliseconds. */
+  public static double countedDeadlineMs(double longestDeadlineMs) {
+    return Math.min(longestDeadlineMs, MAX_COUNTED_DEADLINE_MS);
   }
 
-  /** How long after that it ends the connections that stand idle. */
-  public static double idleMs(Holds other) {
-    return other.serves() ? IDLE_MS : 0;
+  /**
+   * Returns how long after the start of {@link #drainSpreadMs} idle connections are closed, in
+   * milliseconds.
+   */
+  public static double idleGraceMs(ProcessStatus other) {
+    return other.serving() ? IDLE_GRACE_MS : 0;
   }
 }
--- a/src/main/java/cacheproxy/admin/ManualEjectionLog.java
+++ b/src/main/java/cacheproxy/admin/ManualEjectionLog.java
@@ -2,76 +2,118 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.zip.CRC32C;
 
 /**
- * The nodes that operators have taken out, as a log of their calls that two processes of one proxy
- * can write to: each record is one line with its checksum, appended in one write. What a crash has
- * cut off, or another hand has spoilt, is a line whose checksum fails, and says nothing; all others
- * hold, in the file's order, which is one order for both.
+ * Format of the log of cache nodes that operators have ejected, which two processes of one proxy
+ * append to. A record is one line, written at once: checksum, action, node. A line whose checksum
+ * does not match (cut off by a crash, or edited) is ignored; all others apply in the file's order,
+ * which is the same for both processes. Pure functions, callable from any thread.
  */
 public final class ManualEjectionLog {
-  /**
-   * Nodes out at one time. With more, calls out are turned down: a fleet is not taken out one by
-   * one.
-   */
-  public static final int MOST_OUT = 4096;
+  /** Most nodes that can be ejected at one time; an operator's call for more is rejected. */
+  public static final int MAX_EJECTED = 4096;
+
+  /** A log longer than this is to be replaced by {@link #compact}. */
+  public static final int COMPACTION_THRESHOLD_BYTES = 64 << 10;
+
+  /** The longest name of a node. */
+  public static final int MAX_NAME_LENGTH = 250;
+
+  /** What a record does to its node; the words are the stored format and the paths of calls. */
+  public enum Action {
+    /** The node gets no new requests. */
+    EJECT("down"),
+    /** The node is used again. */
+    REINSTATE("up");
 
-  /** From this size on the log is to be written anew, by {@link #whole}. */
-  public static final int COMPACT_FROM_BYTES = 64 << 10;
+    private final String word;
 
-  /** The longest name of a node. Names are visible ASCII, as hosts on the list are. */
-  public static final int LONGEST_NAME = 250;
+    Action(String word) {
+      this.word = word;
+    }
+
+    /** Returns the action's word in records and in paths of operators' calls. */
+    public String word() {
+      return word;
+    }
+
+    private static Optional<Action> ofWord(String word) {
+      for (Action action : values()) {
+        if (action.word.equals(word)) {
+          return Optional.of(action);
+        }
+      }
+      return Optional.empty();
+    }
+  }
 
   private ManualEjectionLog() {}
 
-  /** Whether this can be a node's name. */
-  public static boolean isName(String text) {
+  /**
+   * Returns whether a text can be a node's name: visible ASCII, 1 to {@link #MAX_NAME_LENGTH}
+   * characters.
+   */
+  public static boolean isNodeName(String text) {
     return !text.isEmpty()
-        && text.length() <= LONGEST_NAME
-        && text.chars().allMatch(c -> c > ' ' && c <= '~');
+        && text.length() <= MAX_NAME_LENGTH
+        && text.chars().allMatch(character -> character > ' ' && character <= '~');
   }
 
   /**
-   * One call. Begins with a line's end, so that what a crash has left of the one before can't spoil
-   * it.
+   * Returns one record. It begins with a line break, so that a record before it that a crash has
+   * cut off cannot damage it.
    */
-  public static byte[] record(String node, boolean out) {
-    String call = (out ? "down " : "up ") + node;
-    return ("\n" + sum(call) + " " + call + "\n").getBytes(StandardCharsets.US_ASCII);
+  public static byte[] encode(String node, Action action) {
+    String payload = action.word + " " + node;
+    return ("\n" + checksum(payload) + " " + payload + "\n").getBytes(StandardCharsets.US_ASCII);
   }
 
-  /** The nodes that are out after all calls of this log, in the order in which they went. */
-  public static Set<String> out(byte[] log) {
-    Set<String> out = new LinkedHashSet<>();
+  /** Returns the nodes that are ejected after all records of a log, in the order of ejection. */
+  public static Set<String> ejectedNodes(byte[] log) {
+    Set<String> ejected = new LinkedHashSet<>();
     for (String line : new String(log, StandardCharsets.ISO_8859_1).split("\n")) {
-      int at = line.indexOf(' ');
-      if (at < 0 || !sum(line.substring(at + 1)).equals(line.substring(0, at))) {
-        continue;
-      }
-      int name = line.indexOf(' ', at + 1);
-      if (line.startsWith("down ", at + 1)) {
-        out.add(line.substring(name + 1));
-      } else if (line.startsWith("up ", at + 1)) {
-        out.remove(line.substring(name + 1));
-      }
+      apply(line, ejected);
+    }
+    return ejected;
+  }
+
+  private static void apply(String line, Set<String> ejected) {
+    int payloadAt = line.indexOf(' ') + 1;
+    if (payloadAt == 0) {
+      return;
+    }
+    String payload = line.substring(payloadAt);
+    int nodeAt = payload.indexOf(' ') + 1;
+    if (nodeAt == 0 || !checksum(payload).equals(line.substring(0, payloadAt - 1))) {
+      return;
     }
-    return out;
+    String node = payload.substring(nodeAt);
+    Action.ofWord(payload.substring(0, nodeAt - 1))
+        .ifPresent(
+            action -> {
+              switch (action) {
+                case EJECT -> ejected.add(node);
+                case REINSTATE -> ejected.remove(node);
+              }
+            });
   }
 
-  /** A log of no more than it takes for these to be out. */
-  public static byte[] whole(Set<String> out) {
+  /** Returns the shortest log after which exactly these nodes are ejected. */
+  public static byte[] compact(Set<String> ejected) {
     StringBuilder log = new StringBuilder();
-    for (String node : out) {
-      log.append(new String(record(node, true), StandardCharsets.US_ASCII));
+    for (String node : ejected) {
+      log.append(new String(encode(node, Action.EJECT), StandardCharsets.US_ASCII));
     }
     return log.toString().getBytes(StandardCharsets.US_ASCII);
   }
 
-  private static String sum(String call) {
+  /** CRC-32C as eight hexadecimal digits. */
+  private static String checksum(String payload) {
     CRC32C crc = new CRC32C();
-    crc.update(call.getBytes(StandardCharsets.ISO_8859_1));
+    crc.update(payload.getBytes(StandardCharsets.ISO_8859_1));
     return Long.toHexString(0x100000000L | crc.getValue()).substring(1);
   }
 }
--- a/src/main/java/cacheproxy/admin/Metrics.java
+++ b/src/main/java/cacheproxy/admin/Metrics.java
@@ -3,105 +3,126 @@
 import java.util.List;
 
 /**
- * What has become of requests, counted from the start of the process. Plain fields: counted and
- * read on the one thread that owns it, as each request passes here.
+ * Counters of requests since the start of the process. Plain fields, as every request passes here:
+ * written and read on the proxy's event loop alone.
  */
 public final class Metrics {
   /**
-   * How a request ended for its client. One that ended after its client had left is not counted.
+   * How a request ended for its client. A request whose client had disconnected before is not
+   * counted.
    */
-  public enum End {
-    ANSWERED,
-    DEFERRED,
-    ERRORED
+  public enum Result {
+    /** A cache node's or the origin's response was passed on. */
+    SERVED("answered"),
+    /** The client was told to come back later. */
+    REJECTED("deferred"),
+    /** The request failed. */
+    FAILED("errored");
+
+    /** The name in the JSON of the operators' call, which the platform's pages fix. */
+    private final String jsonKey;
+
+    Result(String jsonKey) {
+      this.jsonKey = jsonKey;
+    }
   }
 
-  private static final int ENDS = End.values().length;
+  /**
+   * Values read at the time of an operator's call.
+   *
+   * @param requestsInFlight requests accepted and not ended
+   * @param listedNodes cache nodes on the endpoint list
+   * @param avoidedNodes those of them that get no new requests: ejected, draining or unreachable
+   * @param configurationsLoaded configurations read and used
+   * @param configurationsInvalid configurations read and rejected
+   */
+  public record Gauges(
+      int requestsInFlight,
+      int listedNodes,
+      int avoidedNodes,
+      int configurationsLoaded,
+      int configurationsInvalid) {}
+
+  private static final Result[] RESULTS = Result.values();
+
+  private static final int INITIAL_JSON_LENGTH = 256;
+
+  private final List<String> serviceClasses;
 
-  private final List<String> classes;
-  private final long[] ended;
-  private long sends;
+  /** By service class and, within it, by result. */
+  private final long[] requests;
+
+  private long attempts;
 
   /**
-   * @param classes the names of the classes of requests, by their numbers
+   * Creates counters that are all 0.
+   *
+   * @param serviceClasses names of the requests' service classes, by number
    */
-  public Metrics(List<String> classes) {
-    this.classes = List.copyOf(classes);
-    ended = new long[this.classes.size() * ENDS];
+  public Metrics(List<String> serviceClasses) {
+    this.serviceClasses = List.copyOf(serviceClasses);
+    requests = new long[this.serviceClasses.size() * RESULTS.length];
   }
 
-  /** A request of this class has had its final answer. */
-  public void ended(int serviceClass, End end) {
-    ended[serviceClass * ENDS + end.ordinal()]++;
+  /** Counts a request of this service class that has got its final response. */
+  public void requestEnded(int serviceClass, Result result) {
+    requests[index(serviceClass, result)]++;
   }
 
-  /** An attempt was written whole. */
-  public void sent() {
-    sends++;
+  /** Counts an attempt whose last byte was written to a cache node or the origin. */
+  public void attemptSent() {
+    attempts++;
   }
 
-  public long sends() {
-    return sends;
+  /** Returns how many requests of this service class ended so. */
+  public long requests(int serviceClass, Result result) {
+    return requests[index(serviceClass, result)];
   }
 
-  public long of(int serviceClass, End end) {
-    return ended[serviceClass * ENDS + end.ordinal()];
+  /** Returns all counters and the given gauges as one JSON object and a line break. */
+  public String toJson(Gauges gauges) {
+    StringBuilder json = new StringBuilder(INITIAL_JSON_LENGTH).append('{');
+    for (Result result : RESULTS) {
+      appendRequests(json, result);
+      json.append(',');
+    }
+    appendCount(json, "sends", attempts).append(',');
+    appendCount(json, "current", gauges.requestsInFlight()).append(',');
+    appendCount(json, "cluster_size", gauges.listedNodes()).append(',');
+    appendCount(json, "cluster_unhealthy", gauges.avoidedNodes()).append(',');
+    appendCount(json, "conf_loaded", gauges.configurationsLoaded()).append(',');
+    appendCount(json, "conf_invalid", gauges.configurationsInvalid());
+    return json.append("}\n").toString();
   }
 
-  /**
-   * All of it as one JSON object.
-   *
-   * @param open requests taken and not ended
-   * @param listed nodes on the list
-   * @param avoided how many of these get nothing new, by hand or by choice
-   * @param read configurations that were read and are used since the start
-   * @param refused configurations that could not be used
-   */
-  public String json(int open, int listed, int avoided, int read, int refused) {
-    StringBuilder json = new StringBuilder(256).append('{');
-    for (End end : End.values()) {
-      json.append('"').append(name(end)).append("\":{");
-      for (int c = 0; c < classes.size(); c++) {
-        json.append(c == 0 ? "" : ",");
-        quote(json, classes.get(c)).append(':').append(of(c, end));
-      }
-      json.append("},");
+  private static int index(int serviceClass, Result result) {
+    return serviceClass * RESULTS.length + result.ordinal();
+  }
+
+  private void appendRequests(StringBuilder json, Result result) {
+    appendQuoted(json, result.jsonKey).append(":{");
+    for (int serviceClass = 0; serviceClass < serviceClasses.size(); serviceClass++) {
+      json.append(serviceClass == 0 ? "" : ",");
+      appendCount(json, serviceClasses.get(serviceClass), requests(serviceClass, result));
     }
-    return json.append("\"sends\":")
-        .append(sends)
-        .append(",\"current\":")
-        .append(open)
-        .append(",\"cluster_size\":")
-        .append(listed)
-        .append(",\"cluster_unhealthy\":")
-        .append(avoided)
-        .append(",\"conf_loaded\":")
-        .append(read)
-        .append(",\"conf_invalid\":")
-        .append(refused)
-        .append("}\n")
-        .toString();
+    json.append('}');
   }
 
-  private static String name(End end) {
-    return switch (end) {
-      case ANSWERED -> "answered";
-      case DEFERRED -> "deferred";
-      case ERRORED -> "errored";
-    };
+  private static StringBuilder appendCount(StringBuilder json, String key, long count) {
+    return appendQuoted(json, key).append(':').append(count);
   }
 
-  /** RFC 8259, section 7. */
-  private static StringBuilder quote(StringBuilder json, String text) {
+  /** Appends a JSON string (RFC 8259, section 7). */
+  private static StringBuilder appendQuoted(StringBuilder json, String text) {
     json.append('"');
     for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      if (c == '"' || c == '\\') {
-        json.append('\\').append(c);
-      } else if (c < ' ') {
-        json.append("\\u").append(Integer.toHexString(0x10000 | c).substring(1));
+      char character = text.charAt(i);
+      if (character == '"' || character == '\\') {
+        json.append('\\').append(character);
+      } else if (character < ' ') {
+        json.append("\\u").append(Integer.toHexString(0x10000 | character).substring(1));
       } else {
-        json.append(c);
+        json.append(character);
       }
     }
     return json.append('"');
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -564,7 +564,7 @@
    * The whole final answer; takes the buffer over. {@code end}: what it is to a request; null: it
    * answers none.
    */
-  void answer(Exchange exchange, ByteBuf answer, Metrics.End end) {
+  void answer(Exchange exchange, ByteBuf answer, Metrics.Result end) {
     if (finished) {
       answer.release();
       return;
@@ -574,9 +574,9 @@
       boolean whole = exchange.answer == answer;
       dispatcher
           .figures()
-          .ended(
+          .requestEnded(
               exchange.kind,
-              whole ? end : exchange.safe ? Metrics.End.DEFERRED : Metrics.End.ERRORED);
+              whole ? end : exchange.safe ? Metrics.Result.REJECTED : Metrics.Result.FAILED);
     }
     if (finished) {
       exchange.answer.release(); // it was this client that had to make room
@@ -691,7 +691,9 @@
   /** A long value has come to its end, or its server to one before that. */
   void passed(Exchange exchange, boolean whole) {
     StreamedResponse passage = exchange.passage;
-    dispatcher.figures().ended(exchange.kind, whole ? Metrics.End.ANSWERED : Metrics.End.ERRORED);
+    dispatcher
+        .figures()
+        .requestEnded(exchange.kind, whole ? Metrics.Result.SERVED : Metrics.Result.FAILED);
     if (whole) {
       passage.whole();
       account.answered();
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy;
 
 import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.admin.ProcessStatus;
 import cacheproxy.limits.ByteAccounts;
 import cacheproxy.limits.ClientBackoff;
 import cacheproxy.limits.ConnectionAdmissionPolicy;
@@ -112,9 +113,10 @@
   }
 
   /** Part of the places is another process's now, or is not any more. */
-  void reserve(int sockets, ListenerTakeover.Holds other) {
+  void reserve(int sockets, ProcessStatus other) {
     reserved =
-        ListenerTakeover.clientsLeft(sockets, rules.places(), dispatcher.upstreamInUse(), other);
+        ListenerTakeover.reservedClientSlots(
+            sockets, rules.places(), dispatcher.upstreamInUse(), other);
     if (listener != null) {
       resume();
     }
--- a/src/main/java/cacheproxy/proxy/ControlFront.java
+++ b/src/main/java/cacheproxy/proxy/ControlFront.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.admin.ManualEjectionLog;
+import cacheproxy.admin.ProcessStatus;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -65,13 +65,13 @@
     void out(Set<String> nodes, Runnable then);
 
     /** What this process holds now. */
-    ListenerTakeover.Holds holds();
+    ProcessStatus holds();
 
     /**
-     * What another process of this proxy that runs beside it holds; {@link
-     * ListenerTakeover.Holds#NOTHING}: none does.
+     * What another process of this proxy that runs beside it holds; {@link ProcessStatus#ABSENT}:
+     * none does.
      */
-    void beside(ListenerTakeover.Holds other);
+    void beside(ProcessStatus other);
   }
 
   /**
@@ -102,7 +102,7 @@
   private final SharedFolder folder;
   private final Channel server;
   private String figures = "{}\n";
-  private ListenerTakeover.Holds beside;
+  private ProcessStatus beside;
   private boolean troubled;
 
   /**
@@ -137,7 +137,7 @@
   }
 
   /** What another process held when this one began. */
-  ListenerTakeover.Holds begunBeside() {
+  ProcessStatus begunBeside() {
     return beside;
   }
 
@@ -157,7 +157,7 @@
 
   private void look() {
     try {
-      ListenerTakeover.Holds now = folder.exchange(desk.holds());
+      ProcessStatus now = folder.exchange(desk.holds());
       if (!now.equals(beside)) {
         beside = now;
         desk.beside(now);
@@ -260,7 +260,7 @@
 
     /** The yes comes once the call stands in the log and the proxy goes by it. */
     private void hand(ChannelHandlerContext ctx, String node, boolean out) {
-      if (!ManualEjectionLog.isName(node)) {
+      if (!ManualEjectionLog.isNodeName(node)) {
         answer(ctx, HttpResponseStatus.BAD_REQUEST, "the body is a cache node's id\n");
         return;
       }
@@ -270,7 +270,7 @@
       }
       try {
         Set<String> all = folder.add(node, out);
-        if (all.size() > ManualEjectionLog.MOST_OUT) {
+        if (all.size() > ManualEjectionLog.MAX_EJECTED) {
           all = folder.add(node, false);
           answer(ctx, HttpResponseStatus.INSUFFICIENT_STORAGE, "too many are out\n");
         }
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.admin.Metrics;
+import cacheproxy.admin.ProcessStatus;
 import cacheproxy.limits.ByteAccounts;
 import cacheproxy.limits.DisconnectCounters;
 import cacheproxy.limits.Limits;
@@ -290,7 +291,7 @@
     if (advice == RoutingApi.TAKEN) {
       return null;
     }
-    figures.ended(kind, Metrics.End.DEFERRED);
+    figures.requestEnded(kind, Metrics.Result.REJECTED);
     return busy(advice);
   }
 
@@ -337,8 +338,8 @@
    * So many of the descriptors for servers are another process's now; who has more than is left
    * goes by and by.
    */
-  void reserveUpstream(ListenerTakeover.Holds other) {
-    upstreamReserved = ListenerTakeover.serversLeft(maxUpstream, other);
+  void reserveUpstream(ProcessStatus other) {
+    upstreamReserved = ListenerTakeover.reservedServerConnections(maxUpstream, other);
   }
 
   /** For tests: attempts without an outcome. */
@@ -377,7 +378,8 @@
   /** The figures for operators, as JSON. */
   String figures(int read, int refused) {
     RoutingApi.Census census = module == null ? new RoutingApi.Census(0, 0) : module.census(now());
-    return figures.json(openIds.size(), census.listed(), census.avoided(), read, refused);
+    return figures.toJson(
+        new Metrics.Gauges(openIds.size(), census.listed(), census.avoided(), read, refused));
   }
 
   /** From now on just these nodes are out by hand. */
@@ -627,7 +629,7 @@
     if (figure(c, "d", 0) > 0 && now() < answerByMs) {
       return null;
     }
-    figures.ended(classes.get(MetaCodec.named(c.extras, "c")), Metrics.End.DEFERRED);
+    figures.requestEnded(classes.get(MetaCodec.named(c.extras, "c")), Metrics.Result.REJECTED);
     return MetaCodec.BUSY;
   }
 
@@ -810,7 +812,7 @@
       answer.release();
     } else if (answer != null) {
       over(x);
-      x.client.answer(x, answer, Metrics.End.ANSWERED);
+      x.client.answer(x, answer, Metrics.Result.SERVED);
     }
     boolean over = x.over;
     tell(
@@ -848,11 +850,11 @@
   }
 
   private void finish(Exchange x, String text) {
-    finish(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text), Metrics.End.ERRORED);
+    finish(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text), Metrics.Result.FAILED);
   }
 
   /** The final answer where no server gave it. */
-  private void finish(Exchange x, ByteBuf answer, Metrics.End end) {
+  private void finish(Exchange x, ByteBuf answer, Metrics.Result end) {
     if (x.over || x.passage != null) {
       answer.release();
       return;
@@ -914,7 +916,7 @@
       finish(
           x,
           MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, busy(retryAfterMs) + "\r\n"),
-          Metrics.End.DEFERRED);
+          Metrics.Result.REJECTED);
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy;
 
 import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.admin.ProcessStatus;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedLink;
@@ -83,8 +84,8 @@
 
   private final KnownNodeNames names;
   private volatile boolean ready;
-  private volatile ListenerTakeover.Holds holds = new ListenerTakeover.Holds(1, 0, false);
-  private volatile ListenerTakeover.Holds other = ListenerTakeover.Holds.NOTHING;
+  private volatile ProcessStatus holds = ProcessStatus.STARTING;
+  private volatile ProcessStatus other = ProcessStatus.ABSENT;
   private volatile int configsRead = 1;
   private volatile int configsRefused;
   private double drainEndsMs;
@@ -124,14 +125,14 @@
                             dispatcher::log))
             .syncUninterruptibly();
         discovery.tierBy(members);
-        boolean another = !other.equals(ListenerTakeover.Holds.NOTHING);
+        boolean another = !other.isAbsent();
         loop.execute(() -> members.beside(another));
       } else {
         dispatcher.log(
             "membership: the configuration names no peers, or not this proxy among them; it stays off");
       }
     }
-    WarmUp warmUp = new WarmUp(loop, config, allocator, peers, other.serves());
+    WarmUp warmUp = new WarmUp(loop, config, allocator, peers, other.serving());
     loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
     dispatcher.log(warmUp.toString());
     loop.submit(
@@ -145,7 +146,7 @@
                     new SharedLink(
                         loop, peers, members, config.tier(), config.seed(), new Sharer());
                 dispatcher.share(sharing.tier());
-                sharing.beside(!other.equals(ListenerTakeover.Holds.NOTHING));
+                sharing.beside(!other.isAbsent());
               }
               discovery.listenTo(peers);
               discovery.start();
@@ -269,18 +270,18 @@
     }
 
     @Override
-    public ListenerTakeover.Holds holds() {
+    public ProcessStatus holds() {
       return holds;
     }
 
     @Override
-    public void beside(ListenerTakeover.Holds holds) {
+    public void beside(ProcessStatus holds) {
       other = holds;
       if (members != null) {
-        loop.execute(() -> members.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
+        loop.execute(() -> members.beside(!holds.isAbsent()));
       }
       if (sharing != null) {
-        loop.execute(() -> sharing.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
+        loop.execute(() -> sharing.beside(!holds.isAbsent()));
       }
     }
   }
@@ -290,8 +291,7 @@
    */
   private void share() {
     // It holds something at least: who holds nothing is not there.
-    holds =
-        new ListenerTakeover.Holds(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
+    holds = new ProcessStatus(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
     dispatcher.reserveUpstream(other);
     door.reserve(config.sockets(), other);
     loop.schedule(this::share, SHARE_MS, TimeUnit.MILLISECONDS);
@@ -416,12 +416,10 @@
           toldMs = dispatcher.now();
           idleEndsMs = Double.POSITIVE_INFINITY;
           drainEndsMs = Double.POSITIVE_INFINITY;
-          if (members != null
-              && other.equals(
-                  ListenerTakeover.Holds.NOTHING)) { // with another process here, the member stays
+          if (members != null && other.isAbsent()) { // with another process here, the member stays
             members.leaving();
           }
-          dispatcher.answerBy(toldMs + ListenerTakeover.answeredMs(longestMs));
+          dispatcher.answerBy(toldMs + ListenerTakeover.answerWithinMs(longestMs));
           drainOn();
         });
     try {
@@ -433,11 +431,11 @@
 
   private void drainOn() {
     double now = dispatcher.now();
-    boolean listens = ListenerTakeover.listens(now - toldMs, other);
-    if (!dispatcher.draining() && (other.serves() || !listens)) {
-      dispatcher.drain(now, ListenerTakeover.leaveMs(other));
-      idleEndsMs = now + ListenerTakeover.idleMs(other);
-      drainEndsMs = idleEndsMs + ListenerTakeover.countedMs(longestMs) + 150;
+    boolean listens = ListenerTakeover.acceptsConnections(now - toldMs, other);
+    if (!dispatcher.draining() && (other.serving() || !listens)) {
+      dispatcher.drain(now, ListenerTakeover.drainSpreadMs(other));
+      idleEndsMs = now + ListenerTakeover.idleGraceMs(other);
+      drainEndsMs = idleEndsMs + ListenerTakeover.countedDeadlineMs(longestMs) + 150;
     }
     if (!listens && server.isOpen()) {
       server.closeEmpty(BACKLOG / ConnectionAdmission.batch());
--- a/src/main/java/cacheproxy/proxy/SharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/SharedFolder.java
@@ -1,7 +1,7 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.admin.ManualEjectionLog;
+import cacheproxy.admin.ProcessStatus;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -103,26 +103,26 @@
    * Tells the other process what this one holds and has what that one does; nothing where it does
    * not run.
    */
-  ListenerTakeover.Holds exchange(ListenerTakeover.Holds holds) throws IOException {
+  ProcessStatus exchange(ProcessStatus holds) throws IOException {
     if (slots == null) {
-      return ListenerTakeover.Holds.NOTHING;
+      return ProcessStatus.ABSENT;
     }
     slots.write(
         ByteBuffer.allocate(HOLDS_BYTES)
-            .putInt(holds.clients())
-            .putInt(holds.servers())
-            .putInt(holds.serves() ? 1 : 0)
+            .putInt(holds.clientConnections())
+            .putInt(holds.serverConnections())
+            .putInt(holds.serving() ? 1 : 0)
             .flip(),
         HOLDS_AT + slot * HOLDS_BYTES);
     ByteBuffer other = ByteBuffer.allocate(HOLDS_BYTES);
     if (!beside()) {
-      return ListenerTakeover.Holds.NOTHING;
+      return ProcessStatus.ABSENT;
     }
     slots.read(other, HOLDS_AT + (1 - slot) * HOLDS_BYTES);
     // One that has just begun may not have written yet.
     return other.hasRemaining()
-        ? new ListenerTakeover.Holds(1, 0, false)
-        : new ListenerTakeover.Holds(
+        ? ProcessStatus.STARTING
+        : new ProcessStatus(
             Math.max(1, other.getInt(0)),
             Math.max(0, other.getInt(Integer.BYTES)),
             other.getInt(2 * Integer.BYTES) == 1);
@@ -144,27 +144,32 @@
   }
 
   private Set<String> read(Object now) throws IOException {
-    Set<String> out = ManualEjectionLog.out(log == null ? kept : Files.readAllBytes(log));
+    Set<String> out = ManualEjectionLog.ejectedNodes(log == null ? kept : Files.readAllBytes(log));
     seen = now;
     return out;
   }
 
   /** Adds a call; the nodes that are out with it. What is returned stands in the log. */
   Set<String> add(String node, boolean out) throws IOException {
-    byte[] record = ManualEjectionLog.record(node, out);
+    byte[] record =
+        ManualEjectionLog.encode(
+            node, out ? ManualEjectionLog.Action.EJECT : ManualEjectionLog.Action.REINSTATE);
     if (log == null) {
-      Set<String> all = ManualEjectionLog.out(kept);
+      Set<String> all = ManualEjectionLog.ejectedNodes(kept);
       if (out) {
         all.add(node);
       } else {
         all.remove(node);
       }
-      kept = ManualEjectionLog.whole(all);
+      kept = ManualEjectionLog.compact(all);
       return all;
     }
-    if (Files.exists(log) && Files.size(log) > ManualEjectionLog.COMPACT_FROM_BYTES && !beside()) {
+    if (Files.exists(log)
+        && Files.size(log) > ManualEjectionLog.COMPACTION_THRESHOLD_BYTES
+        && !beside()) {
       Path next = log.resolveSibling(LOG + ".next");
-      Files.write(next, ManualEjectionLog.whole(ManualEjectionLog.out(Files.readAllBytes(log))));
+      Files.write(
+          next, ManualEjectionLog.compact(ManualEjectionLog.ejectedNodes(Files.readAllBytes(log))));
       try {
         Files.move(next, log, StandardCopyOption.ATOMIC_MOVE);
       } catch (AtomicMoveNotSupportedException e) {
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -288,7 +288,7 @@
 
   private void wrote(Attempt attempt, boolean whole) {
     if (attempt.wrote(whole) && attempt.exchange != null) {
-      upstream.dispatcher().figures().sent();
+      upstream.dispatcher().figures().attemptSent();
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -91,7 +91,7 @@
     door.open(null);
     span = new WarmUpBudget(dispatcher.now(), peers.hasPeers());
     if (beside) {
-      span.predecessor(ListenerTakeover.WARM_MS);
+      span.predecessor(ListenerTakeover.MAX_WARM_UP_MS);
     }
     ask();
     endInTime();
--- a/src/test/java/cacheproxy/proxy/SharedFolderTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedFolderTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import cacheproxy.admin.ListenerTakeover;
+import cacheproxy.admin.ProcessStatus;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -20,7 +20,7 @@
     SharedFolder folder = new SharedFolder(directory);
     folder.add("s-1", true);
     folder.add("s-1", false);
-    folder.exchange(new ListenerTakeover.Holds(258, 3, true));
+    folder.exchange(new ProcessStatus(258, 3, true));
     folder.close();
     assertThat(Files.readString(directory.resolve("damsonworks.hand")))
         .isEqualTo("\n0ceaa238 down s-1\n\nf47f228a up s-1\n");
@@ -32,20 +32,20 @@
   @Test
   void tellsEachProcessWhatTheOtherHolds() throws IOException {
     SharedFolder first = new SharedFolder(directory);
-    ListenerTakeover.Holds firstHolds = new ListenerTakeover.Holds(7, 5, true);
-    ListenerTakeover.Holds secondHolds = new ListenerTakeover.Holds(2, 1, false);
-    assertThat(first.exchange(firstHolds)).isEqualTo(ListenerTakeover.Holds.NOTHING);
+    ProcessStatus firstHolds = new ProcessStatus(7, 5, true);
+    ProcessStatus secondHolds = new ProcessStatus(2, 1, false);
+    assertThat(first.exchange(firstHolds)).isEqualTo(ProcessStatus.ABSENT);
     SharedFolder second = new SharedFolder(directory);
     assertThat(first.exchange(firstHolds))
         .as("the second runs and has written nothing yet")
-        .isEqualTo(new ListenerTakeover.Holds(1, 0, false));
+        .isEqualTo(new ProcessStatus(1, 0, false));
     assertThat(second.exchange(secondHolds)).isEqualTo(firstHolds);
     assertThat(first.exchange(firstHolds)).isEqualTo(secondHolds);
     assertThatThrownBy(() -> new SharedFolder(directory))
         .isInstanceOf(IOException.class)
         .hasMessage("two processes of this proxy already run");
     second.close();
-    assertThat(first.exchange(firstHolds)).isEqualTo(ListenerTakeover.Holds.NOTHING);
+    assertThat(first.exchange(firstHolds)).isEqualTo(ProcessStatus.ABSENT);
     first.close();
   }
 
@@ -68,8 +68,7 @@
     assertThat(folder.add("s-2", true)).containsExactly("s-1", "s-2");
     assertThat(folder.add("s-1", false)).containsExactly("s-2");
     assertThat(folder.news()).isNull();
-    assertThat(folder.exchange(new ListenerTakeover.Holds(1, 1, true)))
-        .isEqualTo(ListenerTakeover.Holds.NOTHING);
+    assertThat(folder.exchange(new ProcessStatus(1, 1, true))).isEqualTo(ProcessStatus.ABSENT);
     folder.close();
   }
 }
