The operators' front is a package of its own, proxy.admin, with typed routes

Need: ControlFront held the listener, an 80-line handler that tested paths as strings, polling of the shared folder and the wait for figures; SharedFolder held two files and a stand-in for none. Both sat beside the proxy's own sockets and could reach any of them.

Change: proxy.admin holds OperatorServer (listener, bound on open calls), OperatorCallHandler (one call), OperatorRoute (path and method of each call), LatestMetrics (bounded wait), SharedFolder with FileSharedFolder and UnsharedFolder, ProcessSlots (the locked file), SharedFolderPoller, KnownNodeNames and ProxyOperations, the one interface through which it reaches the proxy. The event loop's I/O handler is passed in, so that no import leads back to cacheproxy.proxy. Paths, bodies, file names and formats are as before; a failed bind keeps its cause.

--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -1,6 +1,7 @@
 package cacheproxy.proxy;
 
 import cacheproxy.gossip.EndpointVersionGossip;
+import cacheproxy.proxy.admin.KnownNodeNames;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.ListKind;
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -2,6 +2,9 @@
 
 import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.admin.ProcessStatus;
+import cacheproxy.proxy.admin.KnownNodeNames;
+import cacheproxy.proxy.admin.OperatorServer;
+import cacheproxy.proxy.admin.ProxyOperations;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedLink;
@@ -24,15 +27,18 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayList;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
   private static final int BACKLOG = 512;
-  private static final long SHARE_MS = 50;
+
+  /** Between updates of the status that another process of this proxy reads. */
+  private static final long STATUS_INTERVAL_MS = 50;
 
   /** What is read from a client at once: at first enough to see a flood of commands as one. */
   private static final int READ_BYTES = 8 << 10;
@@ -79,13 +85,13 @@
   private final CountDownLatch ended = new CountDownLatch(1);
   private final Listener server;
 
-  /** Null where the platform names no address for it. */
-  private final ControlFront control;
+  /** Null where the configuration names no address for it. */
+  private final OperatorServer operatorServer;
 
-  private final KnownNodeNames names;
+  private final KnownNodeNames knownNodeNames;
   private volatile boolean ready;
-  private volatile ProcessStatus holds = ProcessStatus.STARTING;
-  private volatile ProcessStatus other = ProcessStatus.ABSENT;
+  private volatile ProcessStatus ownStatus = ProcessStatus.STARTING;
+  private volatile ProcessStatus otherProcess = ProcessStatus.ABSENT;
   private volatile int configsRead = 1;
   private volatile int configsRefused;
   private double drainEndsMs;
@@ -96,19 +102,16 @@
   private Proxy(Config config, ByteBufAllocator allocator, LifecycleSignals<Proxy> begun)
       throws InterruptedException, IOException {
     this.config = config;
-    names = config.control() == null ? null : new KnownNodeNames();
+    knownNodeNames = config.control() == null ? null : new KnownNodeNames();
     dispatcher = new Dispatcher(loop, config, allocator);
     peers = new PeerSocket(loop, config.peerAddresses(), dispatcher);
     door = new ConnectionAdmission(loop, dispatcher);
-    discovery = new DiscoveryClient(loop, config, dispatcher, names);
-    control =
-        config.control() == null
-            ? null
-            : new ControlFront(config.control(), config.shared(), new Desk());
-    if (control != null) {
+    discovery = new DiscoveryClient(loop, config, dispatcher, knownNodeNames);
+    operatorServer = config.control() == null ? null : startOperatorServer(config);
+    if (operatorServer != null) {
       discovery.nameKnown();
-      other = control.begunBeside();
-      control.follow();
+      otherProcess = operatorServer.otherProcessAtStart();
+      operatorServer.startPolling();
     }
     if (config.membership() != null) {
       if (peers.hasPeers() && config.settings().me() < config.peers().size()) {
@@ -125,14 +128,14 @@
                             dispatcher::log))
             .syncUninterruptibly();
         discovery.tierBy(members);
-        boolean another = !other.isAbsent();
+        boolean another = !otherProcess.isAbsent();
         loop.execute(() -> members.beside(another));
       } else {
         dispatcher.log(
             "membership: the configuration names no peers, or not this proxy among them; it stays off");
       }
     }
-    WarmUp warmUp = new WarmUp(loop, config, allocator, peers, other.serving());
+    WarmUp warmUp = new WarmUp(loop, config, allocator, peers, otherProcess.serving());
     loop.submit(warmUp::run).syncUninterruptibly().getNow().awaitUninterruptibly();
     dispatcher.log(warmUp.toString());
     loop.submit(
@@ -146,12 +149,12 @@
                     new SharedLink(
                         loop, peers, members, config.tier(), config.seed(), new Sharer());
                 dispatcher.share(sharing.tier());
-                sharing.beside(!other.isAbsent());
+                sharing.beside(!otherProcess.isAbsent());
               }
               discovery.listenTo(peers);
               discovery.start();
-              if (control != null) {
-                share();
+              if (operatorServer != null) {
+                updateOwnStatus();
               }
             })
         .syncUninterruptibly();
@@ -185,8 +188,8 @@
                     door.enter(channel);
                   }
                 });
-    if (control
-        != null) { // a new version of this program may be started beside it, at the same address
+    if (operatorServer != null) {
+      // A new version of this program may be started beside it, at the same address.
       bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
     if (!begun.listen()) {
@@ -225,76 +228,82 @@
     }
   }
 
-  /** What operators' calls come to. */
-  private final class Desk implements ControlFront.Desk {
+  private OperatorServer startOperatorServer(Config config)
+      throws InterruptedException, IOException {
+    return new OperatorServer(
+        config.control(),
+        Optional.ofNullable(config.shared()),
+        new Operations(),
+        GuardedIo.factory(NioIoHandler.newFactory()));
+  }
+
+  /** What operators' calls read and change, on the event loop that owns it. */
+  private final class Operations implements ProxyOperations {
     @Override
-    public boolean ready() {
+    public boolean isReady() {
       return ready;
     }
 
     @Override
-    public void stats(Consumer<String> then) {
-      loop.execute(() -> then.accept(dispatcher.figures(configsRead, configsRefused)));
+    public JsonSource metrics() {
+      return onLoop(() -> dispatcher.figures(configsRead, configsRefused));
     }
 
     @Override
-    public boolean members(Consumer<String> then) {
-      if (members == null) {
-        return false;
-      }
-      loop.execute(() -> then.accept(members.json()));
-      return true;
+    public Optional<JsonSource> membershipView() {
+      return members == null ? Optional.empty() : Optional.of(onLoop(() -> members.json()));
     }
 
     @Override
-    public boolean shared(Consumer<String> then) {
-      if (sharing == null) {
-        return false;
-      }
-      loop.execute(() -> then.accept(sharing.json()));
-      return true;
+    public Optional<JsonSource> sharedStateView() {
+      return sharing == null ? Optional.empty() : Optional.of(onLoop(() -> sharing.json()));
+    }
+
+    private JsonSource onLoop(Supplier<String> json) {
+      return receiver -> loop.execute(() -> receiver.accept(json.get()));
     }
 
     @Override
-    public boolean listed(String node) {
-      return names.contains(node);
+    public boolean isKnownNode(String node) {
+      return knownNodeNames.contains(node);
     }
 
     @Override
-    public void out(Set<String> nodes, Runnable then) {
+    public void setEjectedNodes(Set<String> ejectedNodes, Runnable whenApplied) {
       loop.execute(
           () -> {
-            dispatcher.byHand(nodes);
-            then.run();
+            dispatcher.byHand(ejectedNodes);
+            whenApplied.run();
           });
     }
 
     @Override
-    public ProcessStatus holds() {
-      return holds;
+    public ProcessStatus status() {
+      return ownStatus;
     }
 
     @Override
-    public void beside(ProcessStatus holds) {
-      other = holds;
+    public void otherProcessChanged(ProcessStatus other) {
+      otherProcess = other;
       if (members != null) {
-        loop.execute(() -> members.beside(!holds.isAbsent()));
+        loop.execute(() -> members.beside(!other.isAbsent()));
       }
       if (sharing != null) {
-        loop.execute(() -> sharing.beside(!holds.isAbsent()));
+        loop.execute(() -> sharing.beside(!other.isAbsent()));
       }
     }
   }
 
   /**
-   * Tells another process of this proxy what this one holds, and makes room for what that one does.
+   * Updates the status that another process of this proxy reads, and leaves that one the
+   * descriptors that it holds.
    */
-  private void share() {
-    // It holds something at least: who holds nothing is not there.
-    holds = new ProcessStatus(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
-    dispatcher.reserveUpstream(other);
-    door.reserve(config.sockets(), other);
-    loop.schedule(this::share, SHARE_MS, TimeUnit.MILLISECONDS);
+  private void updateOwnStatus() {
+    // At least 1: a process that holds nothing counts as absent.
+    ownStatus = new ProcessStatus(Math.max(1, door.inUse()), dispatcher.upstreamInUse(), ready);
+    dispatcher.reserveUpstream(otherProcess);
+    door.reserve(config.sockets(), otherProcess);
+    loop.schedule(this::updateOwnStatus, STATUS_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -416,7 +425,8 @@
           toldMs = dispatcher.now();
           idleEndsMs = Double.POSITIVE_INFINITY;
           drainEndsMs = Double.POSITIVE_INFINITY;
-          if (members != null && other.isAbsent()) { // with another process here, the member stays
+          // Where another process runs, the member stays in the tier.
+          if (members != null && otherProcess.isAbsent()) {
             members.leaving();
           }
           dispatcher.answerBy(toldMs + ListenerTakeover.answerWithinMs(longestMs));
@@ -431,10 +441,10 @@
 
   private void drainOn() {
     double now = dispatcher.now();
-    boolean listens = ListenerTakeover.acceptsConnections(now - toldMs, other);
-    if (!dispatcher.draining() && (other.serving() || !listens)) {
-      dispatcher.drain(now, ListenerTakeover.drainSpreadMs(other));
-      idleEndsMs = now + ListenerTakeover.idleGraceMs(other);
+    boolean listens = ListenerTakeover.acceptsConnections(now - toldMs, otherProcess);
+    if (!dispatcher.draining() && (otherProcess.serving() || !listens)) {
+      dispatcher.drain(now, ListenerTakeover.drainSpreadMs(otherProcess));
+      idleEndsMs = now + ListenerTakeover.idleGraceMs(otherProcess);
       drainEndsMs = idleEndsMs + ListenerTakeover.countedDeadlineMs(longestMs) + 150;
     }
     if (!listens && server.isOpen()) {
@@ -468,14 +478,14 @@
   }
 
   /** Null where operators can't call. */
-  ControlFront control() {
-    return control;
+  OperatorServer operatorServer() {
+    return operatorServer;
   }
 
   /** Ends at once; for tests. */
   void close() throws IOException {
-    if (control != null) {
-      control.close();
+    if (operatorServer != null) {
+      operatorServer.close();
     }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/admin/FileSharedFolder.java
@@ -0,0 +1,109 @@
+package cacheproxy.proxy.admin;
+
+import cacheproxy.admin.ManualEjectionLog;
+import cacheproxy.admin.ProcessStatus;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.AtomicMoveNotSupportedException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.nio.file.attribute.FileTime;
+import java.util.Optional;
+import java.util.Set;
+
+/** The shared folder as two small files in a directory. */
+final class FileSharedFolder implements SharedFolder {
+  /**
+   * File names of earlier versions, kept: during an upgrade a process of the version before shares
+   * the folder, and what it stored has to stay readable.
+   */
+  private static final String EJECTION_LOG_NAME = "damsonworks.hand";
+
+  private static final String SLOTS_NAME = "damsonworks.slots";
+
+  private static final String COMPACTED_SUFFIX = ".next";
+
+  /** What changes with each write to a file. */
+  private record FileVersion(long sizeBytes, FileTime modified, Optional<Object> fileKey) {
+    static FileVersion of(Path path) throws IOException {
+      BasicFileAttributes file = Files.readAttributes(path, BasicFileAttributes.class);
+      return new FileVersion(
+          file.size(), file.lastModifiedTime(), Optional.ofNullable(file.fileKey()));
+    }
+  }
+
+  private final Path ejectionLog;
+  private final ProcessSlots slots;
+
+  /** The version last returned by {@link #changedEjections}; empty: to be read again. */
+  private Optional<FileVersion> versionRead = Optional.empty();
+
+  FileSharedFolder(Path directory) throws IOException {
+    ejectionLog = directory.resolve(EJECTION_LOG_NAME);
+    slots = new ProcessSlots(directory.resolve(SLOTS_NAME));
+  }
+
+  @Override
+  public ProcessStatus exchange(ProcessStatus own) throws IOException {
+    return slots.exchange(own);
+  }
+
+  @Override
+  public Optional<Set<String>> changedEjections() throws IOException {
+    Optional<FileVersion> version;
+    try {
+      version = Optional.of(FileVersion.of(ejectionLog));
+    } catch (NoSuchFileException e) {
+      return Optional.empty(); // no call has been recorded yet
+    }
+    if (version.equals(versionRead)) {
+      return Optional.empty();
+    }
+    Set<String> ejectedNodes = readEjectedNodes();
+    versionRead = version;
+    return Optional.of(ejectedNodes);
+  }
+
+  @Override
+  public Set<String> append(String node, ManualEjectionLog.Action action) throws IOException {
+    if (Files.exists(ejectionLog)
+        && Files.size(ejectionLog) > ManualEjectionLog.COMPACTION_THRESHOLD_BYTES
+        && !slots.otherRuns()) {
+      compactLog();
+    }
+    ByteBuffer record = ByteBuffer.wrap(ManualEjectionLog.encode(node, action));
+    try (FileChannel file =
+        FileChannel.open(ejectionLog, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+      while (record.hasRemaining()) {
+        file.write(record);
+      }
+    }
+    Set<String> ejectedNodes = readEjectedNodes();
+    versionRead = Optional.empty();
+    return ejectedNodes;
+  }
+
+  private Set<String> readEjectedNodes() throws IOException {
+    return ManualEjectionLog.ejectedNodes(Files.readAllBytes(ejectionLog));
+  }
+
+  private void compactLog() throws IOException {
+    Path compacted = ejectionLog.resolveSibling(EJECTION_LOG_NAME + COMPACTED_SUFFIX);
+    Files.write(compacted, ManualEjectionLog.compact(readEjectedNodes()));
+    try {
+      Files.move(compacted, ejectionLog, StandardCopyOption.ATOMIC_MOVE);
+    } catch (AtomicMoveNotSupportedException e) {
+      Files.delete(compacted); // the long log means the same
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    slots.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/admin/UnsharedFolder.java
@@ -0,0 +1,34 @@
+package cacheproxy.proxy.admin;
+
+import cacheproxy.admin.ManualEjectionLog;
+import cacheproxy.admin.ProcessStatus;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Stands in for the shared folder where none is configured: lasts until the process ends. */
+final class UnsharedFolder implements SharedFolder {
+  private final Set<String> ejectedNodes = new LinkedHashSet<>();
+
+  @Override
+  public ProcessStatus exchange(ProcessStatus own) {
+    return ProcessStatus.ABSENT;
+  }
+
+  @Override
+  public Optional<Set<String>> changedEjections() {
+    return Optional.empty();
+  }
+
+  @Override
+  public Set<String> append(String node, ManualEjectionLog.Action action) {
+    switch (action) {
+      case EJECT -> ejectedNodes.add(node);
+      case REINSTATE -> ejectedNodes.remove(node);
+    }
+    return new LinkedHashSet<>(ejectedNodes);
+  }
+
+  @Override
+  public void close() {}
+}
