--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -118,6 +118,22 @@
         .check(ALL);
   }
 
+  /** It reaches the proxy through its own interface {@code ProxyOperations} alone. */
+  @Test
+  void theOperatorServerDependsOnItselfAndItsRulesOnly() {
+    noClasses()
+        .that()
+        .resideInAPackage("cacheproxy.proxy.admin..")
+        .should()
+        .dependOnClassesThat(
+            DescribedPredicate.describe(
+                "the program's, but for proxy.admin and admin",
+                c ->
+                    c.getPackageName().startsWith("cacheproxy")
+                        && !c.getPackageName().matches("cacheproxy\\.(proxy\\.)?admin")))
+        .check(ALL);
+  }
+
   @Test
   void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
     noClasses()
--- a/src/test/java/cacheproxy/proxy/admin/SharedFolderTest.java
+++ b/src/test/java/cacheproxy/proxy/admin/SharedFolderTest.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import cacheproxy.admin.ManualEjectionLog;
 import cacheproxy.admin.ManualEjectionLog.Action;
 import cacheproxy.admin.ProcessStatus;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -74,4 +76,23 @@
     assertThat(folder.exchange(new ProcessStatus(1, 1, true))).isEqualTo(ProcessStatus.ABSENT);
     folder.close();
   }
+
+  @Test
+  void compactsALongLogOnlyWhileNoOtherProcessRuns() throws IOException {
+    Path log = directory.resolve("damsonworks.hand");
+    byte[] record = ManualEjectionLog.encode("s-1", Action.EJECT);
+    int records = ManualEjectionLog.COMPACTION_THRESHOLD_BYTES / record.length + 1;
+    for (int i = 0; i < records; i++) {
+      Files.write(log, record, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    }
+    try (SharedFolder folder = SharedFolder.open(Optional.of(directory))) {
+      try (SharedFolder other = SharedFolder.open(Optional.of(directory))) {
+        assertThat(folder.append("s-2", Action.EJECT)).containsExactly("s-1", "s-2");
+        assertThat(log).hasSize((records + 1L) * record.length);
+        assertThat(other.changedEjections()).contains(Set.of("s-1", "s-2"));
+      }
+      assertThat(folder.append("s-3", Action.EJECT)).containsExactly("s-1", "s-2", "s-3");
+      assertThat(log).hasSize(3L * record.length);
+    }
+  }
 }
