--- a/src/main/java/cacheproxy/storage/Disk.java
+++ b/src/main/java/cacheproxy/storage/Disk.java
@@ -6,47 +6,52 @@
 import java.util.List;
 
 /**
- * One folder of files, with as little as a journal needs. What is written is there after a loss of
- * power only once it was forced: a file's content by {@link File#force}, its name by {@link
- * #forceFolder}. Not for several threads.
+ * One directory of files, with as little as a journal needs. What is written survives a power loss
+ * only once it was synced: a file's content by {@link File#fsync}, its name by {@link
+ * #fsyncDirectory}. Not thread-safe. Each method blocks, and throws an IOException if the disk
+ * fails.
  */
 public interface Disk {
-  /** The names of all files, in no order. */
+  /** The names of all files, in no particular order. */
   List<String> list() throws IOException;
 
-  /** Opens a file for reading and writing; one that is not there is made, empty. */
+  /** Opens a file for reading and writing; a missing one is created, empty. */
   File open(String name) throws IOException;
 
-  /** Gives a file another name; one that has it already is replaced. */
+  /** Renames a file atomically; one that has the new name already is replaced. */
   void rename(String from, String to) throws IOException;
 
+  /** Deletes a file. */
   void delete(String name) throws IOException;
 
-  /** From now on the names are as they are, also after a loss of power. */
-  void forceFolder() throws IOException;
+  /** Returns once the names of all files survive a power loss. */
+  void fsyncDirectory() throws IOException;
 
   /**
-   * Holds the folder for its only owner until it is closed. An IOException says that another has
-   * it.
+   * Locks the directory until the returned handle is closed.
+   *
+   * @throws DirectoryLockedException if it is locked already
    */
   Closeable lock() throws IOException;
 
   /** An open file. */
   interface File extends Closeable {
+    /** The file's size in bytes. */
     long size() throws IOException;
 
-    /** Reads all that fits, or up to the file's end. */
-    void read(long at, ByteBuffer into) throws IOException;
+    /** Reads from an offset until the buffer is full or the file ends. */
+    void read(long offset, ByteBuffer into) throws IOException;
 
-    /** Writes all of it. */
-    void write(long at, ByteBuffer from) throws IOException;
+    /** Writes all that remains in the buffer at an offset. */
+    void write(long offset, ByteBuffer from) throws IOException;
 
-    void truncate(long size) throws IOException;
+    /** Cuts the file to this size in bytes. */
+    void truncate(long sizeBytes) throws IOException;
 
     /**
-     * From now on the content is as it is, also after a loss of power. After an error nothing is
-     * known of it.
+     * Returns once the content survives a power loss. After an error the state of what was written
+     * since the last fsync is unknown.
      */
-    void force() throws IOException;
+    void fsync() throws IOException;
   }
 }
--- /dev/null
+++ b/src/main/java/cacheproxy/storage/SegmentReader.java
@@ -0,0 +1,130 @@
+package cacheproxy.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Reads a segment at recovery, and ends it before its first record that is not intact. Tells a torn
+ * write, which a power loss explains, from damage, which it does not.
+ */
+final class SegmentReader {
+  /** Receives a segment's intact records in order. */
+  interface Consumer {
+    void accept(long number, byte[] payload);
+  }
+
+  /** How a segment was found. */
+  sealed interface Outcome {
+    /** All of it is intact. */
+    record Intact() implements Outcome {}
+
+    /**
+     * Its end was a torn write and is cut off.
+     *
+     * @param tornBytes how much was cut off
+     */
+    record TornWrite(long tornBytes) implements Outcome {}
+
+    /**
+     * It is damaged.
+     *
+     * @param damage what was found
+     * @param inUse whether the intact beginning stays in use; else the file was moved aside
+     */
+    record Damaged(Damage damage, boolean inUse) implements Outcome {}
+  }
+
+  private final Disk disk;
+  private final RecordCodec codec;
+  private final Quarantine quarantine;
+  private final boolean scansForDamage;
+
+  /**
+   * A reader of segments on this disk.
+   *
+   * @param scansForDamage false only in tests: all that is not intact is taken for a torn write
+   */
+  SegmentReader(Disk disk, RecordCodec codec, Quarantine quarantine, boolean scansForDamage) {
+    this.disk = disk;
+    this.codec = codec;
+    this.quarantine = quarantine;
+    this.scansForDamage = scansForDamage;
+  }
+
+  /**
+   * Reads the segment that begins with this record.
+   *
+   * @param newest whether it is the last one: only its end may be a torn write, as a segment is
+   *     synced before the next one is created
+   */
+  Outcome read(long firstNumber, boolean newest, Consumer consumer) throws IOException {
+    String fileName = FileKind.SEGMENT.fileName(firstNumber);
+    try (Disk.File file = disk.open(fileName)) {
+      ByteBuffer segment = StoredFile.readFully(file);
+      Optional<FileHeader> header = FileHeader.decode(FileKind.SEGMENT, segment);
+      if (header.isEmpty() || header.get().number() != firstNumber) {
+        if (newest && codec.syncedUpToBehind(segment, 0, firstNumber).isEmpty()) {
+          return cutTornWrite(file, segment, 0);
+        }
+        if (header.isPresent()) {
+          header.get().requireCurrentVersion(fileName);
+        }
+        String keptAs = quarantine.moveAside(fileName);
+        return new Outcome.Damaged(new Damage.CorruptHeader(fileName, keptAs), false);
+      }
+      header.get().requireCurrentVersion(fileName);
+      return readRecords(file, segment, firstNumber, newest, consumer);
+    }
+  }
+
+  private Outcome readRecords(
+      Disk.File file, ByteBuffer segment, long firstNumber, boolean newest, Consumer consumer)
+      throws IOException {
+    int offset = FileHeader.BYTES;
+    long number = firstNumber;
+    while (offset < segment.limit()) {
+      Optional<StoredRecord> record = codec.decode(segment, offset);
+      if (record.isEmpty() || record.get().number() != number) {
+        break;
+      }
+      consumer.accept(number, record.get().payload(segment));
+      number++;
+      offset = record.get().endOffset();
+    }
+    if (offset == segment.limit()) {
+      return new Outcome.Intact();
+    }
+    if (!isDamage(segment, offset, number, newest)) {
+      return cutTornWrite(file, segment, offset);
+    }
+    String fileName = FileKind.SEGMENT.fileName(firstNumber);
+    String keptAs = quarantine.keepCopy(fileName, segment);
+    cut(file, offset);
+    return new Outcome.Damaged(new Damage.CorruptRecord(fileName, offset, number, keptAs), true);
+  }
+
+  /** Whether the record that is not intact had been synced before. */
+  private boolean isDamage(ByteBuffer segment, int offset, long number, boolean newest) {
+    if (!scansForDamage) {
+      return false;
+    }
+    if (!newest) {
+      return true;
+    }
+    OptionalLong syncedUpTo = codec.syncedUpToBehind(segment, offset, number);
+    return syncedUpTo.isPresent() && syncedUpTo.getAsLong() >= number;
+  }
+
+  private static Outcome cutTornWrite(Disk.File file, ByteBuffer segment, int offset)
+      throws IOException {
+    cut(file, offset);
+    return new Outcome.TornWrite(segment.limit() - offset);
+  }
+
+  private static void cut(Disk.File file, int sizeBytes) throws IOException {
+    file.truncate(sizeBytes);
+    file.fsync();
+  }
+}
--- a/src/test/java/cacheproxy/storage/StoredFormatTest.java
+++ b/src/test/java/cacheproxy/storage/StoredFormatTest.java
@@ -20,7 +20,7 @@
  * what is on disk must stay readable, and what is written must stay the same.
  */
 class StoredFormatTest {
-  private static final Journal.Terms TWO_RECORDS_PER_SEGMENT = new Journal.Terms(100, 64);
+  private static final Journal.Options TWO_RECORDS_PER_SEGMENT = new Journal.Options(100, 64);
 
   /** Records 1 to 5 in three segments; records 2 and 4 were written after an fsync. */
   private static final Map<String, String> SEGMENTS =
@@ -53,17 +53,17 @@
 
   @TempDir Path folder;
 
-  private static final class Replayed implements Journal.Reader {
+  private static final class Replayed implements ReplayHandler {
     final List<String> events = new ArrayList<>();
 
     @Override
-    public void snapshot(long upTo, byte[] state) {
+    public void onSnapshot(long upTo, byte[] state) {
       events.add("snapshot " + upTo + " " + new String(state, StandardCharsets.UTF_8));
     }
 
     @Override
-    public void record(long number, byte[] bytes) {
-      events.add(number + " " + new String(bytes, StandardCharsets.UTF_8));
+    public void onRecord(long number, byte[] payload) {
+      events.add(number + " " + new String(payload, StandardCharsets.UTF_8));
     }
   }
 
@@ -86,7 +86,7 @@
   }
 
   private Journal open(Replayed replayed) throws IOException {
-    return Journal.open(new RealDisk(folder), TWO_RECORDS_PER_SEGMENT, replayed);
+    return Journal.open(new FileSystemDisk(folder), TWO_RECORDS_PER_SEGMENT, replayed);
   }
 
   private static void append(Journal journal, int number) throws IOException {
@@ -96,13 +96,13 @@
   private Journal writeFiveRecords() throws IOException {
     Journal journal = open(new Replayed());
     append(journal, 1);
-    journal.force();
+    journal.fsync();
     append(journal, 2);
     append(journal, 3);
-    journal.force();
+    journal.fsync();
     append(journal, 4);
     append(journal, 5);
-    journal.force();
+    journal.fsync();
     return journal;
   }
 
@@ -111,8 +111,8 @@
     writeFiles(SEGMENTS);
     Replayed replayed = new Replayed();
     try (Journal journal = open(replayed)) {
-      assertThat(journal.found()).isEqualTo(new Journal.Found(0, 5, 0, List.of()));
-      assertThat(journal.last()).isEqualTo(5);
+      assertThat(journal.recoveryReport()).isEqualTo(new RecoveryReport(0, 5, 0, List.of()));
+      assertThat(journal.lastNumber()).isEqualTo(5);
     }
     assertThat(replayed.events)
         .containsExactly("1 record-1", "2 record-2", "3 record-3", "4 record-4", "5 record-5");
@@ -124,8 +124,8 @@
     writeFiles(SEGMENTS_AND_SNAPSHOT);
     Replayed replayed = new Replayed();
     try (Journal journal = open(replayed)) {
-      assertThat(journal.found()).isEqualTo(new Journal.Found(3, 2, 0, List.of()));
-      assertThat(journal.last()).isEqualTo(5);
+      assertThat(journal.recoveryReport()).isEqualTo(new RecoveryReport(3, 2, 0, List.of()));
+      assertThat(journal.lastNumber()).isEqualTo(5);
     }
     assertThat(replayed.events)
         .containsExactly("snapshot 3 one,two,three", "4 record-4", "5 record-5");
@@ -136,7 +136,7 @@
   void writesTheSameFileNamesAndBytes() throws IOException {
     try (Journal journal = writeFiveRecords()) {
       assertThat(filesAsHex()).isEqualTo(SEGMENTS);
-      journal.snapshot(3, "one,two,three".getBytes(StandardCharsets.UTF_8));
+      journal.writeSnapshot(3, "one,two,three".getBytes(StandardCharsets.UTF_8));
       assertThat(filesAsHex()).isEqualTo(SEGMENTS_AND_SNAPSHOT);
     }
   }
