Operator's settings are typed keys with one validator; Config is split from its parser

Need: keys were strings at each call, so a misspelt one was silently a default; Config held JSON parsing and five copies of its own constructor call. Change: TableSchema names the tables, LimitKeys, OverloadKeys, MembershipKeys and SharedStateKeys the keys, NumberKey and FlagKey what they allow; SettingsValidator checks a file, SettingsException makes each error line. Config keeps the data, ConfigParser the reading, OperatorOptions what an operator may set, LoadShedding replaces a negative delay; InvalidConfigException keeps its cause. docs/settings.md in the glossary's terms, with the table of error lines.

--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -369,8 +369,8 @@
           case "removed" -> State.GONE;
           default -> throw new IllegalArgumentException("host " + name + ": unknown health");
         };
-    int zone = config.zones().indexOf(Config.word(h.get("site").getAsString()));
-    int kind = config.kinds().indexOf(Config.word(h.get("class").getAsString()));
+    int zone = config.zones().indexOf(ConfigParser.word(h.get("site").getAsString()));
+    int kind = config.kinds().indexOf(ConfigParser.word(h.get("class").getAsString()));
     float weight = h.has("share") ? h.get("share").getAsFloat() : 1;
     if (zone < 0 || kind < 0 || !(weight >= 0) || Float.isInfinite(weight)) {
       throw new IllegalArgumentException("host " + name + ": unknown site or class, or bad share");
@@ -379,7 +379,7 @@
     int cell = h.has("block") ? h.get("block").getAsInt() : 0;
     return new Host(
         new Member(id(name), zone, kind, cell, state, weight, born),
-        Config.address(h.get("dial").getAsString()));
+        ConfigParser.address(h.get("dial").getAsString()));
   }
 
   /**
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -3,104 +3,163 @@
 import cacheproxy.limits.Limits;
 import cacheproxy.limits.MinimumRate;
 import cacheproxy.membership.Timing;
+import cacheproxy.settings.LimitKeys;
+import cacheproxy.settings.MembershipKeys;
 import cacheproxy.settings.OperatorFile;
+import cacheproxy.settings.OverloadKeys;
 import cacheproxy.settings.SettingsException;
-import cacheproxy.settings.Table;
+import cacheproxy.settings.SettingsTable;
+import cacheproxy.settings.SharedStateKeys;
+import cacheproxy.settings.TableSchema;
 import cacheproxy.shared.SharedState;
 import java.nio.file.Path;
+import java.util.Optional;
 
-/** The operator's settings over those that follow from the platform's. */
+/**
+ * Applies an operator's file to the configuration that the platform gives. Checks what depends on
+ * that configuration; all else is checked by {@link OperatorFile}.
+ */
 final class OperatorSettings {
-  private OperatorSettings() {}
+  private final OperatorFile file;
+  private final Config config;
 
-  /** An IllegalArgumentException says in one line what is wrong. */
-  static Config read(String file, Config config) {
+  private OperatorSettings(OperatorFile file, Config config) {
+    this.file = file;
+    this.config = config;
+  }
+
+  /**
+   * Reads the file and returns the configuration with what it sets.
+   *
+   * @throws InvalidConfigException if the file can't be used; its message is one line
+   */
+  static Config read(String path, Config config) {
     try {
-      OperatorFile of = OperatorFile.read(Path.of(file));
-      boolean turnAway = of.budget().flag("turn_away", true);
-      config = config.member(membership(of.membership()));
-      config = config.tier(shared(of.shared(), config));
-      return config
-          .with(over(config.limits(), of.limits()))
-          .waiting(turnAway ? (double) of.budget().number("wait_ms", (long) Config.BY_AIM) : 0);
+      return new OperatorSettings(OperatorFile.read(Path.of(path)), config).apply();
     } catch (SettingsException e) {
-      throw new IllegalArgumentException(e.getMessage());
+      throw new InvalidConfigException(e.getMessage(), e);
     }
   }
 
-  /** Null: off. */
-  private static Timing membership(Table t) {
-    if (!t.flag("on", false)) {
-      return null;
+  private Config apply() throws SettingsException {
+    Optional<Timing> membership = membership(file.table(TableSchema.MEMBERSHIP));
+    Optional<SharedState.Terms> sharedState =
+        sharedState(file.table(TableSchema.SHARED_STATE), membership.isPresent());
+    Limits limits = limits(file.table(TableSchema.LIMITS), config.limits());
+    LoadShedding loadShedding = loadShedding(file.table(TableSchema.OVERLOAD));
+    return config.with(new OperatorOptions(limits, loadShedding, membership, sharedState));
+  }
+
+  private static LoadShedding loadShedding(SettingsTable table) {
+    return table.flag(OverloadKeys.SHED_LOAD, true)
+        ? new LoadShedding(true, table.number(OverloadKeys.TARGET_DELAY_MS))
+        : LoadShedding.DISABLED;
+  }
+
+  /** Empty: this proxy is no member. */
+  private static Optional<Timing> membership(SettingsTable table) {
+    if (!table.flag(MembershipKeys.ENABLED, false)) {
+      return Optional.empty();
     }
-    Timing usual = Timing.USUAL;
-    double period = t.number("period_ms", (long) usual.periodMs());
-    double scale = period / usual.periodMs();
-    return new Timing(
-        period,
-        usual.directMs() * scale,
-        usual.probeMs() * scale,
-        t.number("suspect_ms", (long) usual.suspectMs()),
-        usual.lateMs(),
-        t.number("bytes_per_s", (long) usual.bytesPerS()));
+    Timing defaults = Timing.USUAL;
+    double periodMs = table.number(MembershipKeys.PERIOD_MS, (long) defaults.periodMs());
+    double scale = periodMs / defaults.periodMs();
+    return Optional.of(
+        new Timing(
+            periodMs,
+            defaults.directMs() * scale,
+            defaults.probeMs() * scale,
+            table.number(MembershipKeys.SUSPECT_MS, (long) defaults.suspectMs()),
+            defaults.lateMs(),
+            table.number(MembershipKeys.BYTES_PER_SECOND, (long) defaults.bytesPerS())));
   }
 
-  /** Null: off, or there is nobody to share with. */
-  private static SharedState.Terms shared(Table t, Config config) throws SettingsException {
-    if (!t.flag("on", false)) {
-      return null;
+  /** Empty: it is switched off, or the configuration names nobody to share with. */
+  private Optional<SharedState.Terms> sharedState(SettingsTable table, boolean hasMembership)
+      throws SettingsException {
+    if (!table.flag(SharedStateKeys.ENABLED, false)) {
+      return Optional.empty();
     }
-    if (config.membership() == null) {
-      throw t.bad("on", "true only where [membership] is on too");
+    if (!hasMembership) {
+      throw table.invalid(SharedStateKeys.ENABLED, "true only where [membership] is on too");
     }
-    int me = config.settings().me();
-    return config.peers().size() < 2 || me >= config.peers().size()
-        ? null
-        : new SharedState.Terms(
-            config.peers().size(),
-            me,
+    int self = config.settings().me();
+    int tierSize = config.peers().size();
+    if (tierSize < 2 || self >= tierSize) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new SharedState.Terms(
+            tierSize,
+            self,
             config.settings().zone(),
             config.settings().tipMultiple(),
             config.settings().fallMs(),
-            t.number("bytes_per_s", (long) SharedState.Terms.USUAL_BYTES_PER_S),
-            t.flag("judgements", true),
-            t.flag("cold_rights", true));
+            table.number(
+                SharedStateKeys.BYTES_PER_SECOND, (long) SharedState.Terms.USUAL_BYTES_PER_S),
+            table.flag(SharedStateKeys.HEALTH_VERDICTS, true),
+            table.flag(SharedStateKeys.SLOW_START_QUOTA, true)));
   }
 
-  private static Limits over(Limits l, Table t) throws SettingsException {
-    long places = t.number("places", l.places());
-    if (places > l.places()) {
-      throw t.bad(
-          "places", "at most " + l.places() + ", which is what the platform's descriptors leave");
+  private static Limits limits(SettingsTable table, Limits defaults) throws SettingsException {
+    long connections = maxClientConnections(table, defaults);
+    long unreadBytes = table.number(LimitKeys.UNREAD_RESPONSE_BYTES, defaults.answerBytes());
+    return new Limits(
+        (int) connections,
+        (int) maxActiveClients(table, defaults, connections),
+        table.number(LimitKeys.REQUEST_VALUE_BYTES, defaults.valueBytes()),
+        table.number(LimitKeys.INCOMPLETE_RESPONSE_BYTES, defaults.readingBytes()),
+        unreadBytes,
+        unreadBytesPerClient(table, defaults, unreadBytes),
+        minimumRate(table, LimitKeys.CLIENT_WRITE, defaults.clientWrite()),
+        minimumRate(table, LimitKeys.CLIENT_READ, defaults.clientRead()),
+        minimumRate(table, LimitKeys.NODE_RESPONSE, defaults.nodeAnswer()),
+        table.number(LimitKeys.SILENT_MS, (long) defaults.silentMs()),
+        (int) table.number(LimitKeys.SEND_BUFFER_BYTES, defaults.sendBufferBytes()),
+        table.flag(LimitKeys.EVICT_IDLE, defaults.showOutIdle()),
+        table.flag(LimitKeys.CLIENT_BACKOFF, defaults.holdOff()));
+  }
+
+  private static long maxClientConnections(SettingsTable table, Limits defaults)
+      throws SettingsException {
+    long connections = table.number(LimitKeys.MAX_CLIENT_CONNECTIONS, defaults.places());
+    if (connections > defaults.places()) {
+      throw table.invalid(
+          LimitKeys.MAX_CLIENT_CONNECTIONS,
+          "at most " + defaults.places() + ", which is what the platform's descriptors leave");
     }
-    long room = t.number("clients_room", Math.min(l.clientsRoom(), places));
-    if (room > places) {
-      throw t.bad("clients_room", "at most the " + places + " places there are");
+    return connections;
+  }
+
+  private static long maxActiveClients(SettingsTable table, Limits defaults, long connections)
+      throws SettingsException {
+    long clients =
+        table.number(LimitKeys.MAX_ACTIVE_CLIENTS, Math.min(defaults.clientsRoom(), connections));
+    if (clients > connections) {
+      throw table.invalid(
+          LimitKeys.MAX_ACTIVE_CLIENTS, "at most the " + connections + " places there are");
     }
-    long answers = t.number("client_answers_bytes", l.answerBytes());
-    long one = t.number("one_client_answers_bytes", Math.min(l.clientAnswerBytes(), answers));
-    if (one > answers) {
-      throw t.bad("one_client_answers_bytes", "at most client_answers_bytes, " + answers);
+    return clients;
+  }
+
+  private static long unreadBytesPerClient(SettingsTable table, Limits defaults, long allClients)
+      throws SettingsException {
+    long oneClient =
+        table.number(
+            LimitKeys.UNREAD_RESPONSE_BYTES_PER_CLIENT,
+            Math.min(defaults.clientAnswerBytes(), allClients));
+    if (oneClient > allClients) {
+      throw table.invalid(
+          LimitKeys.UNREAD_RESPONSE_BYTES_PER_CLIENT,
+          "at most client_answers_bytes, " + allClients);
     }
-    return new Limits(
-        (int) places,
-        (int) room,
-        t.number("client_values_bytes", l.valueBytes()),
-        t.number("node_reading_bytes", l.readingBytes()),
-        answers,
-        one,
-        rate(t, "client_write", l.clientWrite()),
-        rate(t, "client_read", l.clientRead()),
-        rate(t, "node_answer", l.nodeAnswer()),
-        t.number("silent_ms", (long) l.silentMs()),
-        (int) t.number("send_buffer_bytes", l.sendBufferBytes()),
-        t.flag("show_out_idle", l.showOutIdle()),
-        t.flag("hold_off", l.holdOff()));
+    return oneClient;
   }
 
-  private static MinimumRate rate(Table t, String key, MinimumRate l) {
+  private static MinimumRate minimumRate(
+      SettingsTable table, LimitKeys.MinimumRateKeys keys, MinimumRate defaults) {
     return new MinimumRate(
-        t.number(key + "_bytes_per_s", (long) l.bytesPerS()),
-        t.number(key + "_grace_ms", (long) l.graceMs()));
+        table.number(keys.bytesPerSecond(), (long) defaults.bytesPerS()),
+        table.number(keys.graceMs(), (long) defaults.graceMs()));
   }
 }
--- a/src/main/java/cacheproxy/settings/package-info.java
+++ b/src/main/java/cacheproxy/settings/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The operator's own file: read, checked as a whole, and handed on as plain records. Uses no other
- * package.
+ * The operator's file: read, checked as a whole against a schema of tables and keys, and handed on
+ * as immutable tables. It holds no state and is called at the start alone, on the main thread; it
+ * uses no other package of the proxy.
  */
 package cacheproxy.settings;
--- a/src/test/java/cacheproxy/proxy/OverloadTest.java
+++ b/src/test/java/cacheproxy/proxy/OverloadTest.java
@@ -73,7 +73,7 @@
     try (Stage stage = new Stage()) {
       SlowReads slow = new SlowReads();
       stage.allocator = slow;
-      stage.waitMs = 5;
+      stage.loadShedding = LoadShedding.withTargetDelayMs(5);
       AtomicInteger sent = new AtomicInteger();
       stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
       slow.of(stage);
@@ -123,7 +123,7 @@
     try (Stage stage = new Stage()) {
       SlowReads slow = new SlowReads();
       stage.allocator = slow;
-      stage.waitMs = 0;
+      stage.loadShedding = LoadShedding.DISABLED;
       AtomicInteger sent = new AtomicInteger();
       stage.start(stage.quietDiscovery(), Stage.cache("s-1", counting(stage, sent)));
       slow.of(stage);
--- a/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
@@ -3,18 +3,24 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import cacheproxy.shared.SharedState;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The table [shared] over what the platform tells. */
+/** The table {@code [shared]} of the operator's file, applied to the platform's configuration. */
 class SharedSettingsTest {
   @TempDir Path folder;
 
+  private Optional<SharedState.Terms> sharedState(int peers, String text) throws Exception {
+    return read(peers, text).options().sharedState();
+  }
+
   private Config read(int peers, String text) throws Exception {
     JsonObject json =
         JsonParser.parseString(Files.readString(Path.of("docs/example-config.json")))
@@ -30,41 +36,55 @@
   }
 
   @Test
-  void itIsOffUnlessSwitchedOnAndNeedsMembershipAndPeers() throws Exception {
-    assertThat(read(8, "[membership]\non = true\n").tier()).isNull();
-    assertThat(read(8, "[membership]\non = true\n[shared]\non = false\n").tier()).isNull();
-    assertThat(read(1, "[membership]\non = true\n[shared]\non = true\n").tier())
+  void isOffUnlessItIsSwitchedOnAndThereAreOtherProxies() throws Exception {
+    assertThat(sharedState(8, "[membership]\non = true\n")).isEmpty();
+    assertThat(sharedState(8, "[membership]\non = true\n[shared]\non = false\n")).isEmpty();
+    assertThat(sharedState(1, "[membership]\non = true\n[shared]\non = true\n"))
         .as("nobody to share with")
-        .isNull();
+        .isEmpty();
+  }
+
+  @Test
+  void rejectsSharedStateWithoutMembership() {
     assertThatThrownBy(() -> read(8, "[shared]\non = true\n"))
+        .isInstanceOf(InvalidConfigException.class)
         .hasMessageContaining("c.toml")
         .hasMessageContaining("on")
         .hasMessageContaining("true only where [membership] is on too");
+  }
+
+  @Test
+  void rejectsTooLowAByteRate() {
     assertThatThrownBy(() -> read(8, "[shared]\nbytes_per_s = 5\n"))
+        .isInstanceOf(InvalidConfigException.class)
         .hasMessageContaining("bytes_per_s")
         .hasMessageContaining("from 300 to 1000000");
   }
 
   @Test
-  void whatIsSetGoesOverWhatIsUsual() throws Exception {
-    Config usual = read(8, "[membership]\non = true\n[shared]\non = true\n");
-    assertThat(usual.tier())
-        .satisfies(
-            t -> {
-              assertThat(t.tier()).isEqualTo(8);
-              assertThat(t.judgements() && t.coldRights()).isTrue();
-              assertThat(t.bytesPerS()).isEqualTo(2000);
-              assertThat(t.tipMultiple()).isEqualTo(usual.settings().tipMultiple());
+  void usesDefaultsForWhatTheFileLeavesOut() throws Exception {
+    Config config = read(8, "[membership]\non = true\n[shared]\non = true\n");
+    assertThat(config.options().sharedState())
+        .hasValueSatisfying(
+            terms -> {
+              assertThat(terms.tier()).isEqualTo(8);
+              assertThat(terms.judgements() && terms.coldRights()).isTrue();
+              assertThat(terms.bytesPerS()).isEqualTo(2000);
+              assertThat(terms.tipMultiple()).isEqualTo(config.settings().tipMultiple());
             });
+  }
+
+  @Test
+  void usesWhatTheFileSets() throws Exception {
     assertThat(
-            read(
-                    8,
-                    "[membership]\non = true\n[shared]\non = true\njudgements = false\ncold_rights = false\nbytes_per_s = 500\n")
-                .tier())
-        .satisfies(
-            t -> {
-              assertThat(t.judgements() || t.coldRights()).isFalse();
-              assertThat(t.bytesPerS()).isEqualTo(500);
+            sharedState(
+                8,
+                "[membership]\non = true\n[shared]\non = true\n"
+                    + "judgements = false\ncold_rights = false\nbytes_per_s = 500\n"))
+        .hasValueSatisfying(
+            terms -> {
+              assertThat(terms.judgements() || terms.coldRights()).isFalse();
+              assertThat(terms.bytesPerS()).isEqualTo(500);
             });
   }
 }
--- a/src/test/java/cacheproxy/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -36,11 +36,8 @@
   /** Operators may call. */
   boolean control;
 
-  /**
-   * The wait for the loop from which on requests are turned away; what follows from the classes, or
-   * 0: never.
-   */
-  double waitMs = Config.BY_AIM;
+  /** When requests are rejected for lack of processor time. */
+  LoadShedding loadShedding = LoadShedding.BY_LATENCY_OBJECTIVES;
 
   /** What the configuration says of peers, each line with its comma. */
   String peers = "";
@@ -69,7 +66,9 @@
                         ? text.replaceFirst("\"listen\"", "\"control\":\"127.0.0.1:0\",\"listen\"")
                         : text)
                 .getAsJsonObject());
-    proxy = Proxy.start(config.with(limits.apply(config.limits())).waiting(waitMs), allocator);
+    OperatorOptions options =
+        config.options().with(limits.apply(config.limits())).with(loadShedding);
+    proxy = Proxy.start(config.with(options), allocator);
     keep(proxy::close);
     return this;
   }
--- a/src/test/java/cacheproxy/settings/OperatorFileTest.java
+++ b/src/test/java/cacheproxy/settings/OperatorFileTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** A file is used as a whole, or rejected with one line that says why. */
 class OperatorFileTest {
   @TempDir Path folder;
 
@@ -22,24 +23,25 @@
   }
 
   @Test
-  void whatIsSetIsSetAndTheRestIsLeftToTheProgram() throws Exception {
-    Table limits = read("[limits]\nplaces = 100\nhold_off = false\n").limits();
-    assertThat(limits.number("places", 5)).isEqualTo(100);
-    assertThat(limits.number("silent_ms", 5)).isEqualTo(5);
-    assertThat(limits.number("silent_ms")).isEmpty();
-    assertThat(limits.flag("hold_off", true)).isFalse();
-    assertThat(limits.flag("show_out_idle", true)).isTrue();
+  void returnsTheValuesThatAreSetAndDefaultsForTheOthers() throws Exception {
+    SettingsTable limits =
+        read("[limits]\nplaces = 100\nhold_off = false\n").table(TableSchema.LIMITS);
+    assertThat(limits.number(LimitKeys.MAX_CLIENT_CONNECTIONS, 5)).isEqualTo(100);
+    assertThat(limits.number(LimitKeys.SILENT_MS, 5)).isEqualTo(5);
+    assertThat(limits.number(LimitKeys.SILENT_MS)).isEmpty();
+    assertThat(limits.flag(LimitKeys.CLIENT_BACKOFF, true)).isFalse();
+    assertThat(limits.flag(LimitKeys.EVICT_IDLE, true)).isTrue();
   }
 
   @Test
-  void checkTellsWhatIsSetOrOneLineThatSaysWhyNot() throws Exception {
+  void checkCommandExitsWith0ForAUsableFileAndWith2Otherwise() throws Exception {
     assertThat(CheckCommand.run("deploy/clayhoist.toml")).isZero();
     Path file =
         Files.writeString(
             folder.resolve("c.toml"),
             "[limits]\nplaces = 100\nhold_off = false\n[budget]\nwait_ms = 9\n");
     assertThat(OperatorFile.read(file).tables())
-        .flatExtracting(Table::lines)
+        .flatExtracting(SettingsTable::describe)
         .containsExactly(
             "[budget] wait_ms = 9", "[limits] hold_off = false", "[limits] places = 100");
     assertThat(CheckCommand.run(file.toString())).isZero();
@@ -49,39 +51,89 @@
     assertThat(CheckCommand.run()).isEqualTo(2);
   }
 
-  /** The file that is shipped sets nothing. */
   @Test
-  void theShippedFileIsGoodAndLeavesAllToTheProgram() throws Exception {
+  void shippedFileIsUsableAndSetsNothing() throws Exception {
     OperatorFile shipped = OperatorFile.read(Path.of("deploy/clayhoist.toml"));
-    for (String name : Table.KEYS.keySet()) {
-      Table table =
-          name.equals(Table.LIMITS)
-              ? shipped.limits()
-              : name.equals(Table.BUDGET)
-                  ? shipped.budget()
-                  : name.equals(Table.SHARED) ? shipped.shared() : shipped.membership();
-      for (Key key : Table.KEYS.get(name)) {
-        assertThat(table.number(key.name())).as(key.name()).isEmpty();
-        assertThat(table.flag(key.name(), true) && !table.flag(key.name(), false))
-            .as(key.name())
-            .isTrue();
+    for (TableSchema schema : TableSchema.values()) {
+      SettingsTable table = shipped.table(schema);
+      for (SettingKey key : schema.keys()) {
+        if (key instanceof NumberKey number) {
+          assertThat(table.number(number)).as(key.name()).isEmpty();
+        } else if (key instanceof FlagKey flag) {
+          assertThat(table.flag(flag, true)).as(key.name()).isTrue();
+          assertThat(table.flag(flag, false)).as(key.name()).isFalse();
+        }
       }
+      assertThat(table.describe()).as(schema.tableName()).isEmpty();
     }
   }
 
-  /** Each key is documented with its least and greatest value. */
   @Test
-  void eachKeyStandsInThePageOfSettings() throws Exception {
+  void eachKeyIsDocumentedWithItsBounds() throws Exception {
     String page = Files.readString(Path.of("docs/settings.md"));
-    for (Key key : Table.KEYS.values().stream().flatMap(List::stream).toList()) {
-      String row =
-          page.lines().filter(l -> l.startsWith("| `" + key.name() + "` |")).findFirst().orElse("");
-      assertThat(row)
-          .as(key.name())
-          .contains(key.flag() ? "true or false" : key.least() + " | " + key.most());
+    for (TableSchema schema : TableSchema.values()) {
+      for (SettingKey key : schema.keys()) {
+        String row = rowOf(page, key);
+        assertThat(row)
+            .as(key.name())
+            .contains(
+                key instanceof NumberKey number
+                    ? number.min() + " | " + number.max()
+                    : key.allowed());
+      }
     }
   }
 
+  private static String rowOf(String page, SettingKey key) {
+    return page.lines()
+        .filter(line -> line.startsWith("| `" + key.name() + "` |"))
+        .findFirst()
+        .orElse("");
+  }
+
+  /** The keys of the file are known to operators: a key is never renamed or lost. */
+  @Test
+  void keepsTheNamesOfTablesAndKeys() {
+    assertThat(TableSchema.values())
+        .extracting(TableSchema::tableName)
+        .containsExactly("limits", "budget", "membership", "shared");
+    assertThat(keyNames(TableSchema.LIMITS))
+        .containsExactly(
+            "places",
+            "clients_room",
+            "client_values_bytes",
+            "node_reading_bytes",
+            "client_answers_bytes",
+            "one_client_answers_bytes",
+            "client_write_bytes_per_s",
+            "client_write_grace_ms",
+            "client_read_bytes_per_s",
+            "client_read_grace_ms",
+            "node_answer_bytes_per_s",
+            "node_answer_grace_ms",
+            "silent_ms",
+            "send_buffer_bytes",
+            "show_out_idle",
+            "hold_off");
+    assertThat(keyNames(TableSchema.OVERLOAD)).containsExactly("turn_away", "wait_ms");
+    assertThat(keyNames(TableSchema.MEMBERSHIP))
+        .containsExactly("on", "period_ms", "suspect_ms", "bytes_per_s");
+    assertThat(keyNames(TableSchema.SHARED_STATE))
+        .containsExactly("on", "judgements", "cold_rights", "bytes_per_s");
+  }
+
+  private static List<String> keyNames(TableSchema schema) {
+    return schema.keys().stream().map(SettingKey::name).toList();
+  }
+
+  @Test
+  void refusesToLookUpAKeyOfAnotherTable() throws Exception {
+    SettingsTable limits = read("").table(TableSchema.LIMITS);
+    assertThatThrownBy(() -> limits.number(OverloadKeys.TARGET_DELAY_MS))
+        .isInstanceOf(IllegalArgumentException.class)
+        .hasMessageContaining("wait_ms");
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
@@ -105,7 +157,7 @@
         "[limits                                | not TOML",
         "[limits]\\nplaces = 100\\nplaces = 101 | not TOML",
       })
-  void whatCantBeUsedIsOneLineThatNamesTheFile(String text, String expected) {
+  void rejectsAnUnusableFileWithOneLineThatNamesIt(String text, String expected) {
     assertThatThrownBy(() -> read(text.replace("\\n", "\n")))
         .isInstanceOf(SettingsException.class)
         .hasMessageContaining("c.toml: ")
@@ -114,7 +166,7 @@
   }
 
   @Test
-  void aFileThatIsNoneOrNoTextIsSaidSo() throws Exception {
+  void rejectsAPathThatIsNoReadableTextFile() throws Exception {
     assertThatThrownBy(() -> OperatorFile.read(folder)).isInstanceOf(SettingsException.class);
     assertThatThrownBy(() -> OperatorFile.read(folder.resolve("none")))
         .isInstanceOf(SettingsException.class)
