--- a/src/main/java/cacheproxy/gossip/EndpointVersionGossip.java
+++ b/src/main/java/cacheproxy/gossip/EndpointVersionGossip.java
@@ -1,171 +1,222 @@
 package cacheproxy.gossip;
 
-import java.util.Arrays;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
- * Whether this proxy's list of servers is behind the others', by the versions that they tell of.
- * Guards against a watch that has fallen silent: its proxy routes by an old list until the watch's
- * wait is over, sends to servers that are gone, and ranks keys otherwise than the rest of the tier,
- * so that both halves miss. A version is a hint: it moves the time of this proxy's own next call
- * and nothing else; what is listed, discovery alone says.
+ * Finds out whether this proxy's endpoint list is behind the other proxies' lists, by the versions
+ * that they broadcast. This detects a watch that has fallen silent: until its timeout the proxy
+ * would route by an old list, send to nodes that have gone, and rank keys differently from the rest
+ * of the tier. A version is a hint: it only moves the time of this proxy's own next poll; what is
+ * listed, discovery alone decides.
  *
- * <p>Bounded: one number for each peer, one message a change for two voices of the tier, one call
- * for {@link #AGAIN_MS}; a peer whose version own calls don't bear out is heard less and less.
- * Times in milliseconds, on any one clock; lots lie from 0 to 1.
+ * <p>Bounded: one number for each peer, about {@link #ENOUGH_BROADCASTS} broadcasts in the tier for
+ * each change, and one poll in {@link #POLL_INTERVAL_MS}. A peer whose version polls don't confirm
+ * is ignored for longer and longer. Times are milliseconds of any one clock; random fractions lie
+ * from 0 to 1. An infinite time means "not scheduled". Not safe for use by several threads.
  */
 public final class EndpointVersionGossip {
   /**
-   * News is told within this time, by lot, so that whoever hears it told by {@link #VOICES} others
-   * need not.
+   * A new version is broadcast within this time, at random, so that proxies that hear it from
+   * {@link #ENOUGH_BROADCASTS} others need not.
    */
-  static final double TELL_SPREAD_MS = 120;
+  static final double BROADCAST_SPREAD_MS = 120;
 
   /** Two, as datagrams get lost. */
-  static final int VOICES = 2;
+  static final int ENOUGH_BROADCASTS = 2;
 
-  /** Nobody tells more often than this, whatever comes in. */
-  static final double TELL_AGAIN_MS = 300;
+  /** A proxy does not broadcast more often than this, whatever it receives. */
+  static final double BROADCAST_INTERVAL_MS = 300;
 
   /**
-   * The own watch may bring the news this much later than another's, by lot: the service works
-   * through the tier's answers in turn, some 0.2 s each, and those who have nothing by then must
-   * not call all at once.
+   * The own watch may bring a version this much later than another's, and by a random time more:
+   * discovery answers the tier's watches in turn, some 0.2 s each, and those that have no answer by
+   * then must not poll all at once.
    */
-  static final double LATE_MS = 600;
+  static final double WATCH_LAG_MS = 600;
 
-  static final double ASK_SPREAD_MS = 1400;
+  static final double POLL_SPREAD_MS = 1400;
 
-  /** After a call the next one for what is still only told waits this long. */
-  static final double AGAIN_MS = 4000;
+  /** After a poll the next one for a version that is still missing waits this long. */
+  static final double POLL_INTERVAL_MS = 4000;
 
-  private static final int MOST_DOUBLINGS = 6;
+  private static final int MAX_DOUBLINGS = 6;
 
-  /** The spreads stand for a tier of this size; a larger one has more voices to keep apart. */
-  private static final double TIER = 14;
+  /** The spreads are for a tier of this size; a larger one has more proxies to keep apart. */
+  private static final double REFERENCE_TIER_SIZE = 14;
 
-  private static final double MOST_ASK_SPREAD_MS = 8000;
-  private static final double LEAST_TELL_SPREAD_MS = 20;
+  private static final double MAX_POLL_SPREAD_MS = 8000;
+  private static final double MIN_BROADCAST_SPREAD_MS = 20;
+  private static final double NOT_SCHEDULED = Double.POSITIVE_INFINITY;
 
-  private final int me;
-  private final long[] told;
-  private final double[] ignoredUntil;
-  private final int[] mistaken;
-  private double tellSpreadMs = TELL_SPREAD_MS;
-  private double askSpreadMs = ASK_SPREAD_MS;
-  private long own;
-  private double tellMs = Double.POSITIVE_INFINITY;
-  private double toldMs = Double.NEGATIVE_INFINITY;
-  private double askMs = Double.POSITIVE_INFINITY;
-  private double judgeMs = Double.POSITIVE_INFINITY;
+  /** Stands for a peer that has not broadcast a version; real versions are positive. */
+  private static final long NO_VERSION = 0;
+
+  private final int self;
+  private final long[] peerVersions;
+  private final double[] ignoredUntilMs;
+
+  /** By peer, how often in a row a poll has not confirmed its version. */
+  private final int[] unconfirmed;
+
+  private double broadcastSpreadMs = BROADCAST_SPREAD_MS;
+  private double pollSpreadMs = POLL_SPREAD_MS;
+  private long ownVersion;
+  private double broadcastMs = NOT_SCHEDULED;
+  private double lastBroadcastMs = Double.NEGATIVE_INFINITY;
+  private double pollMs = NOT_SCHEDULED;
+
+  /** When to check which peers' versions the last poll has not confirmed. */
+  private double confirmationMs = NOT_SCHEDULED;
 
   /**
-   * @param peers how many proxies the tier has
-   * @param me this one's number
+   * Creates a view in which no version is known.
+   *
+   * @param tierSize how many proxies the tier has
+   * @param self this proxy's number
    */
-  public EndpointVersionGossip(int peers, int me) {
-    this.me = me;
-    told = new long[peers];
-    ignoredUntil = new double[peers];
-    mistaken = new int[peers];
+  public EndpointVersionGossip(int tierSize, int self) {
+    this.self = self;
+    peerVersions = new long[tierSize];
+    ignoredUntilMs = new double[tierSize];
+    unconfirmed = new int[tierSize];
   }
 
   /**
-   * How many of the tier are there, and how long a message takes there and back. News is spread so
-   * that about {@link #VOICES} speak before they can have heard others, and calls so that the
-   * service has as much time for each as in a tier of {@link #TIER}.
+   * Adapts to how many proxies are alive: broadcasts are spread so that about {@link
+   * #ENOUGH_BROADCASTS} are sent before others can have been heard, and polls so that discovery has
+   * as much time for each as in a tier of {@link #REFERENCE_TIER_SIZE}.
    *
-   * @param delayMs 0: not known
+   * @param alive how many proxies accept clients
+   * @param roundTripMs the median round-trip time between proxies; empty: not known
    */
-  public void tier(int alive, double delayMs) {
-    int there = Math.max(1, alive);
-    askSpreadMs = Math.min(MOST_ASK_SPREAD_MS, ASK_SPREAD_MS * there / TIER);
-    tellSpreadMs =
-        delayMs > 0
-            ? Math.max(LEAST_TELL_SPREAD_MS, there * delayMs / 2 / VOICES)
-            : TELL_SPREAD_MS * there / TIER;
+  public void setTierSize(int alive, OptionalDouble roundTripMs) {
+    int size = Math.max(1, alive);
+    pollSpreadMs = Math.min(MAX_POLL_SPREAD_MS, POLL_SPREAD_MS * size / REFERENCE_TIER_SIZE);
+    broadcastSpreadMs =
+        roundTripMs.isPresent() && roundTripMs.getAsDouble() > 0
+            ? Math.max(
+                MIN_BROADCAST_SPREAD_MS, size * roundTripMs.getAsDouble() / 2 / ENOUGH_BROADCASTS)
+            : BROADCAST_SPREAD_MS * size / REFERENCE_TIER_SIZE;
   }
 
-  /** Discovery has told this proxy of the list up to this version; also where that is no news. */
-  public void own(double now, long version, double lot) {
-    boolean news = version > own;
-    own = version; // also where it is lower: another service may count otherwise
-    for (int p = 0; p < told.length; p++) {
-      mistaken[p] = told[p] != 0 && told[p] <= own ? 0 : mistaken[p];
+  /**
+   * Discovery has sent this proxy the endpoint list up to this version, whether or not it is new. A
+   * lower one is taken too, as another discovery may count differently.
+   */
+  public void onOwnVersion(double nowMs, long version, double randomFraction) {
+    boolean isNew = version > ownVersion;
+    ownVersion = version;
+    for (int peer = 0; peer < peerVersions.length; peer++) {
+      if (peerVersions[peer] != NO_VERSION && peerVersions[peer] <= ownVersion) {
+        unconfirmed[peer] = 0;
+      }
     }
-    if (news) {
-      tellMs = Math.min(tellMs, Math.max(now + lot * tellSpreadMs, toldMs + TELL_AGAIN_MS));
+    if (isNew) {
+      scheduleBroadcast(nowMs, randomFraction);
     }
-    if (!behind()) {
-      askMs = judgeMs = Double.POSITIVE_INFINITY;
+    if (!isBehind()) {
+      pollMs = confirmationMs = NOT_SCHEDULED;
     }
   }
 
-  /** A peer tells that its list is at this version. */
-  public void heard(double now, int peer, long version, double lot) {
-    if (peer < 0 || peer >= told.length || peer == me || version <= 0 || now < ignoredUntil[peer]) {
+  /** A peer has broadcast that its endpoint list is at this version. Invalid input is ignored. */
+  public void onPeerVersion(double nowMs, int peer, long version, double randomFraction) {
+    if (peer < 0
+        || peer >= peerVersions.length
+        || peer == self
+        || version <= 0
+        || nowMs < ignoredUntilMs[peer]) {
       return;
     }
-    told[peer] = version;
-    if (version < own) { // it may have missed what was told
-      tellMs = Math.min(tellMs, Math.max(now + lot * tellSpreadMs, toldMs + TELL_AGAIN_MS));
-    } else if (version > own
-        && askMs == Double.POSITIVE_INFINITY
-        && judgeMs == Double.POSITIVE_INFINITY) {
-      askMs = now + LATE_MS + lot * askSpreadMs;
+    peerVersions[peer] = version;
+    if (version < ownVersion) { // the peer may have missed the broadcasts
+      scheduleBroadcast(nowMs, randomFraction);
+    } else if (version > ownVersion && pollMs == NOT_SCHEDULED && confirmationMs == NOT_SCHEDULED) {
+      pollMs = nowMs + WATCH_LAG_MS + randomFraction * pollSpreadMs;
     }
   }
 
+  private void scheduleBroadcast(double nowMs, double randomFraction) {
+    double earliestMs = lastBroadcastMs + BROADCAST_INTERVAL_MS;
+    double wantedMs = nowMs + randomFraction * broadcastSpreadMs;
+    broadcastMs = Math.min(broadcastMs, Math.max(wantedMs, earliestMs));
+  }
+
   /**
-   * When {@link #tells} or {@link #asks} is next to be looked at; infinite: not before something
-   * comes.
+   * Returns when {@link #versionToBroadcast} and {@link #shouldPoll} are next to be called;
+   * infinite: not before another version arrives.
    */
-  public double dueMs() {
-    return Math.min(tellMs, Math.min(askMs, judgeMs));
+  public double nextActionMs() {
+    return Math.min(broadcastMs, Math.min(pollMs, confirmationMs));
   }
 
-  /** The version to tell all of the tier now; 0: none. */
-  public long tells(double now) {
-    if (now < tellMs) {
-      return 0;
-    }
-    tellMs = Double.POSITIVE_INFINITY;
-    int voices = 0;
-    int others = 0;
-    for (int p = 0; p < told.length; p++) {
-      voices += told[p] == own ? 1 : 0;
-      others += told[p] != 0 && told[p] < own ? 1 : 0;
+  /** Returns the version to broadcast to the tier now; empty: none. */
+  public OptionalLong versionToBroadcast(double nowMs) {
+    if (nowMs < broadcastMs) {
+      return OptionalLong.empty();
     }
-    if (voices >= VOICES && others == 0 || own <= 0) {
-      return 0;
+    broadcastMs = NOT_SCHEDULED;
+    int broadcasts = 0;
+    int peersBehind = 0;
+    for (long version : peerVersions) {
+      broadcasts += version == ownVersion ? 1 : 0;
+      peersBehind += isBehindOwn(version) ? 1 : 0;
     }
-    // Who was behind has now been told; it is told again if it speaks again.
-    for (int p = 0; p < told.length; p++) {
-      told[p] = told[p] < own ? 0 : told[p];
+    if (broadcasts >= ENOUGH_BROADCASTS && peersBehind == 0 || ownVersion <= 0) {
+      return OptionalLong.empty();
     }
-    toldMs = now;
-    return own;
+    forgetPeersBehind();
+    lastBroadcastMs = nowMs;
+    return OptionalLong.of(ownVersion);
+  }
+
+  private boolean isBehindOwn(long version) {
+    return version != NO_VERSION && version < ownVersion;
   }
 
-  /** Whether to call discovery now, as the own watch has not brought what others have been told. */
-  public boolean asks(double now) {
-    if (now >= judgeMs) {
-      judgeMs = Double.POSITIVE_INFINITY;
-      for (int p = 0; p < told.length; p++) {
-        if (told[p] > own) { // an own call has not borne it out
-          ignoredUntil[p] = now + AGAIN_MS * (1 << Math.min(mistaken[p]++, MOST_DOUBLINGS));
-          told[p] = 0;
-        }
+  /** Peers that were behind are notified by this broadcast; another follows if they speak again. */
+  private void forgetPeersBehind() {
+    for (int peer = 0; peer < peerVersions.length; peer++) {
+      if (isBehindOwn(peerVersions[peer])) {
+        peerVersions[peer] = NO_VERSION;
       }
     }
-    if (now < askMs) {
+  }
+
+  /**
+   * Returns whether to poll discovery now, as the own watch has not brought a version that peers
+   * have.
+   */
+  public boolean shouldPoll(double nowMs) {
+    if (nowMs >= confirmationMs) {
+      confirmationMs = NOT_SCHEDULED;
+      ignoreUnconfirmedPeers(nowMs);
+    }
+    if (nowMs < pollMs) {
       return false;
     }
-    askMs = Double.POSITIVE_INFINITY;
-    judgeMs = now + AGAIN_MS;
+    pollMs = NOT_SCHEDULED;
+    confirmationMs = nowMs + POLL_INTERVAL_MS;
     return true;
   }
 
-  private boolean behind() {
-    return Arrays.stream(told).anyMatch(v -> v > own);
+  private void ignoreUnconfirmedPeers(double nowMs) {
+    for (int peer = 0; peer < peerVersions.length; peer++) {
+      if (peerVersions[peer] > ownVersion) {
+        int doublings = Math.min(unconfirmed[peer]++, MAX_DOUBLINGS);
+        ignoredUntilMs[peer] = nowMs + POLL_INTERVAL_MS * (1 << doublings);
+        peerVersions[peer] = NO_VERSION;
+      }
+    }
+  }
+
+  private boolean isBehind() {
+    for (long version : peerVersions) {
+      if (version > ownVersion) {
+        return true;
+      }
+    }
+    return false;
   }
 }
--- /dev/null
+++ b/src/main/java/cacheproxy/membership/FailureDetector.java
@@ -0,0 +1,240 @@
+package cacheproxy.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Probes one member in each interval: directly, then through helpers, and again if few attempts say
+ * little. A member that answers on no way is suspected.
+ */
+final class FailureDetector {
+  /** How many helpers an indirect probe is sent through. */
+  private static final int HELPERS = 3;
+
+  /** How many members a process probes as soon as it starts. */
+  private static final int INITIAL_PROBES = 3;
+
+  private static final int MAX_PROBES = 8;
+
+  /** Intervals vary at random by this much to either side, so that proxies don't synchronize. */
+  private static final double MIN_JITTER = 0.9;
+
+  private static final double JITTER_RANGE = 0.2;
+
+  /** The first probe is sent within this part of an interval. */
+  private static final int FIRST_INTERVAL_DIVISOR = 4;
+
+  private final Timing timing;
+  private final MemberTable members;
+  private final ProbeTargets targets;
+  private final LocalHealth health;
+  private final MessageSender sender;
+  private final Suspicions suspicions;
+  private final NonceSequence nonces;
+  private final SplittableRandom random;
+  private final boolean indirectProbes;
+  private final ProbeFailureRate failureRate;
+  private final RoundTripTimes roundTripTimes = new RoundTripTimes();
+  private final List<Probe> probes = new ArrayList<>();
+  private int initialProbesSent;
+  private double nextProbeMs;
+
+  /** A probe under way. */
+  private static final class Probe {
+    final int target;
+    final int nonce;
+    final double sentMs;
+
+    /** From 1: how many probes of this target in a row. */
+    final int attempt;
+
+    boolean indirect;
+
+    Probe(int target, int nonce, double sentMs, int attempt) {
+      this.target = target;
+      this.nonce = nonce;
+      this.sentMs = sentMs;
+      this.attempt = attempt;
+    }
+  }
+
+  FailureDetector(
+      Timing timing,
+      MemberTable members,
+      ProbeTargets targets,
+      LocalHealth health,
+      MessageSender sender,
+      Suspicions suspicions,
+      NonceSequence nonces,
+      Set<Mechanism> enabled,
+      SplittableRandom random,
+      double nowMs) {
+    this.timing = timing;
+    this.members = members;
+    this.targets = targets;
+    this.health = health;
+    this.sender = sender;
+    this.suspicions = suspicions;
+    this.nonces = nonces;
+    this.random = random;
+    indirectProbes = enabled.contains(Mechanism.INDIRECT_PROBES);
+    failureRate = new ProbeFailureRate(members.size(), enabled.contains(Mechanism.LOCAL_HEALTH));
+    nextProbeMs = nowMs + random.nextDouble() * timing.probeIntervalMs() / FIRST_INTERVAL_DIVISOR;
+  }
+
+  /** Returns when the next probe is due. */
+  double nextProbeMs() {
+    return nextProbeMs;
+  }
+
+  /** After a pause: what is under way has been answered, if at all, long ago. */
+  void restart(double nowMs) {
+    probes.clear();
+    nextProbeMs = nowMs;
+  }
+
+  /** Continues probes without an answer through helpers, and ends those that have failed. */
+  void checkTimeouts(double nowMs) {
+    for (int i = probes.size() - 1; i >= 0; i--) {
+      Probe probe = probes.get(i);
+      double waitedMs = nowMs - probe.sentMs;
+      if (waitedMs >= timing.probeTimeoutMs() * health.timeoutFactor()) {
+        probes.remove(i);
+        onFailure(nowMs, probe);
+      } else if (!probe.indirect && waitedMs >= timing.directTimeoutMs() * health.timeoutFactor()) {
+        probe.indirect = true;
+        probeIndirectly(nowMs, probe);
+      }
+    }
+  }
+
+  /** Sends the probes that are due: some at the start, and then one in each interval. */
+  void sendDueProbes(double nowMs) {
+    while (initialProbesSent < Math.min(INITIAL_PROBES, members.size() - 1)) {
+      initialProbesSent++;
+      probeNext(nowMs);
+    }
+    if (nowMs >= nextProbeMs) {
+      double jitter = MIN_JITTER + JITTER_RANGE * random.nextDouble();
+      nextProbeMs = nowMs + timing.probeIntervalMs() * health.slowdownFactor() * jitter;
+      probeNext(nowMs);
+    }
+  }
+
+  private void probeNext(double nowMs) {
+    targets.next().ifPresent(target -> probe(nowMs, target));
+  }
+
+  /** Probes this member now, unless too many probes are under way. */
+  void probe(double nowMs, int target) {
+    probe(nowMs, target, 1);
+  }
+
+  private void probe(double nowMs, int target, int attempt) {
+    if (probes.size() < MAX_PROBES) {
+      Probe probe = new Probe(target, nonces.next(), nowMs, attempt);
+      probes.add(probe);
+      sender.sendPing(nowMs, target, probe.nonce);
+    }
+  }
+
+  private void probeIndirectly(double nowMs, Probe probe) {
+    if (!indirectProbes || members.isDormant(probe.target)) {
+      return;
+    }
+    sender.resendPing(nowMs, probe.target, probe.nonce);
+    for (int i = 0; i < HELPERS; i++) {
+      targets
+          .randomPresent()
+          .ifPresent(
+              helper -> {
+                if (helper != probe.target) {
+                  sender.sendPingRequest(nowMs, helper, probe.nonce, probe.target);
+                }
+              });
+    }
+  }
+
+  /**
+   * Ends a probe by the target's own ack.
+   *
+   * @return whether the ack answers a probe under way
+   */
+  boolean onAck(double nowMs, int from, int nonce) {
+    Optional<Probe> answered = removeProbe(from, nonce);
+    if (answered.isEmpty()) {
+      return false;
+    }
+    Probe probe = answered.get();
+    roundTripTimes.record(nowMs - probe.sentMs);
+    recordOutcome(probe, false);
+    // Suspicions held meanwhile are from before: each gets its whole time to refute again.
+    OptionalDouble unreliableForMs = health.restoreTrust(probe.sentMs, nowMs);
+    unreliableForMs.ifPresent(spanMs -> suspicions.extendAll(spanMs, nowMs));
+    health.improve();
+    return true;
+  }
+
+  /**
+   * Ends a probe by a helper's ack: others hear the target, although this proxy's own probe had no
+   * answer.
+   */
+  void onIndirectAck(int target, int nonce) {
+    removeProbe(target, nonce)
+        .ifPresent(
+            probe -> {
+              members.setUnanswered(target, true);
+              recordOutcome(probe, false);
+              health.improve();
+            });
+  }
+
+  private Optional<Probe> removeProbe(int target, int nonce) {
+    for (int i = 0; i < probes.size(); i++) {
+      Probe probe = probes.get(i);
+      if (probe.nonce == nonce && probe.target == target) {
+        probes.remove(i);
+        return Optional.of(probe);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void onFailure(double nowMs, Probe probe) {
+    int target = probe.target;
+    MemberState state = members.state(target);
+    if (members.isHeardAfter(target, probe.sentMs)) {
+      members.setUnanswered(target, state.isPresent());
+      return; // it is heard, whether or not it hears this proxy
+    }
+    if (!health.isFailureMeaningful(probe.sentMs)) {
+      health.degrade();
+      return;
+    }
+    boolean enoughAttempts = probe.attempt >= failureRate.requiredAttempts();
+    recordOutcome(probe, true);
+    if (state.isPresent() && !enoughAttempts) {
+      probe(nowMs, target, probe.attempt + 1);
+      return;
+    }
+    members.setUnanswered(target, true);
+    if (state.isPresent() && state != MemberState.LEAVING) {
+      suspicions.suspectByOwnProbe(nowMs, target);
+    }
+  }
+
+  private void recordOutcome(Probe probe, boolean failed) {
+    if (probe.attempt == 1 && members.state(probe.target).isPresent()) {
+      failureRate.record(failed);
+    }
+  }
+
+  /** Returns the median round-trip time in ms; empty: no ack has come. */
+  OptionalDouble medianRoundTripMs() {
+    return roundTripTimes.medianMs();
+  }
+}
--- a/src/main/java/cacheproxy/membership/Incarnation.java
+++ b/src/main/java/cacheproxy/membership/Incarnation.java
@@ -1,27 +1,33 @@
 package cacheproxy.membership;
 
 /**
- * Numbers that order what is said of one member. They live on a circle of 8,192, compared by the
- * shorter way round (RFC 1982), so that there is no greatest one: whatever number a liar sends, the
- * next is newer, and nobody can be locked out. They need neither disk nor clock: who starts asks
- * what is held of it and takes the next; where nobody holds anything, no accusation is left that a
- * low one could lose against; and where a cut hid one, it comes up with the first message from
- * behind the cut, and the accused goes beyond it.
+ * Incarnation numbers, which order the statements about one member. They use serial number
+ * arithmetic (RFC 1982) modulo {@link #MODULUS}: there is no greatest number, so a faulty peer that
+ * sends an arbitrary one cannot prevent the member from choosing a newer one.
+ *
+ * <p>Incarnations need neither a disk nor a clock. A member that starts learns from the first
+ * message it receives what others hold of it, and takes the next number. If nobody holds anything,
+ * there is no accusation that a low number could lose against. If a network partition hid a higher
+ * number, that number arrives with the first message after the partition, and the member goes
+ * beyond it.
  */
 public final class Incarnation {
-  static final int CIRCLE = 1 << 13;
+  /** How many numbers there are; 13 bits on the wire. */
+  static final int MODULUS = 1 << 13;
 
   private Incarnation() {}
 
-  public static int next(int i) {
-    return (i + 1) & (CIRCLE - 1);
+  /** Returns the number that follows {@code incarnation}. */
+  public static int next(int incarnation) {
+    return (incarnation + 1) & (MODULUS - 1);
   }
 
   /**
-   * Whether {@code a} is newer than {@code b}; of two that are half the circle apart neither is.
+   * Returns whether {@code incarnation} is newer than {@code other}. Of two numbers that are half
+   * the modulus apart neither is newer.
    */
-  public static boolean newer(int a, int b) {
-    int ahead = (a - b) & (CIRCLE - 1);
-    return ahead > 0 && ahead < CIRCLE / 2;
+  public static boolean isNewer(int incarnation, int other) {
+    int ahead = (incarnation - other) & (MODULUS - 1);
+    return ahead > 0 && ahead < MODULUS / 2;
   }
 }
--- /dev/null
+++ b/src/main/java/cacheproxy/membership/RoundTripTimes.java
@@ -0,0 +1,27 @@
+package cacheproxy.membership;
+
+import java.util.Arrays;
+import java.util.OptionalDouble;
+
+/** The latest round-trip times of direct probes. */
+final class RoundTripTimes {
+  private static final int WINDOW = 15;
+
+  private final double[] latestMs = new double[WINDOW];
+  private int recorded;
+
+  void record(double roundTripMs) {
+    latestMs[recorded++ % WINDOW] = roundTripMs;
+  }
+
+  /** Returns the median in ms; empty: none was recorded. */
+  OptionalDouble medianMs() {
+    int count = Math.min(recorded, WINDOW);
+    if (count == 0) {
+      return OptionalDouble.empty();
+    }
+    double[] sorted = Arrays.copyOf(latestMs, count);
+    Arrays.sort(sorted);
+    return OptionalDouble.of(sorted[count / 2]);
+  }
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/membership/Suspicions.java
@@ -0,0 +1,157 @@
+package cacheproxy.membership;
+
+import java.util.EnumSet;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Changes members' statuses in this proxy's view: begins suspicions, ends them by the clock, and
+ * reports changes.
+ */
+final class Suspicions {
+  private static final EnumSet<MemberState> POSSIBLE_ACCUSERS =
+      EnumSet.of(MemberState.ALIVE, MemberState.STARTING, MemberState.SUSPECT);
+
+  private final Timing timing;
+  private final LocalMember self;
+  private final MemberTable members;
+  private final SuspicionTable table;
+  private final LocalHealth health;
+  private final Dissemination dissemination;
+  private final MessageSender sender;
+  private final Membership.Callbacks callbacks;
+  private final boolean confirmationsCount;
+  private int raisedCount;
+
+  Suspicions(
+      Timing timing,
+      LocalMember self,
+      MemberTable members,
+      SuspicionTable table,
+      LocalHealth health,
+      Dissemination dissemination,
+      MessageSender sender,
+      Set<Mechanism> enabled,
+      Membership.Callbacks callbacks) {
+    this.timing = timing;
+    this.self = self;
+    this.members = members;
+    this.table = table;
+    this.health = health;
+    this.dissemination = dissemination;
+    this.sender = sender;
+    this.callbacks = callbacks;
+    confirmationsCount = enabled.contains(Mechanism.CONFIRMATIONS);
+  }
+
+  /** Sets a member's status and reports a change of its state. */
+  void changeStatus(double nowMs, int member, MemberStatus status, String cause) {
+    MemberState before = members.state(member);
+    boolean ownSuspicionWasWrong =
+        before == MemberState.SUSPECT
+            && status.state() != MemberState.DEAD
+            && table.isFirstAccuser(member, self.number());
+    members.setStatus(member, status, nowMs);
+    if (ownSuspicionWasWrong) {
+      health.degrade();
+    }
+    if (before != status.state()) {
+      callbacks.stateChanged(
+          new StateChange(nowMs, member, before, status.state(), status.incarnation(), cause));
+    }
+  }
+
+  /** Sets a member's status, reports a change of its state and disseminates it. */
+  void changeAndDisseminate(double nowMs, int member, MemberStatus status, String cause) {
+    changeStatus(nowMs, member, status, cause);
+    dissemination.enqueue(member);
+  }
+
+  /** Suspects a member after an own probe of it failed. */
+  void suspectByOwnProbe(double nowMs, int member) {
+    suspect(
+        nowMs,
+        member,
+        members.incarnation(member),
+        OptionalInt.of(self.number()),
+        "no answer from it, nor through others");
+  }
+
+  /**
+   * Suspects a member at one of its incarnations, or adds an accuser to the suspicion. If this
+   * proxy is the accuser, the member is notified first of all.
+   *
+   * @param accuser who accuses; empty: not known
+   */
+  void suspect(double nowMs, int member, int incarnation, OptionalInt accuser, String cause) {
+    if (members.state(member) != MemberState.SUSPECT
+        || members.incarnation(member) != incarnation) {
+      changeStatus(nowMs, member, new MemberStatus(MemberState.SUSPECT, incarnation), cause);
+    }
+    if (accuser.isEmpty()) {
+      return;
+    }
+    confirm(member, accuser.getAsInt());
+    if (accuser.getAsInt() == self.number()) {
+      raisedCount++;
+      sender.sendAnnouncement(nowMs, member);
+    }
+  }
+
+  /** Adds an accuser to a suspicion, and disseminates that if it is a new one that counts. */
+  void confirm(int member, int accuser) {
+    if (table.addAccuser(member, accuser)) {
+      dissemination.enqueue(member);
+    }
+  }
+
+  /** Declares suspects dead whose time to refute is over, and leaving members gone. */
+  void expire(double nowMs) {
+    if (!members.hasTimedStates()) {
+      return;
+    }
+    int possibleAccusers = 1 + members.count(POSSIBLE_ACCUSERS);
+    for (int member = 0; member < members.size(); member++) {
+      MemberState state = members.state(member);
+      if (state == MemberState.LEAVING && members.stateAgeMs(member, nowMs) >= Timing.LEAVE_MS) {
+        MemberStatus gone = new MemberStatus(MemberState.GONE, members.incarnation(member));
+        changeStatus(nowMs, member, gone, "left as it said");
+      } else if (state == MemberState.SUSPECT && health.mayAccuse()) {
+        expireSuspicion(nowMs, member, possibleAccusers);
+      }
+    }
+  }
+
+  private void expireSuspicion(double nowMs, int member, int possibleAccusers) {
+    // Where few are left, no more can confirm than are present.
+    int maxConfirmations =
+        confirmationsCount ? Math.min(SuspicionTable.MAX_CONFIRMATIONS, possibleAccusers - 2) : 0;
+    int confirmations = Math.max(0, table.accuserCount(member) - 1);
+    double timeoutMs =
+        timing.suspicionMs(members.size(), confirmations, maxConfirmations)
+            * health.slowdownFactor();
+    double ageMs = table.ageMs(member, nowMs);
+    if (ageMs >= timeoutMs) {
+      String accusers =
+          table.accusers(member).stream()
+              .map(accuser -> " " + accuser)
+              .collect(Collectors.joining());
+      changeAndDisseminate(
+          nowMs,
+          member,
+          new MemberStatus(MemberState.DEAD, members.incarnation(member)),
+          "not refuted in " + Math.round(ageMs) + " ms, accused by" + accusers);
+    }
+  }
+
+  /** Gives all suspects this much more time, in which no refutation could be received here. */
+  void extendAll(double extensionMs, double nowMs) {
+    table.extendAll(extensionMs, nowMs);
+  }
+
+  /** Returns how many suspicions had this proxy as their accuser. */
+  int raisedCount() {
+    return raisedCount;
+  }
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/membership/UpdateMerger.java
@@ -0,0 +1,172 @@
+package cacheproxy.membership;
+
+import java.util.OptionalInt;
+import java.util.Set;
+
+/**
+ * Merges what messages say of members into this proxy's view. A suspicion is refuted by a newer
+ * incarnation; in difference to SWIM also by a witness, which has heard from the suspect since.
+ */
+final class UpdateMerger {
+  private final Timing timing;
+  private final LocalMember self;
+  private final MemberTable members;
+  private final LocalHealth health;
+  private final Dissemination dissemination;
+  private final Suspicions suspicions;
+  private final SelfRefutation refutation;
+  private final FailureDetector detector;
+  private final boolean witnessesRefute;
+
+  UpdateMerger(
+      Timing timing,
+      LocalMember self,
+      MemberTable members,
+      LocalHealth health,
+      Dissemination dissemination,
+      Suspicions suspicions,
+      SelfRefutation refutation,
+      FailureDetector detector,
+      Set<Mechanism> enabled) {
+    this.timing = timing;
+    this.self = self;
+    this.members = members;
+    this.health = health;
+    this.dissemination = dissemination;
+    this.suspicions = suspicions;
+    this.refutation = refutation;
+    this.detector = detector;
+    witnessesRefute = enabled.contains(Mechanism.WITNESSES);
+  }
+
+  /** Merges a member's status as it reports it itself, in a fresh message. */
+  void mergeOwnReport(double nowMs, int member, MemberStatus reported) {
+    MemberState state = reported.state();
+    if (state != MemberState.STARTING
+        && state != MemberState.ALIVE
+        && state != MemberState.LEAVING) {
+      return; // no state that a member reports of itself
+    }
+    MemberStatus held = members.status(member);
+    if (Incarnation.isNewer(reported.incarnation(), held.incarnation())
+        || held.state() == MemberState.UNKNOWN) {
+      suspicions.changeAndDisseminate(nowMs, member, reported, "says so");
+    } else if (held.state() == state
+        || held.state() == MemberState.ALIVE && state == MemberState.STARTING) {
+      return;
+    } else if (held.state() == MemberState.STARTING || state == MemberState.LEAVING) {
+      MemberStatus status = new MemberStatus(state, held.incarnation());
+      suspicions.changeAndDisseminate(nowMs, member, status, "says so");
+    } else if (mayRefuteForOthers()) {
+      MemberStatus status = new MemberStatus(state, Incarnation.next(held.incarnation()));
+      String cause = held.state().isAccusation() ? "heard since" : "is back";
+      suspicions.changeAndDisseminate(nowMs, member, status, cause);
+    }
+  }
+
+  private boolean mayRefuteForOthers() {
+    return witnessesRefute && !health.isUnreliable();
+  }
+
+  /**
+   * Merges what another member says of a member.
+   *
+   * @param update what is said
+   * @param sender who says it
+   * @param senderUnreliable whether the sender distrusts its own failure detector
+   */
+  void merge(double nowMs, MemberUpdate update, int sender, boolean senderUnreliable) {
+    int member = update.member();
+    MemberStatus status = update.status();
+    if (member >= members.size() || status.state() == MemberState.UNKNOWN) {
+      return;
+    }
+    if (member == self.number()) {
+      refutation.onReportedStatus(nowMs, OptionalInt.empty(), status, senderUnreliable);
+      return;
+    }
+    // The sender's own status is in the header; in its view is an old one of before an absence.
+    if (member == sender || status.state().isAccusation() && senderUnreliable) {
+      return;
+    }
+    if (isConfirmation(member, status)) {
+      confirm(update, sender);
+    } else if (isNews(member, status)) {
+      apply(nowMs, update, sender);
+    }
+  }
+
+  private boolean isConfirmation(int member, MemberStatus status) {
+    return status.state().isAccusation()
+        && members.state(member) == MemberState.SUSPECT
+        && members.incarnation(member) == status.incarnation();
+  }
+
+  private void confirm(MemberUpdate update, int sender) {
+    OptionalInt accuser =
+        update.accuser().isPresent() ? update.accuser() : judgeOfDeath(update.status(), sender);
+    if (accuser.isPresent() && accuser.getAsInt() != update.member()) {
+      suspicions.confirm(update.member(), accuser.getAsInt());
+    }
+  }
+
+  /**
+   * Returns the sender if it has declared the member dead itself, which counts as an accusation.
+   */
+  private static OptionalInt judgeOfDeath(MemberStatus status, int sender) {
+    return status.state() == MemberState.DEAD ? OptionalInt.of(sender) : OptionalInt.empty();
+  }
+
+  private boolean isNews(int member, MemberStatus status) {
+    MemberStatus held = members.status(member);
+    if (held.state() == MemberState.UNKNOWN) {
+      return true;
+    }
+    boolean suspicionOfAbsent =
+        status.state() == MemberState.SUSPECT
+            && held.state().isAbsent()
+            && status.incarnation() == held.incarnation();
+    return status.overrides(held) && !suspicionOfAbsent;
+  }
+
+  private void apply(double nowMs, MemberUpdate update, int sender) {
+    int member = update.member();
+    MemberState reported = update.status().state();
+    MemberState held = members.state(member);
+    boolean takenAsReported =
+        !reported.isAccusation()
+            || held == MemberState.UNKNOWN && reported == MemberState.DEAD
+            || held.isAbsent();
+    if (takenAsReported) {
+      suspicions.changeAndDisseminate(nowMs, member, update.status(), "told by " + sender);
+    } else if (mayRefuteForOthers()
+        && members.isHeardWithin(member, timing.probeTimeoutMs(), nowMs)) {
+      refuteAsWitness(nowMs, member, update.status().incarnation());
+    } else {
+      suspectAsReported(nowMs, update, sender);
+    }
+  }
+
+  private void refuteAsWitness(double nowMs, int member, int incarnation) {
+    long heardMsAgo = Math.round(members.sinceHeardMs(member, nowMs).orElseThrow());
+    suspicions.changeAndDisseminate(
+        nowMs,
+        member,
+        new MemberStatus(MemberState.ALIVE, Incarnation.next(incarnation)),
+        "heard " + heardMsAgo + " ms before");
+  }
+
+  private void suspectAsReported(double nowMs, MemberUpdate update, int sender) {
+    int member = update.member();
+    boolean accusesItself = update.accuser().isPresent() && update.accuser().getAsInt() == member;
+    OptionalInt accuser =
+        update.accuser().isPresent() && !accusesItself
+            ? update.accuser()
+            : judgeOfDeath(update.status(), sender);
+    suspicions.suspect(nowMs, member, update.status().incarnation(), accuser, "told by " + sender);
+    dissemination.enqueue(member);
+    if (witnessesRefute && members.isHeardWithin(member, Timing.RECENTLY_HEARD_MS, nowMs)) {
+      detector.probe(nowMs, member);
+    }
+  }
+}
--- a/src/main/java/cacheproxy/model/MembershipModel.java
+++ b/src/main/java/cacheproxy/model/MembershipModel.java
@@ -1,7 +1,9 @@
 package cacheproxy.model;
 
+import cacheproxy.membership.Mechanism;
+import cacheproxy.membership.MemberState;
 import cacheproxy.membership.Membership;
-import cacheproxy.membership.State;
+import cacheproxy.membership.StateChange;
 import cacheproxy.membership.Timing;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,7 +35,7 @@
 
   private final int tier;
   private final Timing timing;
-  private final Membership.Part[] without;
+  private final Mechanism[] without;
   private final SplittableRandom lots;
   private final PriorityQueue<Arrival> wire =
       new PriorityQueue<>(
@@ -64,7 +66,7 @@
   private final boolean[][] believesDead;
   private final double[] knownMs;
 
-  public MembershipModel(int tier, Timing timing, long seed, Membership.Part... without) {
+  public MembershipModel(int tier, Timing timing, long seed, Mechanism... without) {
     this.tier = tier;
     this.timing = timing;
     this.without = without;
@@ -119,7 +121,7 @@
               timing,
               lots.nextLong(),
               now,
-              new Membership.Outlet() {
+              new Membership.Callbacks() {
                 @Override
                 public void send(int to, byte[] message) {
                   if (life == lives[me]) {
@@ -128,7 +130,7 @@
                 }
 
                 @Override
-                public void changed(Membership.Event e) {
+                public void stateChanged(StateChange e) {
                   if (life == lives[me]) {
                     believes(me, e);
                   }
@@ -153,28 +155,28 @@
             timing,
             lots.nextLong(),
             now,
-            new Membership.Outlet() {
+            new Membership.Callbacks() {
               @Override
               public void send(int to, byte[] message) {
                 post(m, to, message);
               }
 
               @Override
-              public void changed(Membership.Event e) {
+              public void stateChanged(StateChange e) {
                 events++;
               }
             },
             without);
     twins[m].serving(now);
-    twins[m].beside(now, true);
-    members[m].beside(now, true);
+    twins[m].setParallelProcess(now, true);
+    members[m].setParallelProcess(now, true);
     ticks.add(new Arrival(now, order++, m, TWIN, null));
   }
 
   /** The first of two processes of a number ends, without a word as the second serves. */
   public void takeOver(int m) {
     members[m] = twins[m];
-    members[m].beside(now, false);
+    members[m].setParallelProcess(now, false);
     twins[m] = null;
     lives[m] = TWIN;
   }
@@ -210,10 +212,10 @@
     } while (lots.nextDouble() < twice);
   }
 
-  private void believes(int by, Membership.Event e) {
+  private void believes(int by, StateChange e) {
     events++;
-    believesDead[by][e.member()] = e.to() == State.DEAD;
-    if (e.to() == State.DEAD) {
+    believesDead[by][e.member()] = e.to() == MemberState.DEAD;
+    if (e.to() == MemberState.DEAD) {
       if (members[e.member()] != null) {
         falseVerdicts++;
         falseBy[by]++;
@@ -253,7 +255,7 @@
             mailboxes.get(next.to).add(next);
           } else {
             (twins[next.to] != null && next.from % 2 == 1 ? twins[next.to] : members[next.to])
-                .heard(now, next.from, next.message);
+                .receive(now, next.from, next.message);
           }
         }
       }
@@ -276,13 +278,13 @@
       ticked.tick(now);
     }
     for (Arrival a : mailboxes.get(m)) {
-      members[m].heard(now, a.from, a.message);
+      members[m].receive(now, a.from, a.message);
     }
     mailboxes.get(m).clear();
     if (!first) {
       ticked.tick(now);
     }
-    double next = ticked.dueMs();
+    double next = ticked.nextTickMs();
     if (next < Double.POSITIVE_INFINITY) {
       ticks.add(
           new Arrival(Math.max(now + 1, next + lots.nextDouble() * 3), order++, m, due.to, null));
@@ -319,10 +321,10 @@
   public boolean agreed() {
     for (int by = 0; by < tier; by++) {
       for (int of = 0; of < tier && members[by] != null; of++) {
-        State s = members[by].state(of);
+        MemberState s = members[by].state(of);
         if (members[of] != null
-            ? s != State.ALIVE
-            : s == State.ALIVE || s == State.SUSPECT || s == State.STARTING) {
+            ? s != MemberState.ALIVE
+            : s == MemberState.ALIVE || s == MemberState.SUSPECT || s == MemberState.STARTING) {
           return false;
         }
       }
@@ -334,7 +336,7 @@
   public int accusers(int of) {
     int count = 0;
     for (int m = 0; m < tier; m++) {
-      count += m != of && members[m] != null && members[m].state(of) == State.DEAD ? 1 : 0;
+      count += m != of && members[m] != null && members[m].state(of) == MemberState.DEAD ? 1 : 0;
     }
     return count;
   }
--- a/src/main/java/cacheproxy/model/MembershipTable.java
+++ b/src/main/java/cacheproxy/model/MembershipTable.java
@@ -1,6 +1,6 @@
 package cacheproxy.model;
 
-import cacheproxy.membership.Membership.Part;
+import cacheproxy.membership.Mechanism;
 import cacheproxy.membership.Timing;
 import java.util.Arrays;
 import java.util.Locale;
@@ -28,8 +28,8 @@
     }
   }
 
-  private static MembershipModel settled(int n, long seed, double loss, Part... without) {
-    MembershipModel m = new MembershipModel(n, Timing.USUAL, seed, without).loss(loss);
+  private static MembershipModel settled(int n, long seed, double loss, Mechanism... without) {
+    MembershipModel m = new MembershipModel(n, Timing.DEFAULTS, seed, without).loss(loss);
     m.startAll();
     return m.run(10_000 + 60 * n);
   }
@@ -95,7 +95,7 @@
           "%5d  %d  %d  %.1f  %.0f%n",
           n,
           m.falseVerdicts(),
-          IntStream.range(0, n).map(i -> m.member(i).accusations()).sum(),
+          IntStream.range(0, n).map(i -> m.member(i).suspicionsRaised()).sum(),
           IntStream.range(0, n).mapToLong(i -> m.member(i).view(m.nowMs()).sentMessages()).sum()
               / seconds
               / n,
@@ -148,14 +148,19 @@
         "14 members, 10 seeds: false verdicts (the most who held one for dead) in 10 minutes of 20% loss; with a deaf one"
             + " for a minute; with one that stands still, is refuted and four more that stand still for 30 s; seconds until a death is known");
     Object[][] kinds = {
-      {"SWIM (2002)", new Part[] {Part.HEALTH, Part.CONFIRMATIONS, Part.WITNESSES, Part.DOUBT}},
-      {"with Lifeguard's", new Part[] {Part.WITNESSES}},
-      {"without indirect", new Part[] {Part.INDIRECT}},
-      {"without doubt", new Part[] {Part.DOUBT}},
-      {"as built", new Part[0]}
+      {
+        "SWIM (2002)",
+        new Mechanism[] {
+          Mechanism.LOCAL_HEALTH, Mechanism.CONFIRMATIONS, Mechanism.WITNESSES, Mechanism.SELF_DOUBT
+        }
+      },
+      {"with Lifeguard's", new Mechanism[] {Mechanism.WITNESSES}},
+      {"without indirect", new Mechanism[] {Mechanism.INDIRECT_PROBES}},
+      {"without doubt", new Mechanism[] {Mechanism.SELF_DOUBT}},
+      {"as built", new Mechanism[0]}
     };
     for (Object[] kind : kinds) {
-      Part[] without = (Part[]) kind[1];
+      Mechanism[] without = (Mechanism[]) kind[1];
       long[] falses = new long[3];
       int[] worst = new int[3];
       double[] known = new double[10];
--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * What the proxy is told at its start. Settings are read by the adapter's own parser, from the same
@@ -260,7 +261,11 @@
   /** Where messages between the proxies go, as far as the settings allow any. */
   PeerSocket.Addresses peerAddresses() {
     return new PeerSocket.Addresses(
-        settings.peers() ? peerListen : null, peers, peersAll, settings.me(), control != null);
+        settings.peers() ? Optional.ofNullable(peerListen) : Optional.empty(),
+        peers,
+        Optional.ofNullable(peersAll),
+        settings.me(),
+        control != null);
   }
 
   private static JsonElement need(JsonObject json, String key) {
--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -141,9 +141,9 @@
     if (config.settings().askForList() && socket.hasPeers()) {
       peers = socket;
       versions = new EndpointVersionGossip(config.peers().size(), config.settings().me());
-      socket.onVersions(
+      socket.onEndpointVersions(
           (peer, version) -> {
-            versions.heard(dispatcher.now(), peer, version, lots.nextDouble());
+            versions.onPeerVersion(dispatcher.now(), peer, version, lots.nextDouble());
             lookAtVersions();
           });
     }
@@ -156,23 +156,22 @@
 
   private void lookAtVersions() {
     if (members != null) {
-      versions.tier(members.alive(), members.delayMs());
+      versions.setTierSize(members.alive(), members.medianRoundTripMs());
     }
     if (versionTimer != null) {
       versionTimer.stop();
     }
-    double due = versions.dueMs() - dispatcher.now();
+    double due = versions.nextActionMs() - dispatcher.now();
     versionTimer =
         due == Double.POSITIVE_INFINITY
             ? null
             : dispatcher.after(
                 Math.max(0, due),
                 () -> {
-                  long tell = versions.tells(dispatcher.now());
-                  if (tell > 0) {
-                    peers.tellVersion(tell);
-                  }
-                  if (versions.asks(dispatcher.now())) {
+                  versions
+                      .versionToBroadcast(dispatcher.now())
+                      .ifPresent(peers::broadcastEndpointVersion);
+                  if (versions.shouldPoll(dispatcher.now())) {
                     beginAgain(version);
                   }
                   lookAtVersions();
@@ -329,7 +328,7 @@
     }
     version = seq;
     if (versions != null) {
-      versions.own(dispatcher.now(), version, lots.nextDouble());
+      versions.onOwnVersion(dispatcher.now(), version, lots.nextDouble());
       lookAtVersions();
     }
     dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -584,7 +584,7 @@
   }
 
   @Override
-  public void heard(int peer, byte[] message) {
+  public void onMessage(int peer, byte[] message) {
     if (module == null) {
       return; // within the start; a datagram may be lost, and what it says is said again
     }
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -33,16 +33,16 @@
     if (!t.flag("on", false)) {
       return null;
     }
-    Timing usual = Timing.USUAL;
-    double period = t.number("period_ms", (long) usual.periodMs());
-    double scale = period / usual.periodMs();
+    Timing defaults = Timing.DEFAULTS;
+    double period = t.number("period_ms", (long) defaults.probeIntervalMs());
+    double scale = period / defaults.probeIntervalMs();
     return new Timing(
         period,
-        usual.directMs() * scale,
-        usual.probeMs() * scale,
-        t.number("suspect_ms", (long) usual.suspectMs()),
-        usual.lateMs(),
-        t.number("bytes_per_s", (long) usual.bytesPerS()));
+        defaults.directTimeoutMs() * scale,
+        defaults.probeTimeoutMs() * scale,
+        t.number("suspect_ms", (long) defaults.suspicionTimeoutMs()),
+        defaults.pauseThresholdMs(),
+        t.number("bytes_per_s", (long) defaults.bytesPerSecond()));
   }
 
   /** Null: off, or there is nobody to share with. */
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -125,7 +125,7 @@
             .syncUninterruptibly();
         discovery.tierBy(members);
         boolean another = !other.equals(ListenerTakeover.Holds.NOTHING);
-        loop.execute(() -> members.beside(another));
+        loop.execute(() -> members.setParallelProcess(another));
       } else {
         dispatcher.log(
             "membership: the configuration names no peers, or not this proxy among them; it stays off");
@@ -199,7 +199,7 @@
     loop.submit(
             () -> {
               door.open(server);
-              peers.serving();
+              peers.announceServing();
               server.config().setAutoRead(true);
             })
         .syncUninterruptibly();
@@ -241,7 +241,7 @@
       if (members == null) {
         return false;
       }
-      loop.execute(() -> then.accept(members.json()));
+      loop.execute(() -> then.accept(members.viewAsJson()));
       return true;
     }
 
@@ -277,7 +277,8 @@
     public void beside(ListenerTakeover.Holds holds) {
       other = holds;
       if (members != null) {
-        loop.execute(() -> members.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
+        loop.execute(
+            () -> members.setParallelProcess(!holds.equals(ListenerTakeover.Holds.NOTHING)));
       }
       if (sharing != null) {
         loop.execute(() -> sharing.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
@@ -376,7 +377,7 @@
   }
 
   InetSocketAddress peerAddress() {
-    return peers.address();
+    return peers.address().orElse(null);
   }
 
   // ---- a new configuration
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -104,7 +104,7 @@
 
   private void ask() {
     if (!done.isDone() && span.asks()) {
-      peers.whoServes(
+      peers.askWhoServes(
           () -> {
             span.oneServes();
             endInTime();
--- a/src/main/java/cacheproxy/proxy/peers/MemberLink.java
+++ b/src/main/java/cacheproxy/proxy/peers/MemberLink.java
@@ -1,229 +1,179 @@
 package cacheproxy.proxy.peers;
 
 import cacheproxy.membership.Membership;
+import cacheproxy.membership.StateChange;
 import cacheproxy.membership.Timing;
-import cacheproxy.membership.View;
-import com.google.gson.JsonArray;
-import com.google.gson.JsonObject;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
-import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Membership on the peers' socket and the loop's clock: it asks, judges and tells by {@link
- * Membership} alone. Loaded only where the operator's file switches it on. On the event loop.
+ * Runs {@link Membership} on the peers' socket and the event loop's timers, and logs its changes.
+ * Loaded only if the operator's file enables membership. All methods are called on the event loop.
  */
 public final class MemberLink {
-  /** Changes that a call shows. */
-  private static final int MOST_EVENTS = 64;
+  /** How many changes {@link #viewAsJson} shows. */
+  private static final int MAX_CHANGES = 64;
 
-  /**
-   * Lines of the log within {@link #LINES_MS}; what is more is counted. Guards the log when a tier
-   * falls apart.
-   */
-  private static final int MOST_LINES = 50;
-
-  private static final double LINES_MS = 10_000;
+  private static final int MAX_LOG_LINES = 50;
+  private static final double LOG_PERIOD_MS = 10_000;
+  private static final double NANOS_PER_MS = 1e6;
 
   private final EventLoop loop;
   private final Membership membership;
-  private final Consumer<String> log;
-  private final ArrayDeque<Membership.Event> events = new ArrayDeque<>();
-  private Runnable whenOneServes;
-  private double linesFromMs;
-  private int lines;
-  private int untold;
-  private boolean wasDoubtful;
-
-  /** From now on this one is a member, that starts. On the event loop. */
+  private final RateLimitedLog log;
+  private final ArrayDeque<StateChange> changes = new ArrayDeque<>();
+  private Optional<Runnable> whenAnotherServes = Optional.empty();
+  private boolean wasUnreliable;
+
+  /**
+   * Joins the tier as a member that starts.
+   *
+   * @param loop the event loop that calls this object
+   * @param socket where datagrams come from and go to
+   * @param tierSize how many proxies the tier has
+   * @param self this proxy's number
+   * @param timing intervals, timeouts and the bytes to send
+   * @param seed for random choices; two processes may have the same
+   * @param log takes the lines of the log
+   */
   public MemberLink(
       EventLoop loop,
       PeerSocket socket,
-      int tier,
-      int me,
+      int tierSize,
+      int self,
       Timing timing,
       long seed,
       Consumer<String> log) {
     this.loop = loop;
-    this.log = log;
+    this.log = new RateLimitedLog(MAX_LOG_LINES, LOG_PERIOD_MS, "membership.untold changes=", log);
     // Two processes of one proxy may have been started with one seed.
+    long processSeed = seed ^ System.nanoTime();
     membership =
-        new Membership(
-            tier,
-            me,
-            timing,
-            seed ^ System.nanoTime(),
-            now(),
-            new Membership.Outlet() {
-              @Override
-              public void send(int member, byte[] message) {
-                socket.write(member, message);
-              }
-
-              @Override
-              public void changed(Membership.Event event) {
-                told(event);
-              }
-            });
-    socket.onMembers(
-        new PeerSocket.MemberListener() {
-          @Override
-          public void heard(int peer, byte[] message) {
-            membership.heard(now(), peer, message);
-            lookAround();
-          }
-
-          @Override
-          public void whenOneServes(Runnable then) {
-            whenOneServes = then;
-            lookAround();
-          }
-
-          @Override
-          public void serving() {
-            whenOneServes = null;
-            membership.serving(now());
-          }
-        });
+        new Membership(tierSize, self, timing, processSeed, nowMs(), new Callbacks(socket));
+    socket.onMembership(new Listener());
     tick();
   }
 
-  private static double now() {
-    return System.nanoTime() / 1e6;
+  private final class Callbacks implements Membership.Callbacks {
+    private final PeerSocket socket;
+
+    Callbacks(PeerSocket socket) {
+      this.socket = socket;
+    }
+
+    @Override
+    public void send(int member, byte[] datagram) {
+      socket.write(member, datagram);
+    }
+
+    @Override
+    public void stateChanged(StateChange change) {
+      record(change);
+    }
+  }
+
+  private final class Listener implements PeerSocket.MembershipListener {
+    @Override
+    public void onDatagram(int peer, byte[] datagram) {
+      membership.receive(nowMs(), peer, datagram);
+      checkForChanges();
+    }
+
+    @Override
+    public void whenAnotherServes(Runnable callback) {
+      whenAnotherServes = Optional.of(callback);
+      checkForChanges();
+    }
+
+    @Override
+    public void onServing() {
+      whenAnotherServes = Optional.empty();
+      membership.serving(nowMs());
+    }
+  }
+
+  private static double nowMs() {
+    return System.nanoTime() / NANOS_PER_MS;
   }
 
   private void tick() {
-    double now = now();
-    membership.tick(now);
-    lookAround();
-    double due = membership.dueMs();
-    if (due < Double.POSITIVE_INFINITY) {
-      loop.schedule(this::tick, (long) Math.max(1, Math.ceil(due - now)), TimeUnit.MILLISECONDS);
+    double nowMs = nowMs();
+    membership.tick(nowMs);
+    checkForChanges();
+    double nextMs = membership.nextTickMs();
+    if (nextMs < Double.POSITIVE_INFINITY) {
+      long delayMs = (long) Math.max(1, Math.ceil(nextMs - nowMs));
+      loop.schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
     }
   }
 
-  private void lookAround() {
-    if (whenOneServes != null && membership.anotherServes()) {
-      Runnable then = whenOneServes;
-      whenOneServes = null;
-      then.run();
+  private void checkForChanges() {
+    if (whenAnotherServes.isPresent() && membership.isAnotherAlive()) {
+      Runnable callback = whenAnotherServes.get();
+      whenAnotherServes = Optional.empty();
+      callback.run();
     }
-    if (membership.doubtful() != wasDoubtful) {
-      wasDoubtful = !wasDoubtful;
-      line("membership.ears " + (wasDoubtful ? "lost: judges nobody until it is heard" : "proven"));
+    if (membership.isUnreliable() != wasUnreliable) {
+      wasUnreliable = !wasUnreliable;
+      log.log(
+          nowMs(),
+          "membership.ears "
+              + (wasUnreliable ? "lost: judges nobody until it is heard" : "proven"));
     }
   }
 
-  private void told(Membership.Event e) {
-    if (events.size() == MOST_EVENTS) {
-      events.poll();
+  private void record(StateChange change) {
+    if (changes.size() == MAX_CHANGES) {
+      changes.poll();
     }
-    events.add(e);
-    line(
+    changes.add(change);
+    log.log(
+        nowMs(),
         "membership."
-            + e.to().name().toLowerCase(Locale.ROOT)
+            + MembershipJson.nameOf(change.to())
             + " member="
-            + e.member()
+            + change.member()
             + " was="
-            + e.from().name().toLowerCase(Locale.ROOT)
+            + MembershipJson.nameOf(change.from())
             + " incarnation="
-            + e.incarnation()
+            + change.incarnation()
             + " cause=\""
-            + e.cause()
+            + change.cause()
             + '"');
   }
 
-  private void line(String text) {
-    double now = now();
-    if (now - linesFromMs > LINES_MS) {
-      if (untold > 0) {
-        log.accept("membership.untold changes=" + untold);
-      }
-      linesFromMs = now;
-      lines = untold = 0;
-    }
-    if (lines++ < MOST_LINES) {
-      log.accept(text);
-    } else {
-      untold++;
-    }
-  }
-
-  /** This one was told to end, and no other process takes its place. */
+  /** This proxy shuts down gracefully, and no other process takes its place. */
   public void leaving() {
-    membership.leaving(now());
+    membership.leaving(nowMs());
   }
 
   /** Another process of this proxy runs at the same address, or no longer does. */
-  public void beside(boolean another) {
-    membership.beside(now(), another);
+  public void setParallelProcess(boolean running) {
+    membership.setParallelProcess(nowMs(), running);
   }
 
-  /** How many take clients by this view. */
+  /** Returns how many proxies accept clients in this view, this one included. */
   public int alive() {
-    return membership.alive();
+    return membership.aliveCount();
   }
 
-  /** Whether that one is there by this view. */
+  /** Returns whether another proxy is present in this view, suspected or not. */
   public boolean present(int member) {
-    return membership.present(member);
+    return membership.isPresent(member);
   }
 
-  /** There and back on the median; 0: not known. */
-  public double delayMs() {
-    return membership.delayMs();
-  }
-
-  /** The view as JSON, for operators' calls. */
-  public String json() {
-    double now = now();
-    View view = membership.view(now);
-    JsonObject all = new JsonObject();
-    all.addProperty("me", view.me());
-    all.addProperty("alive", membership.alive());
-    all.addProperty("doubtful", view.doubtful());
-    all.addProperty("health", view.health());
-    all.addProperty("delay_ms", round(view.delayMs()));
-    all.addProperty("sent_messages", view.sentMessages());
-    all.addProperty("sent_bytes", view.sentBytes());
-    JsonArray members = new JsonArray();
-    for (int m = 0; m < view.members().size(); m++) {
-      View.Member of = view.members().get(m);
-      JsonObject one = new JsonObject();
-      one.addProperty("number", m);
-      one.addProperty("state", of.state().name().toLowerCase(Locale.ROOT));
-      one.addProperty("incarnation", of.incarnation());
-      one.addProperty("age_ms", Math.round(of.ageMs()));
-      if (of.heardMs() < Double.POSITIVE_INFINITY) {
-        one.addProperty("heard_ms", Math.round(of.heardMs()));
-      }
-      one.addProperty("direct", of.direct());
-      if (!of.accusers().isEmpty()) {
-        JsonArray by = new JsonArray();
-        of.accusers().forEach(by::add);
-        one.add("accusers", by);
-      }
-      members.add(one);
-    }
-    all.add("members", members);
-    JsonArray changes = new JsonArray();
-    for (Membership.Event e : events) {
-      JsonObject one = new JsonObject();
-      one.addProperty("ago_ms", Math.round(now - e.atMs()));
-      one.addProperty("member", e.member());
-      one.addProperty("was", e.from().name().toLowerCase(Locale.ROOT));
-      one.addProperty("state", e.to().name().toLowerCase(Locale.ROOT));
-      one.addProperty("incarnation", e.incarnation());
-      one.addProperty("cause", e.cause());
-      changes.add(one);
-    }
-    all.add("changes", changes);
-    return all + "\n";
+  /** Returns the median round-trip time to other proxies in ms; empty: none was measured. */
+  public OptionalDouble medianRoundTripMs() {
+    return membership.medianRoundTripMs();
   }
 
-  private static double round(double ms) {
-    return Math.round(ms * 1000) / 1000.0;
+  /** Returns the view and its latest changes as JSON, for {@code GET /ops/members}. */
+  public String viewAsJson() {
+    double nowMs = nowMs();
+    return MembershipJson.of(membership.view(nowMs), membership.aliveCount(), changes, nowMs);
   }
 }
--- a/src/main/java/cacheproxy/proxy/peers/PeerSocket.java
+++ b/src/main/java/cacheproxy/proxy/peers/PeerSocket.java
@@ -17,200 +17,246 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * Messages between the proxies of a tier: datagrams that come late or not at all. Those that begin
- * with {@link #OWN} are the sockets' own and never reach the module: a proxy that starts asks who
- * serves already.
+ * The datagram socket between the proxies of a tier. Datagrams may be late or lost. Those that
+ * begin with {@link #INTERNAL} are the proxy's own protocols and never reach the policy; all others
+ * are the policy's messages. Methods are called on the event loop unless they say otherwise.
  */
 public final class PeerSocket {
   /**
-   * @param listen where messages come to; null: there are none
-   * @param peers one for each proxy of the tier, by number
-   * @param all for every proxy of the tier; null: none
-   * @param me this one's number
-   * @param beside whether another process of this proxy may come to use the same address
+   * The addresses of the tier.
+   *
+   * @param listen where datagrams are received; empty: the socket is disabled
+   * @param peers the address of each proxy of the tier, by number
+   * @param broadcast the address that reaches every proxy of the tier, if there is one
+   * @param self this proxy's number
+   * @param shared whether another process of this proxy may bind the same address
    */
   public record Addresses(
-      InetSocketAddress listen,
+      Optional<InetSocketAddress> listen,
       List<InetSocketAddress> peers,
-      InetSocketAddress all,
-      int me,
-      boolean beside) {}
+      Optional<InetSocketAddress> broadcast,
+      int self,
+      boolean shared) {}
 
-  /** Who the module's messages are for, and the log's lines. */
+  /** Receives the policy's messages, and the lines of the log. */
   public interface Receiver {
-    void heard(int peer, byte[] message);
+    /** Handles a message of the policy. */
+    void onMessage(int peer, byte[] message);
 
+    /** Writes a line to the log. */
     void log(String line);
   }
 
-  /** Is told which version of the list a peer says it has. */
-  public interface VersionListener {
-    void version(int peer, long version);
+  /** Receives the versions of the endpoint list that peers have. */
+  public interface EndpointVersionListener {
+    /** A peer has the endpoint list up to this version. */
+    void onVersion(int peer, long version);
   }
 
-  /** Is told of datagrams of membership's. */
-  interface MemberListener {
-    void heard(int peer, byte[] message);
+  /** Handles membership's datagrams and knows who serves. */
+  interface MembershipListener {
+    void onDatagram(int peer, byte[] datagram);
 
-    /** Has this run once another member takes clients. */
-    void whenOneServes(Runnable then);
+    /** Runs the callback once another proxy accepts clients. */
+    void whenAnotherServes(Runnable callback);
 
-    void serving();
+    /** This proxy accepts clients from now on. */
+    void onServing();
   }
 
-  /** Is told of datagrams about what the tier shares. */
+  /** Handles datagrams about the state that the tier shares. */
   interface SharedListener {
     void heard(int peer, byte[] message);
   }
 
-  private static final int MAX_MESSAGE = 256;
-  private static final byte OWN = (byte) 0xC1;
-  private static final byte[] WHO_SERVES = {OWN, '?'};
-  private static final byte[] I_SERVE = {OWN, '!'};
+  /** The longest datagram of any protocol. */
+  private static final int MAX_DATAGRAM_BYTES = 256;
+
+  /** The peer number that stands for all of the tier. */
+  private static final int ALL_PEERS = -1;
+
+  private static final byte INTERNAL = (byte) 0xC1;
+  private static final int KIND_OFFSET = 1;
+  private static final int HEAD_BYTES = 2;
+  private static final byte[] WHO_SERVES = {INTERNAL, '?'};
+  private static final byte[] I_SERVE = {INTERNAL, '!'};
 
-  /** Followed by the version of the sender's list, eight bytes. */
-  private static final byte LIST_VERSION = 'v';
+  /** Followed by the version of the sender's endpoint list, eight bytes. */
+  private static final byte ENDPOINT_VERSION = 'v';
 
-  private static final int VERSION_MESSAGE = 2 + Long.BYTES;
-  private static final byte MEMBERS = 'm';
-  private static final byte SHARED = 's';
+  private static final int ENDPOINT_VERSION_BYTES = HEAD_BYTES + Long.BYTES;
+  private static final byte MEMBERSHIP = 'm';
+  private static final byte SHARED_STATE = 's';
 
   private final Addresses addresses;
   private final Receiver receiver;
   private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-  private Channel channel;
+  private Optional<Channel> channel = Optional.empty();
   private boolean serving;
-  private Runnable whenOneServes = () -> {};
-  private VersionListener versions;
-  private MemberListener members;
-  private SharedListener shared;
+  private Runnable whenAnotherServes = () -> {};
+  private Optional<EndpointVersionListener> endpointVersions = Optional.empty();
+  private Optional<MembershipListener> membership = Optional.empty();
+  private Optional<SharedListener> sharedState = Optional.empty();
 
+  /** Binds the socket, if the addresses have one to listen at. Called on any thread. */
   public PeerSocket(EventLoop loop, Addresses addresses, Receiver receiver) {
     this.addresses = addresses;
     this.receiver = receiver;
-    for (int peer = addresses.peers().size() - 1;
-        peer >= 0;
-        peer--) { // of two at one address the first
-      numbers.put(addresses.peers().get(peer), peer);
+    for (int peer = 0; peer < addresses.peers().size(); peer++) {
+      numbers.putIfAbsent(addresses.peers().get(peer), peer);
     }
-    if (addresses.listen() != null) {
-      Bootstrap bootstrap =
-          new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Inbound());
-      if (addresses.beside()) {
-        bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
-      }
-      channel = bootstrap.bind(addresses.listen()).channel();
+    channel = addresses.listen().map(listen -> bind(loop, listen));
+  }
+
+  private Channel bind(EventLoop loop, InetSocketAddress listen) {
+    Bootstrap bootstrap =
+        new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Inbound());
+    if (addresses.shared()) {
+      bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
+    return bootstrap.bind(listen).channel();
   }
 
-  /** The address that messages come to; null where there are none. */
-  public InetSocketAddress address() {
-    return channel == null ? null : (InetSocketAddress) channel.localAddress();
+  /** Returns the bound address; empty if the socket is disabled. Called on any thread. */
+  public Optional<InetSocketAddress> address() {
+    return channel.map(bound -> (InetSocketAddress) bound.localAddress());
   }
 
-  /** Whether there is anybody to ask. */
+  /** Returns whether the tier has other proxies that can be reached. Called on any thread. */
   public boolean hasPeers() {
-    return channel != null && addresses.peers().size() > 1;
+    return channel.isPresent() && addresses.peers().size() > 1;
   }
 
   /**
-   * Asks the others of the tier whether they serve; each that does has this run. On the event loop.
+   * Asks the other proxies whether they accept clients. The callback runs for each answer, or once
+   * if membership is enabled, which knows of all.
    */
-  public void whoServes(Runnable whenOneDoes) {
-    if (members != null) { // it asks some by lot, and they know of all
-      members.whenOneServes(whenOneDoes);
+  public void askWhoServes(Runnable callback) {
+    if (membership.isPresent()) {
+      membership.get().whenAnotherServes(callback);
       return;
     }
-    whenOneServes = whenOneDoes;
+    whenAnotherServes = callback;
     for (int peer = 0; peer < addresses.peers().size(); peer++) {
-      if (peer != addresses.me()) {
+      if (peer != addresses.self()) {
         write(peer, WHO_SERVES);
       }
     }
   }
 
-  /** From now on this one serves, and says so. On the event loop. */
-  public void serving() {
+  /** This proxy accepts clients from now on, and answers others that ask. */
+  public void announceServing() {
     serving = true;
-    whenOneServes = () -> {};
-    if (members != null) {
-      members.serving();
-    }
+    whenAnotherServes = () -> {};
+    membership.ifPresent(MembershipListener::onServing);
   }
 
-  /** From now on what peers say of their lists comes here. */
-  public void onVersions(VersionListener listener) {
-    versions = listener;
+  /** Sets the listener for the versions of peers' endpoint lists. */
+  public void onEndpointVersions(EndpointVersionListener listener) {
+    endpointVersions = Optional.of(listener);
   }
 
-  void onMembers(MemberListener listener) {
-    members = listener;
+  void onMembership(MembershipListener listener) {
+    membership = Optional.of(listener);
   }
 
   void onShared(SharedListener listener) {
-    shared = listener;
+    sharedState = Optional.of(listener);
   }
 
-  /** Tells all of the tier at which version this one's list is. */
-  public void tellVersion(long version) {
-    if (addresses.all() != null) {
-      write(
-          -1,
-          ByteBuffer.allocate(VERSION_MESSAGE).put(OWN).put(LIST_VERSION).putLong(version).array());
+  /** Notifies all of the tier of this proxy's version of the endpoint list. */
+  public void broadcastEndpointVersion(long version) {
+    if (addresses.broadcast().isPresent()) {
+      ByteBuffer datagram = ByteBuffer.allocate(ENDPOINT_VERSION_BYTES);
+      datagram.put(INTERNAL).put(ENDPOINT_VERSION).putLong(version);
+      write(ALL_PEERS, datagram.array());
     }
   }
 
-  /** Sends to the proxy of this number, or to all of the tier if it is negative. */
+  /** Sends a message of the policy to a peer, or to all of the tier if the number is negative. */
   public void send(int peer, byte[] message) {
-    if (message.length > 0 && message[0] == OWN) { // the peer would take it for a question of ours
+    if (isInternal(message)) { // the peer would take it for one of the proxy's own
       receiver.log("a message to peer " + peer + " begins as none may");
       return;
     }
     write(peer, message);
   }
 
-  void write(int peer, byte[] message) {
-    InetSocketAddress to =
-        peer < 0
-            ? addresses.all()
-            : peer < addresses.peers().size() ? addresses.peers().get(peer) : null;
-    if (channel == null || to == null || message.length > MAX_MESSAGE) {
+  private static boolean isInternal(byte[] datagram) {
+    return datagram.length > 0 && datagram[0] == INTERNAL;
+  }
+
+  /** Sends a datagram of any protocol to a peer, or to all of the tier if it is negative. */
+  void write(int peer, byte[] datagram) {
+    Optional<InetSocketAddress> receiverAddress = addressOf(peer);
+    if (channel.isEmpty() || receiverAddress.isEmpty() || datagram.length > MAX_DATAGRAM_BYTES) {
       receiver.log("a message to peer " + peer + " can't be sent");
       return;
     }
-    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
+    channel
+        .get()
+        .writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), receiverAddress.get()));
   }
 
-  /** What does not come from a peer, or is longer than the protocol has it, is dropped. */
+  private Optional<InetSocketAddress> addressOf(int peer) {
+    if (peer < 0) {
+      return addresses.broadcast();
+    }
+    return peer < addresses.peers().size()
+        ? Optional.of(addresses.peers().get(peer))
+        : Optional.empty();
+  }
+
+  /** Drops datagrams that come from no peer or are too long, and passes on all others. */
   private final class Inbound extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       Integer peer = numbers.get(packet.sender());
-      int bytes = packet.content().readableBytes();
-      if (peer == null || bytes > MAX_MESSAGE) {
+      if (peer == null || packet.content().readableBytes() > MAX_DATAGRAM_BYTES) {
         return;
       }
-      byte[] message = ByteBufUtil.getBytes(packet.content());
-      if (bytes == 0 || message[0] != OWN) {
-        receiver.heard(peer, message);
-      } else if (Arrays.equals(message, I_SERVE)) {
-        whenOneServes.run();
-      } else if (Arrays.equals(message, WHO_SERVES) && serving) {
-        write(peer, I_SERVE);
-      } else if (versions != null && bytes == VERSION_MESSAGE && message[1] == LIST_VERSION) {
-        versions.version(peer, ByteBuffer.wrap(message).getLong(2));
-      } else if (members != null && bytes > 2 && message[1] == MEMBERS) {
-        members.heard(peer, message);
-      } else if (shared != null && bytes > 2 && message[1] == SHARED) {
-        shared.heard(peer, message);
+      byte[] datagram = ByteBufUtil.getBytes(packet.content());
+      if (isInternal(datagram)) {
+        receiveInternal(peer, datagram);
+      } else {
+        receiver.onMessage(peer, datagram);
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // A datagram that did not arrive says nothing of the next.
+      // One datagram's failure says nothing of the next.
+    }
+  }
+
+  private void receiveInternal(int peer, byte[] datagram) {
+    if (Arrays.equals(datagram, I_SERVE)) {
+      whenAnotherServes.run();
+    } else if (Arrays.equals(datagram, WHO_SERVES)) {
+      if (serving) {
+        write(peer, I_SERVE);
+      }
+    } else if (datagram.length > HEAD_BYTES) {
+      receiveTyped(peer, datagram);
+    }
+  }
+
+  private void receiveTyped(int peer, byte[] datagram) {
+    switch (datagram[KIND_OFFSET]) {
+      case ENDPOINT_VERSION -> {
+        if (datagram.length == ENDPOINT_VERSION_BYTES) {
+          long version = ByteBuffer.wrap(datagram).getLong(HEAD_BYTES);
+          endpointVersions.ifPresent(listener -> listener.onVersion(peer, version));
+        }
+      }
+      case MEMBERSHIP -> membership.ifPresent(listener -> listener.onDatagram(peer, datagram));
+      case SHARED_STATE -> sharedState.ifPresent(listener -> listener.heard(peer, datagram));
+      default -> {
+        // Of a later version.
+      }
     }
   }
 }
--- a/src/test/java/cacheproxy/gossip/EndpointVersionGossipTest.java
+++ b/src/test/java/cacheproxy/gossip/EndpointVersionGossipTest.java
@@ -4,225 +4,253 @@
 
 import java.util.Arrays;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** One proxy's view in virtual time; the others are what it hears. */
+/** One proxy's gossip in virtual time, and tiers of simulated proxies. */
 class EndpointVersionGossipTest {
-  private static final int TIER = 14;
-  private final EndpointVersionGossip versions = new EndpointVersionGossip(TIER, 0);
-
-  /** What is done up to this time: calls of discovery, with the times at which. */
-  private double asksBy(double end) {
-    for (double now; (now = versions.dueMs()) <= end; ) {
-      versions.tells(now);
-      if (versions.asks(now)) {
-        return now;
+  private static final int TIER_SIZE = 14;
+  private final EndpointVersionGossip gossip = new EndpointVersionGossip(TIER_SIZE, 0);
+
+  /** Performs what is due until this time or the first poll; returns when that is. */
+  private OptionalDouble firstPollUntil(double endMs) {
+    double nowMs = gossip.nextActionMs();
+    while (nowMs <= endMs) {
+      gossip.versionToBroadcast(nowMs);
+      if (gossip.shouldPoll(nowMs)) {
+        return OptionalDouble.of(nowMs);
       }
+      nowMs = gossip.nextActionMs();
     }
-    return Double.NaN;
+    return OptionalDouble.empty();
   }
 
-  /**
-   * A watch that is only somewhat later than another's calls nobody; one that is silent is seen.
-   */
+  /** A watch that is only somewhat later than another's causes no poll; one that is silent does. */
   @Test
-  void aSilentWatchIsToldFromALateOne() {
-    versions.own(0, 10, 0.5);
-    versions.heard(1000, 3, 11, 0.5);
-    versions.own(1000 + EndpointVersionGossip.LATE_MS - 1, 11, 0.5);
-    assertThat(asksBy(60_000)).isNaN();
-    versions.heard(61_000, 3, 12, 1);
-    assertThat(asksBy(70_000))
-        .isEqualTo(61_000 + EndpointVersionGossip.LATE_MS + EndpointVersionGossip.ASK_SPREAD_MS);
+  void pollsForSilentWatchButNotForLateOne() {
+    gossip.onOwnVersion(0, 10, 0.5);
+    gossip.onPeerVersion(1000, 3, 11, 0.5);
+    gossip.onOwnVersion(1000 + EndpointVersionGossip.WATCH_LAG_MS - 1, 11, 0.5);
+    assertThat(firstPollUntil(60_000)).isEmpty();
+    gossip.onPeerVersion(61_000, 3, 12, 1);
+    assertThat(firstPollUntil(70_000))
+        .hasValue(
+            61_000 + EndpointVersionGossip.WATCH_LAG_MS + EndpointVersionGossip.POLL_SPREAD_MS);
   }
 
   /**
-   * One that counts otherwise, or is spoilt, costs fewer calls the longer it goes on; a sound one
-   * is still heard.
+   * A peer that counts differently, or is faulty, costs fewer polls the longer it goes on; a
+   * correct one is still heard.
    */
   @Test
-  void aMistakenPeerIsHeardLessAndLess() {
-    versions.own(0, 10, 0.5);
-    int calls = 0;
-    for (double now = 0; now < 600_000; now += 100) {
-      versions.heard(now, 5, Long.MAX_VALUE - (long) now, 0.5);
-      calls += Double.isNaN(asksBy(now)) ? 0 : 1;
+  void ignoresPeerWithUnconfirmedVersionsForLongerAndLonger() {
+    gossip.onOwnVersion(0, 10, 0.5);
+    int polls = 0;
+    for (double nowMs = 0; nowMs < 600_000; nowMs += 100) {
+      gossip.onPeerVersion(nowMs, 5, Long.MAX_VALUE - (long) nowMs, 0.5);
+      polls += firstPollUntil(nowMs).isPresent() ? 1 : 0;
     }
-    assertThat(calls).isBetween(2, 9);
-    versions.heard(600_000, 6, 11, 0);
-    assertThat(asksBy(600_000 + EndpointVersionGossip.LATE_MS)).isNotNaN();
+    assertThat(polls).isBetween(2, 9);
+    gossip.onPeerVersion(600_000, 6, 11, 0);
+    assertThat(firstPollUntil(600_000 + EndpointVersionGossip.WATCH_LAG_MS)).isPresent();
   }
 
   @Test
-  void whatTwoOthersHaveToldIsNotToldAgain() {
-    versions.own(0, 10, 1);
-    versions.heard(10, 1, 10, 0.5);
-    versions.heard(20, 2, 10, 0.5);
-    assertThat(versions.tells(EndpointVersionGossip.TELL_SPREAD_MS)).isZero();
-    versions.heard(1000, 4, 9, 0); // but who is behind is told
-    assertThat(versions.tells(1000)).isEqualTo(10);
+  void doesNotBroadcastWhatTwoOthersHaveBroadcast() {
+    gossip.onOwnVersion(0, 10, 1);
+    gossip.onPeerVersion(10, 1, 10, 0.5);
+    gossip.onPeerVersion(20, 2, 10, 0.5);
+    assertThat(gossip.versionToBroadcast(EndpointVersionGossip.BROADCAST_SPREAD_MS)).isEmpty();
+    gossip.onPeerVersion(1000, 4, 9, 0); // but a peer that is behind is notified
+    assertThat(gossip.versionToBroadcast(1000)).hasValue(10);
+  }
+
+  /** Proxies whose datagrams take 4 to 29 ms, and may be lost. */
+  private static final class SimulatedTier {
+    final SplittableRandom random;
+    final EndpointVersionGossip[] proxies;
+    final boolean lossy;
+    final PriorityQueue<Map.Entry<Double, Runnable>> due =
+        new PriorityQueue<>(Map.Entry.comparingByKey());
+    int broadcasts;
+
+    SimulatedTier(int size, long seed, boolean lossy) {
+      random = new SplittableRandom(seed);
+      this.lossy = lossy;
+      proxies = new EndpointVersionGossip[size];
+      for (int proxy = 0; proxy < size; proxy++) {
+        proxies[proxy] = new EndpointVersionGossip(size, proxy);
+      }
+    }
+
+    void at(double timeMs, Runnable action) {
+      due.add(Map.entry(timeMs, action));
+    }
+
+    void runDue(double nowMs) {
+      while (!due.isEmpty() && due.peek().getKey() <= nowMs) {
+        due.poll().getValue().run();
+      }
+    }
+
+    void broadcastIfDue(double nowMs, int from) {
+      OptionalLong version = proxies[from].versionToBroadcast(nowMs);
+      if (version.isEmpty()) {
+        return;
+      }
+      broadcasts++;
+      for (int to = 0; to < proxies.length; to++) {
+        double arrivalMs = nowMs + 4 + random.nextInt(26);
+        boolean lost = to == from || lossy && random.nextInt(3) == 0;
+        if (!lost) {
+          EndpointVersionGossip receiver = proxies[to];
+          at(
+              arrivalMs,
+              () ->
+                  receiver.onPeerVersion(
+                      arrivalMs, from, version.getAsLong(), random.nextDouble()));
+        }
+      }
+    }
   }
 
   /**
    * Hard case: of fourteen watches two live, datagrams take up to 30 ms and one in three is lost.
-   * All must know within seconds, where the waits of their watches would have taken ten and more,
-   * and must not call all at once.
+   * All must have the new version within seconds, where the timeouts of their watches would have
+   * taken ten and more, and must not poll all at once.
    */
   @Test
-  void twoWatchesThatLiveAreEnoughForAll() {
+  void twoLiveWatchesAreEnoughForAllProxies() {
     for (long seed = 1; seed <= 100; seed++) {
-      twoWatchesThatLive(seed);
+      new TierWithTwoLiveWatches(seed).run();
     }
   }
 
-  private static void twoWatchesThatLive(long seed) {
-    SplittableRandom random = new SplittableRandom(seed);
-    EndpointVersionGossip[] tier = new EndpointVersionGossip[TIER];
-    long[] has = new long[TIER];
-    double[] knownMs = new double[TIER];
-    PriorityQueue<Map.Entry<Double, Runnable>> due =
-        new PriorityQueue<>(Map.Entry.comparingByKey());
-    for (int p = 0; p < TIER; p++) {
-      tier[p] = new EndpointVersionGossip(TIER, p);
-      tier[p].own(0, 1, random.nextDouble());
-      int me = p;
-      if (p < 2) {
-        due.add(
-            Map.entry(
-                1000.0,
-                () -> {
-                  has[me] = 2;
-                  knownMs[me] = 1000;
-                  tier[me].own(1000, 2, random.nextDouble());
-                }));
-      }
+  /** Version 2 of the endpoint list comes after 1 s, to the first two proxies' watches. */
+  private static final class TierWithTwoLiveWatches {
+    private static final int LIVE_WATCHES = 2;
+    private static final double CHANGED_MS = 1000;
+    private static final double POLL_ANSWER_MS = 200;
+
+    private final long seed;
+    private final SimulatedTier tier;
+    private final long[] versions = new long[TIER_SIZE];
+    private final double[] knownMs = new double[TIER_SIZE];
+    private int polls;
+    private int pollsInSecond;
+    private double secondBeganMs;
+
+    TierWithTwoLiveWatches(long seed) {
+      this.seed = seed;
+      tier = new SimulatedTier(TIER_SIZE, seed, true);
     }
-    int calls = 0;
-    int told = 0;
-    int callsInASecond = 0;
-    double second = 0;
-    for (double now = 0; now < 20_000; now++) {
-      while (!due.isEmpty() && due.peek().getKey() <= now) {
-        due.poll().getValue().run();
+
+    void run() {
+      for (int proxy = 0; proxy < TIER_SIZE; proxy++) {
+        tier.proxies[proxy].onOwnVersion(0, 1, tier.random.nextDouble());
+        if (proxy < LIVE_WATCHES) {
+          receiveNewVersion(CHANGED_MS, proxy);
+        }
       }
-      for (int p = 0; p < TIER; p++) {
-        long tells = tier[p].tells(now);
-        if (tells > 0) {
-          told++;
-          for (int q = 0; q < TIER; q++) {
-            int from = p;
-            int to = q;
-            double at = now + 4 + random.nextInt(26);
-            if (q != p && random.nextInt(3) > 0) {
-              due.add(Map.entry(at, () -> tier[to].heard(at, from, tells, random.nextDouble())));
-            }
+      for (double nowMs = 0; nowMs < 20_000; nowMs++) {
+        tier.runDue(nowMs);
+        for (int proxy = 0; proxy < TIER_SIZE; proxy++) {
+          tier.broadcastIfDue(nowMs, proxy);
+          if (tier.proxies[proxy].shouldPoll(nowMs)) {
+            countPoll(nowMs);
+            receiveNewVersion(nowMs + POLL_ANSWER_MS, proxy);
           }
         }
-        if (tier[p].asks(now)) {
-          calls++;
-          callsInASecond = now - second < 1000 ? callsInASecond + 1 : 1;
-          second = now - second < 1000 ? second : now;
-          assertThat(callsInASecond).as("seed %d", seed).isLessThan(TIER);
-          int me = p;
-          double at = now + 200;
-          due.add(
-              Map.entry(
-                  at,
-                  () -> {
-                    knownMs[me] = has[me] == 2 ? knownMs[me] : at;
-                    has[me] = 2;
-                    tier[me].own(at, 2, random.nextDouble());
-                  }));
-        }
       }
+      assertThat(versions).as("seed %d", seed).containsOnly(2);
+      assertThat(Arrays.stream(knownMs).max().orElseThrow()).as("seed %d", seed).isLessThan(8000);
+      assertThat(polls).as("seed %d", seed).isEqualTo(TIER_SIZE - LIVE_WATCHES);
+      assertThat(tier.broadcasts).as("seed %d", seed).isLessThan(3 * TIER_SIZE);
+    }
+
+    private void receiveNewVersion(double timeMs, int proxy) {
+      tier.at(
+          timeMs,
+          () -> {
+            knownMs[proxy] = versions[proxy] == 2 ? knownMs[proxy] : timeMs;
+            versions[proxy] = 2;
+            tier.proxies[proxy].onOwnVersion(timeMs, 2, tier.random.nextDouble());
+          });
+    }
+
+    private void countPoll(double nowMs) {
+      polls++;
+      boolean sameSecond = nowMs - secondBeganMs < 1000;
+      pollsInSecond = sameSecond ? pollsInSecond + 1 : 1;
+      secondBeganMs = sameSecond ? secondBeganMs : nowMs;
+      assertThat(pollsInSecond).as("seed %d", seed).isLessThan(TIER_SIZE);
     }
-    assertThat(has).as("seed %d", seed).containsOnly(2);
-    assertThat(knownMs)
-        .as("seed %d", seed)
-        .satisfies(k -> assertThat(Arrays.stream(k).max().orElseThrow()).isLessThan(8000));
-    assertThat(calls).as("seed %d", seed).isEqualTo(TIER - 2);
-    assertThat(told).as("seed %d", seed).isLessThan(3 * TIER);
   }
 
   /**
-   * All watches bring the news at once: who tells it, in a tier that knows its size, and in one
-   * that goes by fourteen.
+   * All watches bring a new version at once: how many broadcast it, in a tier that knows its size,
+   * and in one that assumes fourteen.
    */
   @ParameterizedTest
   @CsvSource({"14,6,6", "100,7,10", "400,9,25"})
-  void newsIsToldByFewHoweverManyThereAre(int n, int mostTold, int leastUnsized) {
+  void fewBroadcastNewVersionInTierOfAnySize(
+      int tierSize, int maxBroadcasts, int minWithUnknownSize) {
     for (long seed = 1; seed <= 5; seed++) {
-      assertThat(told(n, true, seed)).as("seed %d", seed).isBetween(1, mostTold);
+      assertThat(broadcasts(tierSize, true, seed)).as("seed %d", seed).isBetween(1, maxBroadcasts);
     }
-    assertThat(told(n, false, 1))
+    assertThat(broadcasts(tierSize, false, 1))
         .as("by the spread for fourteen")
-        .isGreaterThanOrEqualTo(n == 14 ? 1 : leastUnsized);
+        .isGreaterThanOrEqualTo(tierSize == TIER_SIZE ? 1 : minWithUnknownSize);
   }
 
-  private static int told(int n, boolean sized, long seed) {
-    SplittableRandom random = new SplittableRandom(seed);
-    EndpointVersionGossip[] tier = new EndpointVersionGossip[n];
-    PriorityQueue<Map.Entry<Double, Runnable>> due =
-        new PriorityQueue<>(Map.Entry.comparingByKey());
-    for (int p = 0; p < n; p++) {
-      tier[p] = new EndpointVersionGossip(n, p);
-      if (sized) {
-        tier[p].tier(n, 34);
+  private static int broadcasts(int tierSize, boolean sizeKnown, long seed) {
+    SimulatedTier tier = new SimulatedTier(tierSize, seed, false);
+    for (EndpointVersionGossip proxy : tier.proxies) {
+      if (sizeKnown) {
+        proxy.setTierSize(tierSize, OptionalDouble.of(34));
       }
-      tier[p].own(0, 2, random.nextDouble());
+      proxy.onOwnVersion(0, 2, tier.random.nextDouble());
     }
-    int told = 0;
-    for (double now = 0; now < 20_000; now++) {
-      while (!due.isEmpty() && due.peek().getKey() <= now) {
-        due.poll().getValue().run();
-      }
-      for (int p = 0; p < n; p++) {
-        long tells = tier[p].dueMs() <= now ? tier[p].tells(now) : 0;
-        for (int q = 0; q < n && tells > 0; q++) {
-          int from = p;
-          int to = q;
-          double at = now + 4 + random.nextInt(26);
-          due.add(Map.entry(at, () -> tier[to].heard(at, from, tells, random.nextDouble())));
-        }
-        told += tells > 0 ? 1 : 0;
+    for (double nowMs = 0; nowMs < 20_000; nowMs++) {
+      tier.runDue(nowMs);
+      for (int proxy = 0; proxy < tierSize; proxy++) {
+        tier.broadcastIfDue(nowMs, proxy);
       }
     }
-    return told;
+    return tier.broadcasts;
   }
 
-  /**
-   * Spoilt numbers and versions, peers that are none: bounded in what is told and asked, and never
-   * stuck.
-   */
+  /** Faulty peer numbers and versions: broadcasts and polls are bounded, and polls go on. */
   @Test
-  void whateverIsHeardToldAndAskedStayBounded() {
+  void boundsBroadcastsAndPollsForAnyInput() {
     long seed = 20261201;
     SplittableRandom random = new SplittableRandom(seed);
-    int told = 0;
-    int asked = 0;
-    long own = 1;
-    for (double now = 0; now < 100_000; now += 10) {
+    int broadcasts = 0;
+    int polls = 0;
+    long ownVersion = 1;
+    for (double nowMs = 0; nowMs < 100_000; nowMs += 10) {
       if (random.nextInt(100) == 0) {
-        own += random.nextInt(3) - (random.nextInt(50) == 0 ? own : 0);
-        versions.own(now, own, random.nextDouble());
+        ownVersion += random.nextInt(3) - (random.nextInt(50) == 0 ? ownVersion : 0);
+        gossip.onOwnVersion(nowMs, ownVersion, random.nextDouble());
       }
-      versions.heard(
-          now,
+      gossip.onPeerVersion(
+          nowMs,
           random.nextInt(-3, 20),
-          random.nextInt(4) == 0 ? random.nextLong() : own + 1,
+          random.nextInt(4) == 0 ? random.nextLong() : ownVersion + 1,
           random.nextDouble());
-      told += versions.tells(now) > 0 ? 1 : 0;
-      asked += versions.asks(now) ? 1 : 0;
+      broadcasts += gossip.versionToBroadcast(nowMs).isPresent() ? 1 : 0;
+      polls += gossip.shouldPoll(nowMs) ? 1 : 0;
     }
-    assertThat(told)
+    assertThat(broadcasts)
         .as("seed %d", seed)
-        .isLessThanOrEqualTo((int) (100_000 / EndpointVersionGossip.TELL_AGAIN_MS) + 1);
-    assertThat(asked)
+        .isLessThanOrEqualTo((int) (100_000 / EndpointVersionGossip.BROADCAST_INTERVAL_MS) + 1);
+    assertThat(polls)
         .as("seed %d", seed)
-        .isBetween(1, (int) (100_000 / EndpointVersionGossip.LATE_MS) + 1);
+        .isBetween(1, (int) (100_000 / EndpointVersionGossip.WATCH_LAG_MS) + 1);
   }
 }
--- a/src/test/java/cacheproxy/membership/MessageWireFormatTest.java
+++ b/src/test/java/cacheproxy/membership/MessageWireFormatTest.java
@@ -2,11 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.membership.Message.Entry;
-import cacheproxy.membership.Message.Kind;
-import cacheproxy.membership.Message.News;
+import cacheproxy.membership.Message.Header;
+import cacheproxy.membership.Message.ViewSection;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.OptionalInt;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -22,36 +22,37 @@
         + "020003b000000902bc8001ffff00720300002005c04d",
     "ACK,  c16d0101beef010203045fff610200000a0b0c0dffff03e8"
         + "020003b000000902bc8001ffff00720300002005c04d",
-    "ASK,  c16d0102beef010203045fff610200000a0b0c0d020103e8"
+    "PING_REQUEST, c16d0102beef010203045fff610200000a0b0c0d020103e8"
         + "020003b000000902bc8001ffff00720300002005c04d",
-    "TOLD, c16d0103beef010203045fff610200000a0b0c0d020103e8"
+    "INDIRECT_ACK, c16d0103beef010203045fff610200000a0b0c0d020103e8"
         + "020003b000000902bc8001ffff00720300002005c04d",
-    "WORD, c16d0104beef010203045fff610200000a0b0c0dffff03e8"
+    "ANNOUNCEMENT, c16d0104beef010203045fff610200000a0b0c0dffff03e8"
         + "020003b000000902bc8001ffff00720300002005c04d",
   })
-  void fullMessageHasTheseBytes(Kind kind, String hex) {
-    boolean aboutAnother = kind == Kind.ASK || kind == Kind.TOLD;
-    Message message =
-        new Message(
-            kind,
+  void fullMessageHasTheseBytes(MessageType type, String hex) {
+    Header header =
+        new Header(
+            type,
             0xBEEF,
             0x01020304,
-            new Entry(State.ALIVE, 8191),
-            new Entry(State.SUSPECT, 258),
+            new MemberStatus(MemberState.ALIVE, 8191),
+            new MemberStatus(MemberState.SUSPECT, 258),
             false,
             0x0A0B0C0D,
-            aboutAnother ? 513 : -1,
-            1000,
-            List.of(
-                new News(3, new Entry(State.DEAD, 4096), 9),
-                new News(700, new Entry(State.LEAVING, 1), -1)),
+            isAboutTarget(type) ? OptionalInt.of(513) : OptionalInt.empty(),
+            1000);
+    List<MemberUpdate> updates =
+        List.of(
+            new MemberUpdate(3, new MemberStatus(MemberState.DEAD, 4096), OptionalInt.of(9)),
+            new MemberUpdate(700, new MemberStatus(MemberState.LEAVING, 1), OptionalInt.empty()));
+    ViewSection view =
+        new ViewSection(
             114,
             List.of(
-                new Entry(State.UNKNOWN, 0),
-                new Entry(State.STARTING, 5),
-                new Entry(State.GONE, 77)));
-    assertThat(HexFormat.of().formatHex(message.bytes())).isEqualTo(hex);
-    assertThat(Message.parse(HexFormat.of().parseHex(hex))).isEqualTo(message);
+                new MemberStatus(MemberState.UNKNOWN, 0),
+                new MemberStatus(MemberState.STARTING, 5),
+                new MemberStatus(MemberState.GONE, 77)));
+    assertEncodesTo(new Message(header, updates, view), hex);
   }
 
   /** Both ways, with no updates and no view, and the lowest and highest numbers in the header. */
@@ -59,27 +60,31 @@
   @CsvSource({
     "PING, c16d01000001fffffffe200000000001ffffffffffff000200000000",
     "ACK,  c16d01010001fffffffe200000000001ffffffffffff000200000000",
-    "ASK,  c16d01020001fffffffe200000000001ffffffff0000000200000000",
-    "TOLD, c16d01030001fffffffe200000000001ffffffff0000000200000000",
-    "WORD, c16d01040001fffffffe200000000001ffffffffffff000200000000",
+    "PING_REQUEST, c16d01020001fffffffe200000000001ffffffff0000000200000000",
+    "INDIRECT_ACK, c16d01030001fffffffe200000000001ffffffff0000000200000000",
+    "ANNOUNCEMENT, c16d01040001fffffffe200000000001ffffffffffff000200000000",
   })
-  void messageWithoutUpdatesAndViewHasTheseBytes(Kind kind, String hex) {
-    boolean aboutAnother = kind == Kind.ASK || kind == Kind.TOLD;
-    Message message =
-        new Message(
-            kind,
+  void messageWithoutUpdatesAndViewHasTheseBytes(MessageType type, String hex) {
+    Header header =
+        new Header(
+            type,
             1,
             -2,
-            new Entry(State.STARTING, 0),
-            Entry.NOTHING,
+            new MemberStatus(MemberState.STARTING, 0),
+            MemberStatus.NOTHING,
             true,
             -1,
-            aboutAnother ? 0 : -1,
-            2,
-            List.of(),
-            0,
-            List.of());
-    assertThat(HexFormat.of().formatHex(message.bytes())).isEqualTo(hex);
-    assertThat(Message.parse(HexFormat.of().parseHex(hex))).isEqualTo(message);
+            isAboutTarget(type) ? OptionalInt.of(0) : OptionalInt.empty(),
+            2);
+    assertEncodesTo(new Message(header, List.of(), ViewSection.EMPTY), hex);
+  }
+
+  private static boolean isAboutTarget(MessageType type) {
+    return type == MessageType.PING_REQUEST || type == MessageType.INDIRECT_ACK;
+  }
+
+  private static void assertEncodesTo(Message message, String hex) {
+    assertThat(HexFormat.of().formatHex(MessageCodec.encode(message))).isEqualTo(hex);
+    assertThat(MessageCodec.decode(HexFormat.of().parseHex(hex))).contains(message);
   }
 }
