--- a/src/main/java/cacheproxy/membership/Dissemination.java
+++ b/src/main/java/cacheproxy/membership/Dissemination.java
@@ -28,12 +28,11 @@
   private int pendingUpdates;
   private int nextInView;
 
-  Dissemination(
-      LocalMember self, MemberTable members, SuspicionTable suspicions, SplittableRandom random) {
-    this.self = self;
-    this.members = members;
-    this.suspicions = suspicions;
-    this.random = random;
+  Dissemination(ProtocolState state) {
+    self = state.self();
+    members = state.members();
+    suspicions = state.suspicions();
+    random = state.random();
     remaining = new int[members.size()];
     int logarithm = Integer.SIZE + 1 - Integer.numberOfLeadingZeros(members.size());
     transmissions = RETRANSMIT_FACTOR * logarithm;
--- a/src/main/java/cacheproxy/membership/FailureDetector.java
+++ b/src/main/java/cacheproxy/membership/FailureDetector.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -63,26 +62,22 @@
   }
 
   FailureDetector(
-      Timing timing,
-      MemberTable members,
+      ProtocolState state,
       ProbeTargets targets,
-      LocalHealth health,
       MessageSender sender,
       Suspicions suspicions,
       NonceSequence nonces,
-      Set<Mechanism> enabled,
-      SplittableRandom random,
       double nowMs) {
-    this.timing = timing;
-    this.members = members;
+    timing = state.timing();
+    members = state.members();
+    health = state.health();
+    random = state.random();
     this.targets = targets;
-    this.health = health;
     this.sender = sender;
     this.suspicions = suspicions;
     this.nonces = nonces;
-    this.random = random;
-    indirectProbes = enabled.contains(Mechanism.INDIRECT_PROBES);
-    failureRate = new ProbeFailureRate(members.size(), enabled.contains(Mechanism.LOCAL_HEALTH));
+    indirectProbes = state.isEnabled(Mechanism.INDIRECT_PROBES);
+    failureRate = new ProbeFailureRate(members.size(), state.isEnabled(Mechanism.LOCAL_HEALTH));
     nextProbeMs = nowMs + random.nextDouble() * timing.probeIntervalMs() / FIRST_INTERVAL_DIVISOR;
   }
 
--- a/src/main/java/cacheproxy/membership/Membership.java
+++ b/src/main/java/cacheproxy/membership/Membership.java
@@ -74,48 +74,26 @@
       throw new IllegalArgumentException("member " + self + " of a tier of " + tierSize);
     }
     this.tierSize = tierSize;
-    this.self = new LocalMember(self);
     enabled = EnumSet.allOf(Mechanism.class);
     enabled.removeAll(Arrays.asList(disabled));
     SplittableRandom random = new SplittableRandom(seed);
     int processId = 1 + random.nextInt(PROCESS_IDS);
     NonceSequence nonces = new NonceSequence(random.nextInt());
-    suspicionTable = new SuspicionTable(tierSize);
-    members = new MemberTable(tierSize, suspicionTable, nowMs);
+    ProtocolState state = ProtocolState.create(tierSize, self, timing, enabled, random, nowMs);
+    this.self = state.self();
+    members = state.members();
+    suspicionTable = state.suspicions();
+    health = state.health();
     sequences = new SequenceTracker(tierSize);
-    health = new LocalHealth(timing.pauseThresholdMs(), tierSize, enabled, nowMs);
-    Dissemination dissemination = new Dissemination(this.self, members, suspicionTable, random);
+    Dissemination dissemination = new Dissemination(state);
     SendBudget budget = new SendBudget(timing.bytesPerSecond(), nowMs);
-    sender =
-        new MessageSender(this.self, processId, members, health, dissemination, budget, callbacks);
-    suspicions =
-        new Suspicions(
-            timing,
-            this.self,
-            members,
-            suspicionTable,
-            health,
-            dissemination,
-            sender,
-            enabled,
-            callbacks);
-    ProbeTargets targets = new ProbeTargets(this.self, members, health, enabled, random);
-    detector =
-        new FailureDetector(
-            timing, members, targets, health, sender, suspicions, nonces, enabled, random, nowMs);
-    relay = new ProbeRelay(this.self, members, health, sender, nonces);
-    refutation = new SelfRefutation(this.self, members, health, targets, sender);
-    merger =
-        new UpdateMerger(
-            timing,
-            this.self,
-            members,
-            health,
-            dissemination,
-            suspicions,
-            refutation,
-            detector,
-            enabled);
+    sender = new MessageSender(state, processId, dissemination, budget, callbacks);
+    suspicions = new Suspicions(state, dissemination, sender, callbacks);
+    ProbeTargets targets = new ProbeTargets(state);
+    detector = new FailureDetector(state, targets, sender, suspicions, nonces, nowMs);
+    relay = new ProbeRelay(state, sender, nonces);
+    refutation = new SelfRefutation(state, targets, sender);
+    merger = new UpdateMerger(state, dissemination, suspicions, refutation, detector);
   }
 
   /**
--- a/src/main/java/cacheproxy/membership/MessageSender.java
+++ b/src/main/java/cacheproxy/membership/MessageSender.java
@@ -45,17 +45,15 @@
   private long sentBytes;
 
   MessageSender(
-      LocalMember self,
+      ProtocolState state,
       int processId,
-      MemberTable members,
-      LocalHealth health,
       Dissemination dissemination,
       SendBudget budget,
       Membership.Callbacks callbacks) {
-    this.self = self;
+    self = state.self();
+    members = state.members();
+    health = state.health();
     this.processId = processId;
-    this.members = members;
-    this.health = health;
     this.dissemination = dissemination;
     this.budget = budget;
     this.callbacks = callbacks;
--- a/src/main/java/cacheproxy/membership/ProbeRelay.java
+++ b/src/main/java/cacheproxy/membership/ProbeRelay.java
@@ -20,15 +20,10 @@
   /** A probe under way, and whom to notify of its ack. */
   private record RelayedProbe(int nonce, int target, int requester, int requesterNonce) {}
 
-  ProbeRelay(
-      LocalMember self,
-      MemberTable members,
-      LocalHealth health,
-      MessageSender sender,
-      NonceSequence nonces) {
-    this.self = self;
-    this.members = members;
-    this.health = health;
+  ProbeRelay(ProtocolState state, MessageSender sender, NonceSequence nonces) {
+    self = state.self();
+    members = state.members();
+    health = state.health();
     this.sender = sender;
     this.nonces = nonces;
   }
--- a/src/main/java/cacheproxy/membership/ProbeTargets.java
+++ b/src/main/java/cacheproxy/membership/ProbeTargets.java
@@ -1,7 +1,6 @@
 package cacheproxy.membership;
 
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -24,17 +23,12 @@
   private int nextInOrder;
   private int probesChosen;
 
-  ProbeTargets(
-      LocalMember self,
-      MemberTable members,
-      LocalHealth health,
-      Set<Mechanism> enabled,
-      SplittableRandom random) {
-    this.self = self.number();
-    this.members = members;
-    this.health = health;
-    this.random = random;
-    probesDead = enabled.contains(Mechanism.DEAD_PROBES);
+  ProbeTargets(ProtocolState state) {
+    self = state.self().number();
+    members = state.members();
+    health = state.health();
+    random = state.random();
+    probesDead = state.isEnabled(Mechanism.DEAD_PROBES);
     order = new int[members.size()];
     for (int member = 0; member < order.length; member++) {
       order[member] = member;
--- a/src/main/java/cacheproxy/membership/SelfRefutation.java
+++ b/src/main/java/cacheproxy/membership/SelfRefutation.java
@@ -19,15 +19,10 @@
   /** Whether anybody has reported what it holds of this member's former process. */
   private boolean incarnationLearned;
 
-  SelfRefutation(
-      LocalMember self,
-      MemberTable members,
-      LocalHealth health,
-      ProbeTargets targets,
-      MessageSender sender) {
-    this.self = self;
-    this.members = members;
-    this.health = health;
+  SelfRefutation(ProtocolState state, ProbeTargets targets, MessageSender sender) {
+    self = state.self();
+    members = state.members();
+    health = state.health();
     this.targets = targets;
     this.sender = sender;
   }
--- a/src/main/java/cacheproxy/membership/Suspicions.java
+++ b/src/main/java/cacheproxy/membership/Suspicions.java
@@ -2,7 +2,6 @@
 
 import java.util.EnumSet;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -25,24 +24,19 @@
   private int raisedCount;
 
   Suspicions(
-      Timing timing,
-      LocalMember self,
-      MemberTable members,
-      SuspicionTable table,
-      LocalHealth health,
+      ProtocolState state,
       Dissemination dissemination,
       MessageSender sender,
-      Set<Mechanism> enabled,
       Membership.Callbacks callbacks) {
-    this.timing = timing;
-    this.self = self;
-    this.members = members;
-    this.table = table;
-    this.health = health;
+    timing = state.timing();
+    self = state.self();
+    members = state.members();
+    table = state.suspicions();
+    health = state.health();
+    confirmationsCount = state.isEnabled(Mechanism.CONFIRMATIONS);
     this.dissemination = dissemination;
     this.sender = sender;
     this.callbacks = callbacks;
-    confirmationsCount = enabled.contains(Mechanism.CONFIRMATIONS);
   }
 
   /** Sets a member's status and reports a change of its state. */
--- a/src/main/java/cacheproxy/membership/UpdateMerger.java
+++ b/src/main/java/cacheproxy/membership/UpdateMerger.java
@@ -1,7 +1,6 @@
 package cacheproxy.membership;
 
 import java.util.OptionalInt;
-import java.util.Set;
 
 /**
  * Merges what messages say of members into this proxy's view. A suspicion is refuted by a newer
@@ -19,24 +18,20 @@
   private final boolean witnessesRefute;
 
   UpdateMerger(
-      Timing timing,
-      LocalMember self,
-      MemberTable members,
-      LocalHealth health,
+      ProtocolState state,
       Dissemination dissemination,
       Suspicions suspicions,
       SelfRefutation refutation,
-      FailureDetector detector,
-      Set<Mechanism> enabled) {
-    this.timing = timing;
-    this.self = self;
-    this.members = members;
-    this.health = health;
+      FailureDetector detector) {
+    timing = state.timing();
+    self = state.self();
+    members = state.members();
+    health = state.health();
     this.dissemination = dissemination;
     this.suspicions = suspicions;
     this.refutation = refutation;
     this.detector = detector;
-    witnessesRefute = enabled.contains(Mechanism.WITNESSES);
+    witnessesRefute = state.isEnabled(Mechanism.WITNESSES);
   }
 
   /** Merges a member's status as it reports it itself, in a fresh message. */
--- a/src/main/java/cacheproxy/proxy/peers/PeerSocket.java
+++ b/src/main/java/cacheproxy/proxy/peers/PeerSocket.java
@@ -58,6 +58,7 @@
 
   /** Handles membership's datagrams and knows who serves. */
   interface MembershipListener {
+    /** Handles a datagram, which begins as membership's do. */
     void onDatagram(int peer, byte[] datagram);
 
     /** Runs the callback once another proxy accepts clients. */
