--- a/src/main/java/cacheproxy/proxy/peers/MemberLink.java
+++ b/src/main/java/cacheproxy/proxy/peers/MemberLink.java
@@ -18,6 +18,13 @@
   /** How many changes {@link #viewAsJson} shows. */
   private static final int MAX_CHANGES = 64;
 
+  /** Begins every line of the log. The operators' page names the lines, so they don't change. */
+  private static final String EVENT_PREFIX = "membership.";
+
+  private static final String TRUST_LOST_EVENT =
+      EVENT_PREFIX + "ears lost: judges nobody until it is heard";
+  private static final String TRUST_RESTORED_EVENT = EVENT_PREFIX + "ears proven";
+  private static final String DROPPED_EVENT = EVENT_PREFIX + "untold changes=";
   private static final int MAX_LOG_LINES = 50;
   private static final double LOG_PERIOD_MS = 10_000;
   private static final double NANOS_PER_MS = 1e6;
@@ -49,7 +56,7 @@
       long seed,
       Consumer<String> log) {
     this.loop = loop;
-    this.log = new RateLimitedLog(MAX_LOG_LINES, LOG_PERIOD_MS, "membership.untold changes=", log);
+    this.log = new RateLimitedLog(MAX_LOG_LINES, LOG_PERIOD_MS, DROPPED_EVENT, log);
     // Two processes of one proxy may have been started with one seed.
     long processSeed = seed ^ System.nanoTime();
     membership =
@@ -119,10 +126,7 @@
     }
     if (membership.isUnreliable() != wasUnreliable) {
       wasUnreliable = !wasUnreliable;
-      log.log(
-          nowMs(),
-          "membership.ears "
-              + (wasUnreliable ? "lost: judges nobody until it is heard" : "proven"));
+      log.log(nowMs(), wasUnreliable ? TRUST_LOST_EVENT : TRUST_RESTORED_EVENT);
     }
   }
 
@@ -133,7 +137,7 @@
     changes.add(change);
     log.log(
         nowMs(),
-        "membership."
+        EVENT_PREFIX
             + MembershipJson.nameOf(change.to())
             + " member="
             + change.member()
