--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The configuration of a proxy, from the platform's file and the operator's. Immutable.
@@ -131,6 +132,10 @@
   /** Where messages between the proxies go, as far as the settings allow any. */
   PeerSocket.Addresses peerAddresses() {
     return new PeerSocket.Addresses(
-        settings.peers() ? peerListen : null, peers, peersAll, settings.me(), control != null);
+        settings.peers() ? Optional.ofNullable(peerListen) : Optional.empty(),
+        peers,
+        Optional.ofNullable(peersAll),
+        settings.me(),
+        control != null);
   }
 }
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -61,17 +61,17 @@
     if (!table.flag(MembershipKeys.ENABLED, false)) {
       return Optional.empty();
     }
-    Timing defaults = Timing.USUAL;
-    double periodMs = table.number(MembershipKeys.PERIOD_MS, (long) defaults.periodMs());
-    double scale = periodMs / defaults.periodMs();
+    Timing defaults = Timing.DEFAULTS;
+    double periodMs = table.number(MembershipKeys.PERIOD_MS, (long) defaults.probeIntervalMs());
+    double scale = periodMs / defaults.probeIntervalMs();
     return Optional.of(
         new Timing(
             periodMs,
-            defaults.directMs() * scale,
-            defaults.probeMs() * scale,
-            table.number(MembershipKeys.SUSPECT_MS, (long) defaults.suspectMs()),
-            defaults.lateMs(),
-            table.number(MembershipKeys.BYTES_PER_SECOND, (long) defaults.bytesPerS())));
+            defaults.directTimeoutMs() * scale,
+            defaults.probeTimeoutMs() * scale,
+            table.number(MembershipKeys.SUSPECT_MS, (long) defaults.suspicionTimeoutMs()),
+            defaults.pauseThresholdMs(),
+            table.number(MembershipKeys.BYTES_PER_SECOND, (long) defaults.bytesPerSecond())));
   }
 
   /** Empty: it is switched off, or the configuration names nobody to share with. */
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -129,7 +129,7 @@
             .syncUninterruptibly();
         discovery.tierBy(members);
         boolean another = !otherProcess.isAbsent();
-        loop.execute(() -> members.beside(another));
+        loop.execute(() -> members.setParallelProcess(another));
       } else {
         dispatcher.log(
             "membership: the configuration names no peers, or not this proxy among them; it stays off");
@@ -203,7 +203,7 @@
     loop.submit(
             () -> {
               door.open(server);
-              peers.serving();
+              peers.announceServing();
               server.config().setAutoRead(true);
             })
         .syncUninterruptibly();
@@ -251,7 +251,7 @@
 
     @Override
     public Optional<JsonSource> membershipView() {
-      return members == null ? Optional.empty() : Optional.of(onLoop(() -> members.json()));
+      return members == null ? Optional.empty() : Optional.of(onLoop(() -> members.viewAsJson()));
     }
 
     @Override
@@ -286,7 +286,7 @@
     public void otherProcessChanged(ProcessStatus other) {
       otherProcess = other;
       if (members != null) {
-        loop.execute(() -> members.beside(!other.isAbsent()));
+        loop.execute(() -> members.setParallelProcess(!other.isAbsent()));
       }
       if (sharing != null) {
         loop.execute(() -> sharing.beside(!other.isAbsent()));
@@ -385,7 +385,7 @@
   }
 
   InetSocketAddress peerAddress() {
-    return peers.address();
+    return peers.address().orElse(null);
   }
 
   // ---- a new configuration
