--- a/src/main/java/cacheproxy/model/SharedModel.java
+++ b/src/main/java/cacheproxy/model/SharedModel.java
@@ -4,6 +4,8 @@
 import cacheproxy.routing.RoutingApi.Cold;
 import cacheproxy.shared.HealthVerdicts;
 import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateHost;
+import cacheproxy.shared.SharedStateSettings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -67,8 +69,8 @@
       byte[] message) {}
 
   private final Plan plan;
-  private final Set<SharedState.Part> without;
-  private final HealthVerdicts.Part[] withoutOfThem;
+  private final Set<SharedState.Safeguard> without;
+  private final HealthVerdicts.Safeguard[] withoutOfThem;
   private final SplittableRandom lots;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
@@ -109,7 +111,7 @@
   private final double[] usedMs;
 
   public SharedModel(
-      Plan plan, Set<SharedState.Part> without, HealthVerdicts.Part... withoutOfThem) {
+      Plan plan, Set<SharedState.Safeguard> without, HealthVerdicts.Safeguard... withoutOfThem) {
     this.plan = plan;
     this.without = without;
     this.withoutOfThem = withoutOfThem;
@@ -142,7 +144,7 @@
   }
 
   public static SharedModel of(Plan plan) {
-    return new SharedModel(plan, EnumSet.noneOf(SharedState.Part.class));
+    return new SharedModel(plan, EnumSet.noneOf(SharedState.Safeguard.class));
   }
 
   // ---- faults
@@ -156,54 +158,54 @@
     if (plan.sharing()) {
       states[p] =
           new SharedState(
-              new SharedState.Terms(
+              new SharedStateSettings(
                   plan.proxies(),
                   p,
                   zoneOfProxy(p),
                   TIP,
                   FALL_MS,
-                  SharedState.Terms.USUAL_BYTES_PER_S,
+                  SharedStateSettings.DEFAULT_BYTES_PER_SECOND,
                   true,
                   true),
               lots.nextLong(),
               now,
-              new SharedState.Outlet() {
+              new SharedStateHost() {
                 @Override
                 public void send(int proxy, byte[] message) {
                   post(p, proxy, liar.says(p, proxy, message));
                 }
 
                 @Override
-                public boolean present(int proxy) {
+                public boolean isPresent(int proxy) {
                   return lives[proxy] > 0;
                 }
 
                 @Override
-                public int present() {
+                public int presentCount() {
                   return (int) IntStream.of(lives).filter(l -> l > 0).count();
                 }
 
                 @Override
-                public void due(double atMs) {
+                public void wakeUpBy(double atMs) {
                   at(atMs, What.TICK, p, life, 0, 0, null);
                 }
 
                 @Override
-                public void word(int node, boolean out) {
+                public void verdictReceived(int node, boolean out) {
                   if (!out) {
                     shunned[p][node] = failures[p][node] = 0;
                   }
                 }
 
                 @Override
-                public void changed(double at, int node, boolean out, String cause) {}
+                public void verdictChanged(double at, int node, boolean out, String cause) {}
               },
               without,
               withoutOfThem);
       states[p].listed(
           IntStream.range(0, plan.nodes()).toArray(),
           IntStream.range(0, plan.nodes()).map(this::zoneOf).toArray());
-      at(states[p].dueMs(), What.TICK, p, life, 0, 0, null);
+      at(states[p].nextTickMs(), What.TICK, p, life, 0, 0, null);
     }
     at(now + gap(p), What.REQUEST, p, life, 0, 0, null);
   }
@@ -341,14 +343,14 @@
     switch (e.what) {
       case TICK -> {
         SharedState s = states[e.proxy];
-        if (now >= s.dueMs() - 1e-6) {
+        if (now >= s.nextTickMs() - 1e-6) {
           s.tick(now);
-          at(s.dueMs(), What.TICK, e.proxy, e.life, 0, 0, null);
+          at(s.nextTickMs(), What.TICK, e.proxy, e.life, 0, 0, null);
         }
       }
       case DATAGRAM -> {
         if (states[e.proxy] != null) {
-          states[e.proxy].heard(now, e.with, e.message);
+          states[e.proxy].receive(now, e.with, e.message);
         }
       }
       case REQUEST -> {
@@ -492,7 +494,8 @@
             .filter(
                 p ->
                     lives[p] > 0
-                        && (now < shunned[p][node] || states[p] != null && states[p].out(node)))
+                        && (now < shunned[p][node]
+                            || states[p] != null && states[p].isExcluded(node)))
             .count();
   }
 
@@ -500,7 +503,7 @@
   public int outFor(int node) {
     return (int)
         IntStream.range(0, plan.proxies())
-            .filter(p -> lives[p] > 0 && states[p] != null && states[p].out(node))
+            .filter(p -> lives[p] > 0 && states[p] != null && states[p].isExcluded(node))
             .count();
   }
 
--- a/src/main/java/cacheproxy/model/SlowStartQuotaModel.java
+++ b/src/main/java/cacheproxy/model/SlowStartQuotaModel.java
@@ -1,8 +1,9 @@
 package cacheproxy.model;
 
+import cacheproxy.shared.LeaseMessage;
 import cacheproxy.shared.SlowStartQuota;
-import cacheproxy.shared.SlowStartQuota.Message;
 import java.util.ArrayDeque;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
@@ -13,12 +14,12 @@
  * times in milliseconds of true time.
  */
 public final class SlowStartQuotaModel {
-  private record Post(double atMs, long order, int from, int to, Message message) {}
+  private record Post(double atMs, long order, int from, int to, LeaseMessage message) {}
 
   private record Spent(double atMs, double amount) {}
 
-  private final SlowStartQuota.Terms terms;
-  private final SlowStartQuota.Part[] without;
+  private final SlowStartQuota.Settings terms;
+  private final SlowStartQuota.Safeguard[] without;
   private final SplittableRandom lots;
   private final SlowStartQuota[] rights;
   private final double[] rate;
@@ -42,7 +43,10 @@
   private long order;
 
   public SlowStartQuotaModel(
-      SlowStartQuota.Terms terms, double windowMs, long seed, SlowStartQuota.Part... without) {
+      SlowStartQuota.Settings terms,
+      double windowMs,
+      long seed,
+      SlowStartQuota.Safeguard... without) {
     this.terms = terms;
     this.windowMs = windowMs;
     this.without = without;
@@ -55,7 +59,7 @@
     pausedUntil = new double[n];
     side = new int[n];
     for (int p = 0; p < n; p++) {
-      rate[p] = 1 + terms.drift() * (2 * lots.nextDouble() - 1);
+      rate[p] = 1 + terms.clockDrift() * (2 * lots.nextDouble() - 1);
       offset[p] = lots.nextDouble() * 1e9;
       start(p);
     }
@@ -93,7 +97,7 @@
     side[p] = of;
   }
 
-  private void post(int from, int to, Message m) {
+  private void post(int from, int to, LeaseMessage m) {
     if (m == null || side[from] != side[to] || lots.nextDouble() < loss) {
       return;
     }
@@ -121,7 +125,7 @@
                   pausedUntil[p.to] + lots.nextDouble() * 5, order++, p.from, p.to, p.message));
           continue;
         }
-        post(p.to, p.from, rights[p.to].heard(clock(p.to), p.from, p.message));
+        post(p.to, p.from, rights[p.to].receive(clock(p.to), p.from, p.message).orElse(null));
       }
       for (int p = 0; p < rights.length; p++) {
         if (rights[p] != null && now >= pausedUntil[p]) {
@@ -136,7 +140,7 @@
   private void step(int p) {
     double wants = demand[p] * 20;
     for (int i = 0; i < 4; i++) {
-      if (wants > 0 && rights[p].spend(clock(p), wants / 4)) {
+      if (wants > 0 && rights[p].trySpend(clock(p), wants / 4)) {
         window.add(new Spent(now, wants / 4));
         inWindow += wants / 4;
         spent += wants / 4;
@@ -145,10 +149,10 @@
       }
     }
     if (lots.nextInt(5) == 0) {
-      int whom = rights[p].renews(clock(p));
-      whom = whom >= 0 ? whom : lots.nextInt(rights.length);
+      OptionalInt lender = rights[p].lenderToRenewWith(clock(p));
+      int whom = lender.isPresent() ? lender.getAsInt() : lots.nextInt(rights.length);
       if (whom != p) {
-        post(p, whom, rights[p].asks(clock(p), whom));
+        post(p, whom, rights[p].requestLease(clock(p), whom).orElse(null));
       }
     }
   }
@@ -164,7 +168,7 @@
   public long units() {
     long all = 0;
     for (int p = 0; p < rights.length; p++) {
-      all += rights[p] != null && now >= pausedUntil[p] ? rights[p].units(clock(p)) : 0;
+      all += rights[p] != null && now >= pausedUntil[p] ? rights[p].spendableUnits(clock(p)) : 0;
     }
     return all;
   }
@@ -176,7 +180,7 @@
 
   /** What the budget allows within a window, by clocks that go as much too fast as they may. */
   public double allowed() {
-    return terms.perMs() * (windowMs + 60) * (1 + terms.drift()) + terms.burst();
+    return terms.ratePerMs() * (windowMs + 60) * (1 + terms.clockDrift()) + terms.burst();
   }
 
   public double spent() {
--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -5,7 +5,7 @@
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi.Settings;
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import cacheproxy.simulator.SettingsParser;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -48,7 +48,7 @@
     Path shared,
     double waitMs,
     Timing membership,
-    SharedState.Terms tier) {
+    SharedStateSettings tier) {
 
   /** With less the proxy has no room for what it must hold; a limit that small is a slip. */
   private static final int MIN_MEMORY_MB = 16;
@@ -231,7 +231,7 @@
   }
 
   /** The same with this shared with its tier; null: nothing is, and nothing of that is loaded. */
-  Config tier(SharedState.Terms terms) {
+  Config tier(SharedStateSettings terms) {
     return new Config(
         name,
         listen,
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -6,7 +6,7 @@
 import cacheproxy.settings.OperatorFile;
 import cacheproxy.settings.SettingsException;
 import cacheproxy.settings.Table;
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import java.nio.file.Path;
 
 /** The operator's settings over those that follow from the platform's. */
@@ -46,7 +46,7 @@
   }
 
   /** Null: off, or there is nobody to share with. */
-  private static SharedState.Terms shared(Table t, Config config) throws SettingsException {
+  private static SharedStateSettings shared(Table t, Config config) throws SettingsException {
     if (!t.flag("on", false)) {
       return null;
     }
@@ -56,13 +56,13 @@
     int me = config.settings().me();
     return config.peers().size() < 2 || me >= config.peers().size()
         ? null
-        : new SharedState.Terms(
+        : new SharedStateSettings(
             config.peers().size(),
             me,
             config.settings().zone(),
             config.settings().tipMultiple(),
             config.settings().fallMs(),
-            t.number("bytes_per_s", (long) SharedState.Terms.USUAL_BYTES_PER_S),
+            t.number("bytes_per_s", (long) SharedStateSettings.DEFAULT_BYTES_PER_SECOND),
             t.flag("judgements", true),
             t.flag("cold_rights", true));
   }
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -145,7 +145,7 @@
                     new SharedLink(
                         loop, peers, members, config.tier(), config.seed(), new Sharer());
                 dispatcher.share(sharing.tier());
-                sharing.beside(!other.equals(ListenerTakeover.Holds.NOTHING));
+                sharing.setOverlapping(!other.equals(ListenerTakeover.Holds.NOTHING));
               }
               discovery.listenTo(peers);
               discovery.start();
@@ -214,8 +214,8 @@
     }
 
     @Override
-    public void word(int server, boolean out) {
-      dispatcher.word(server, out);
+    public void verdictReceived(int server, boolean excluded) {
+      dispatcher.word(server, excluded);
     }
 
     @Override
@@ -280,7 +280,7 @@
         loop.execute(() -> members.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
       }
       if (sharing != null) {
-        loop.execute(() -> sharing.beside(!holds.equals(ListenerTakeover.Holds.NOTHING)));
+        loop.execute(() -> sharing.setOverlapping(!holds.equals(ListenerTakeover.Holds.NOTHING)));
       }
     }
   }
--- a/src/main/java/cacheproxy/shared/HealthVerdicts.java
+++ b/src/main/java/cacheproxy/shared/HealthVerdicts.java
@@ -11,520 +11,479 @@
 import java.util.Set;
 
 /**
- * What this proxy holds of cache nodes by its own attempts and by what others have told of theirs.
- * Others' word only ever keeps it from a node for a while.
+ * Verdicts on cache nodes, from this proxy's own attempts and from the evidence that other proxies
+ * gossip. Gossip can only exclude a node from this proxy's choice, and only for a while.
  *
  * <ul>
- *   <li>Own experience goes first: what is older than the last answer of the node to this proxy is
- *       not heard.
- *   <li>A node is out by hearsay when two witnesses say so, this one perhaps among them, and not
- *       both from one other zone: a zone that is cut off sees all others gone, and is right, for
- *       itself.
- *   <li>Others' word, of whatever kind, keeps it from {@link #MOST_OUT} of the nodes at most, and
- *       never from the last of a zone.
- *   <li>A node that is out is tried by who has a request for it and whose lot has come up since the
- *       last evidence: lots lie over a time that grows with the tier, so that somebody tries soon
- *       and few do at once, whoever lives.
- *   <li>One answer, whoever got it, ends all that is older.
- *   <li>Who is found wrong by this one's own attempts, time and again, is not heard until that has
- *       faded.
- *   <li>That a node has no place is one's word enough, for three proxies of four and not for one
- *       that it has served lately.
+ *   <li>Own experience first: evidence older than the node's last answer to this proxy does not
+ *       count.
+ *   <li>A node is excluded when two observers (this proxy may be one) found it unreachable, unless
+ *       both are of one other zone: a zone that is partitioned sees all other nodes fail.
+ *   <li>Gossip excludes at most {@link #MAX_EXCLUDED_SHARE} of the nodes, and never the last node
+ *       of a zone.
+ *   <li>An excluded node is probed by a request of a proxy whose random delay since the last
+ *       evidence has passed. The delays spread over a time that grows with the tier, so a probe
+ *       comes soon and few come at once.
+ *   <li>One answer, to whichever proxy, removes all older evidence that the node is unreachable.
+ *   <li>An observer that this proxy's own attempts contradict repeatedly is distrusted for a while.
+ *   <li>Evidence that a node has no free connection slot needs one observer; it applies to three in
+ *       four proxies, and not to one that the node has answered recently.
  * </ul>
  *
- * <p>A lie or a mistake that all make is over {@link #LASTS_MS} after it was last told. Bounded: a
- * few pieces of evidence for each listed node. Times in milliseconds of one clock.
+ * <p>A wrong verdict of the whole tier ends {@link #VALIDITY_MS} after it was last reported. Memory
+ * is bounded to a few pieces of evidence for each listed node. Times in milliseconds of one clock;
+ * one thread.
  */
 public final class HealthVerdicts {
-  /** Parts that can be left out to see what each is for; all are on in use. */
-  public enum Part {
-    OWN_FIRST,
-    TWO_WITNESSES,
-    SIDES,
-    LIMIT,
-    LOTS,
-    ANSWER_ENDS,
-    CREDIT
-  }
-
-  /** Is told of each change of what is held by others' word. */
+  /** Rules that a test can switch off to show what each is for; all are on in use. */
+  public enum Safeguard {
+    /** Own experience first. */
+    OWN_EXPERIENCE_FIRST,
+    /** Two observers are needed. */
+    TWO_OBSERVERS,
+    /** Not both of one other zone. */
+    ZONE_DIVERSITY,
+    /** A limited share of the nodes is excluded. */
+    EXCLUSION_LIMIT,
+    /** Probes are spread by random delays. */
+    RANDOM_PROBE_DELAY,
+    /** An answer removes older evidence. */
+    ANSWER_SUPERSEDES,
+    /** Observers that are wrong repeatedly are distrusted. */
+    OBSERVER_CREDIBILITY
+  }
+
+  /** Receives each change of a verdict by gossip. */
+  @FunctionalInterface
   public interface Listener {
     /**
-     * @param out it is out from now on; false: it no longer is, or another has had its answer since
-     * @param byOther it is another's word that says so now; false: this one's own attempt, or time
+     * The verdict has changed, or another proxy has received an answer of the node.
+     *
+     * @param excluded whether the node is excluded now
+     * @param byOther another proxy's evidence is the reason; false: an own attempt, or expiry
+     * @param cause for the log
      */
-    void changed(double now, int node, boolean out, boolean byOther, String cause);
+    void verdictChanged(double now, int node, boolean excluded, boolean byOther, String cause);
   }
 
-  /**
-   * What is out of reach is so for this long, and as long again with each new attempt that shows
-   * it.
-   */
-  static final double LASTS_MS = 12_000;
-
-  /** What a witness passes over for less is no matter for others. */
-  static final double LEAST_MS = 1000;
-
-  /** No place is told of for so long at most. */
-  static final double FULL_MS = 4000;
-
-  /** One that answered this proxy so lately has a place for it. */
-  static final double PLACE_MS = 5000;
+  /** How long evidence is valid; each attempt that confirms it begins this time anew. */
+  static final double VALIDITY_MS = 12_000;
 
-  /** Part of the listed nodes that others' word may keep from this one. */
-  static final double MOST_OUT = 0.4;
+  /** Evidence of others is not valid for longer than this multiple of {@link #VALIDITY_MS}. */
+  private static final int MAX_VALIDITY_FACTOR = 4;
 
-  /** After the last evidence nobody tries for so long. */
-  static final double REST_MS = 1500;
+  /** A failure for which the observer avoids the node for less time is not reported. */
+  static final double MIN_REPORTED_MS = 1000;
 
-  /**
-   * A proxy that has not tried one for so long tries it, whatever is said: a lie that is told
-   * without end ends there.
-   */
-  private static final double OWN_TRY_MS = 10_000;
-
-  /** And so much more for each proxy that lives, so that a long outage is not tried by all. */
-  private static final double OWN_TRY_EACH_MS = 200;
-
-  /** Then lots come up over so long, for each proxy that lives, within bounds. */
-  private static final double LOT_MS = 60;
+  /** How long evidence of a missing connection slot is valid at most. */
+  static final double NO_SLOT_VALIDITY_MS = 4000;
 
-  private static final double LEAST_LOTS_MS = 500;
-  private static final double MOST_LOTS_MS = 6000;
+  /** A node that answered this proxy so recently has a connection slot for it. */
+  static final double HAS_SLOT_MS = 5000;
 
-  /** A trial whose end nobody has told is over by then. */
-  private static final double TRIAL_MS = 1500;
+  /** Share of the listed nodes that gossip may exclude. */
+  static final double MAX_EXCLUDED_SHARE = 0.4;
 
-  /** Witnesses of a node that are kept for each kind. */
-  static final int WITNESSES = 4;
+  /** A probe without a result is over after this time. */
+  private static final double PROBE_TIMEOUT_MS = 1500;
 
-  /** Found wrong so often, with no more than so long for each to be forgotten: not heard. */
-  private static final double MOST_WRONG = 3;
+  /** One proxy in so many ignores that another found no connection slot. */
+  private static final int IGNORES_NO_SLOT_ONE_IN = 4;
 
-  private static final double WRONG_FADES_MS = 60_000;
-
-  /** One proxy in so many looks for a place all the same. */
-  private static final int LOOKS_ONE_IN = 4;
+  private static final int SEQUENCE_MASK = 0xFFFF;
 
   private static final class Node {
     final int id;
+    final NodeEvidence evidence;
     int zone;
-    final List<VerdictEvidence> evidence = new ArrayList<>(2);
-    double answeredMs = Double.NEGATIVE_INFINITY;
+    double lastAnswerMs = Double.NEGATIVE_INFINITY;
 
-    /** A trial of this one's is under way since; negative infinity: none is. */
-    double trialMs = Double.NEGATIVE_INFINITY;
+    /** When this proxy's running probe began; negative infinity: none is running. */
+    double probeBeganMs = Double.NEGATIVE_INFINITY;
 
-    /** When it came to be out, or this one last tried it. */
-    double triedMs = Double.NEGATIVE_INFINITY;
+    /** When it became excluded, or this proxy last tried it. */
+    double lastTriedMs = Double.NEGATIVE_INFINITY;
 
-    boolean out;
+    boolean excluded;
     double reviewMs = Double.POSITIVE_INFINITY;
 
-    Node(int id) {
+    Node(int id, NodeEvidence evidence) {
       this.id = id;
+      this.evidence = evidence;
     }
   }
 
   private final int me;
   private final int zone;
   private final Listener listener;
-  private final Set<Part> without;
+  private final Set<Safeguard> disabled;
+  private final ObserverCredibility credibility;
+  private final ProbeSchedule probes;
   private final Map<Integer, Node> nodes = new HashMap<>();
-  private final double[] wrong;
-  private final double[] wrongMs;
-  private int serial;
-  private int outs;
-  private int alive = 1;
+  private int lastSequence;
+  private int excludedNodes;
   private int digest;
-  private long learned;
-  private long dropped;
+  private long accepted;
+  private long rejected;
 
   /**
-   * @param tier how many proxies there are
-   * @param me this one's number
+   * Holds no evidence, and no nodes until {@link #setNodes}.
+   *
+   * @param proxies how many the tier has
+   * @param me this proxy's number
    * @param zone its zone
-   * @param serial where its evidence is counted from: drawn at the start, so that a former life's
-   *     is not taken for this one's
+   * @param firstSequence where its evidence is counted from, drawn at the start: evidence of its
+   *     earlier incarnation is not mistaken for its own
+   * @param disabled rules to switch off, for tests
    */
   public HealthVerdicts(
-      int tier, int me, int zone, int serial, Listener listener, Part... without) {
+      int proxies, int me, int zone, int firstSequence, Listener listener, Safeguard... disabled) {
     this.me = me;
     this.zone = zone;
-    this.serial = serial;
+    this.lastSequence = firstSequence;
     this.listener = listener;
-    this.without =
-        without.length == 0 ? EnumSet.noneOf(Part.class) : EnumSet.copyOf(Arrays.asList(without));
-    wrong = new double[tier];
-    wrongMs = new double[tier];
+    this.disabled = EnumSet.noneOf(Safeguard.class);
+    this.disabled.addAll(Arrays.asList(disabled));
+    credibility = new ObserverCredibility(proxies, isEnabled(Safeguard.OBSERVER_CREDIBILITY));
+    probes = new ProbeSchedule(me, isEnabled(Safeguard.RANDOM_PROBE_DELAY));
   }
 
-  private boolean on(Part part) {
-    return !without.contains(part);
+  private boolean isEnabled(Safeguard safeguard) {
+    return !disabled.contains(safeguard);
   }
 
-  /** Whether there is such a node. */
-  public boolean lists(int id) {
-    return nodes.containsKey(id);
+  /** Whether the endpoint list names this node. */
+  public boolean isListed(int node) {
+    return nodes.containsKey(node);
   }
 
-  /** How many proxies are there, this one among them, by the view of the tier. */
-  public void alive(int count) {
-    alive = Math.max(1, count);
+  /** How many proxies are alive, this one included, by the tier's membership. */
+  public void setLiveProxies(int count) {
+    probes.setLiveProxies(count);
   }
 
-  /** The nodes there are; nothing is held of others. */
-  public void listed(int[] servers, int[] zones) {
+  /** The nodes of the endpoint list, with their zones; evidence on others is dropped. */
+  public void setNodes(int[] ids, int[] zones) {
     Map<Integer, Node> before = new HashMap<>(nodes);
     nodes.clear();
-    for (int i = 0; i < servers.length; i++) {
-      Node n = before.remove(servers[i]);
-      n = n == null ? new Node(servers[i]) : n;
-      n.zone = zones[i];
-      nodes.put(n.id, n);
+    for (int i = 0; i < ids.length; i++) {
+      Node node = before.remove(ids[i]);
+      if (node == null) {
+        node = new Node(ids[i], new NodeEvidence(me, isEnabled(Safeguard.ANSWER_SUPERSEDES)));
+      }
+      node.zone = zones[i];
+      nodes.put(node.id, node);
     }
-    for (Node gone : before.values()) {
-      outs -= gone.out ? 1 : 0;
-      gone.evidence.forEach(e -> digest ^= e.mark());
+    for (Node removed : before.values()) {
+      excludedNodes -= removed.excluded ? 1 : 0;
+      digest ^= removed.evidence.digest();
     }
   }
 
-  // ---- own experience
-
   /**
-   * An own attempt, begun then, has shown it out of reach. The evidence to tell; null: none is
-   * worth it.
+   * An own attempt found the node unreachable.
+   *
+   * @param sinceMs when the attempt began
+   * @param forMs how long this proxy will avoid the node by itself
+   * @return whether there is new evidence to report
    */
-  public VerdictEvidence failed(double now, int id, double sinceMs, double forMs) {
-    Node n = nodes.get(id);
-    if (n == null || forMs < LEAST_MS || sinceMs < n.answeredMs) {
-      return null;
+  public boolean recordFailure(double now, int id, double sinceMs, double forMs) {
+    Node node = nodes.get(id);
+    if (node == null || forMs < MIN_REPORTED_MS || sinceMs < node.lastAnswerMs) {
+      return false;
     }
-    for (VerdictEvidence e : n.evidence) {
-      if (e.kind() == Kind.BACK
-          && e.witness() != me
-          && sinceMs - e.atMs() > 0
-          && sinceMs - e.atMs() < REST_MS) {
-        wronged(now, e.witness());
+    for (VerdictEvidence piece : node.evidence.pieces()) {
+      double ageMs = sinceMs - piece.observedMs();
+      if (piece.kind() == Kind.RECOVERED
+          && piece.observer() != me
+          && ageMs > 0
+          && ageMs < ProbeSchedule.PAUSE_MS) {
+        credibility.recordError(now, piece.observer());
       }
     }
-    n.trialMs = Double.NEGATIVE_INFINITY;
-    n.triedMs = now;
-    return tell(now, n, Kind.OUT, sinceMs, now + Math.max(forMs, LASTS_MS));
+    node.probeBeganMs = Double.NEGATIVE_INFINITY;
+    node.lastTriedMs = now;
+    addOwn(now, node, Kind.UNREACHABLE, sinceMs, now + Math.max(forMs, VALIDITY_MS));
+    return true;
   }
 
-  /** It had no place for a connection of this proxy's. */
-  public VerdictEvidence noPlace(double now, int id, double forMs) {
-    Node n = nodes.get(id);
-    return n == null ? null : tell(now, n, Kind.FULL, now, now + Math.min(forMs, FULL_MS));
+  /**
+   * The node refused a connection of this proxy.
+   *
+   * @param forMs how long this proxy will not ask for another
+   * @return whether there is new evidence to report
+   */
+  public boolean recordNoConnectionSlot(double now, int id, double forMs) {
+    Node node = nodes.get(id);
+    if (node == null) {
+      return false;
+    }
+    double expiresMs = now + Math.min(forMs, NO_SLOT_VALIDITY_MS);
+    addOwn(now, node, Kind.NO_CONNECTION_SLOT, now, expiresMs);
+    return true;
   }
 
   /**
-   * It has answered this proxy's attempt, begun then. The evidence to tell, where somebody holds it
-   * out of reach; null: nobody does.
+   * The node has answered this proxy. On the request path.
+   *
+   * @param sentMs when the request was sent
+   * @return whether there is new evidence to report: somebody holds the node unreachable
    */
-  public VerdictEvidence answered(double now, int id, double sentMs) {
-    Node n = nodes.get(id);
-    if (n == null) {
-      return null;
+  public boolean recordAnswer(double now, int id, double sentMs) {
+    Node node = nodes.get(id);
+    if (node == null) {
+      return false;
     }
-    n.answeredMs = now;
-    n.trialMs = Double.NEGATIVE_INFINITY;
-    if (n.evidence.isEmpty()) {
-      return null;
+    node.lastAnswerMs = now;
+    node.probeBeganMs = Double.NEGATIVE_INFINITY;
+    if (node.evidence.isEmpty()) {
+      return false;
     }
-    boolean held = false;
-    for (VerdictEvidence e : n.evidence) {
-      if (e.kind() == Kind.OUT && now < e.untilMs()) {
-        held = true;
-        if (e.witness() != me && e.atMs() > sentMs) {
-          wronged(now, e.witness()); // out of reach while this one's request was there and back
+    boolean heldUnreachable = false;
+    for (VerdictEvidence piece : node.evidence.pieces()) {
+      if (piece.kind() == Kind.UNREACHABLE && now < piece.expiresMs()) {
+        heldUnreachable = true;
+        boolean whileRequestWasUnderWay = piece.observedMs() > sentMs;
+        if (piece.observer() != me && whileRequestWasUnderWay) {
+          credibility.recordError(now, piece.observer());
         }
       }
     }
-    return held ? tell(now, n, Kind.BACK, now, now + LASTS_MS) : null;
+    if (heldUnreachable) {
+      addOwn(now, node, Kind.RECOVERED, now, now + VALIDITY_MS);
+    }
+    return heldUnreachable;
   }
 
-  private VerdictEvidence tell(double now, Node n, Kind kind, double at, double until) {
-    serial = serial + 1 & 0xFFFF;
-    VerdictEvidence own = new VerdictEvidence(n.id, kind, me, zone, serial, at, until);
-    put(now, n, own);
-    return own;
+  private void addOwn(double now, Node node, Kind kind, double observedMs, double expiresMs) {
+    lastSequence = lastSequence + 1 & SEQUENCE_MASK;
+    add(
+        now,
+        node,
+        new VerdictEvidence(node.id, kind, me, zone, lastSequence, observedMs, expiresMs));
   }
 
-  // ---- hearsay
-
   /**
-   * Another's word, first-hand or passed on, dated by this one's clock. True: it was news, to be
-   * passed on in turn.
+   * Evidence of another proxy, first-hand or passed on, dated by this proxy's clock.
+   *
+   * @return whether it was news, to be passed on in turn
    */
-  public boolean heard(double now, VerdictEvidence e) {
-    Node n = nodes.get(e.node());
-    if (n == null
-        || e.witness() < 0
-        || e.witness() >= wrong.length
-        || e.witness() == me
-        || now >= e.untilMs()
-        || e.atMs() > now
-        || e.untilMs() - e.atMs() > 4 * LASTS_MS
-        || wrong(now, e.witness()) >= MOST_WRONG) {
-      dropped += n != null && e.witness() != me ? 1 : 0;
+  public boolean receive(double now, VerdictEvidence received) {
+    Node node = nodes.get(received.node());
+    if (node == null || !isAcceptable(now, received)) {
+      rejected += node != null && received.observer() != me ? 1 : 0;
       return false;
     }
-    for (VerdictEvidence old : n.evidence) {
-      if (old.sameMatter(e) && (old.serial() == e.serial() || old.atMs() >= e.atMs())) {
-        return false;
-      }
-      if (old.kind() == Kind.BACK
-          && e.kind() == Kind.OUT
-          && old.atMs() >= e.atMs()
-          && on(Part.ANSWER_ENDS)) {
-        return false;
-      }
-    }
-    if (e.kind() == Kind.FULL && !mayGo(now, n) || !put(now, n, e)) {
+    if (node.evidence.makesObsolete(received)
+        || received.kind() == Kind.NO_CONNECTION_SLOT && !mayExclude(now, node)
+        || !add(now, node, received)) {
       return false;
     }
-    learned++;
+    accepted++;
     return true;
   }
 
-  /** Takes its place among what is held; false: there are enough that say the same. */
-  private boolean put(double now, Node n, VerdictEvidence e) {
-    n.evidence.removeIf(
-        old -> {
-          boolean over =
-              now >= old.untilMs()
-                  || old.sameMatter(e)
-                  || on(Part.ANSWER_ENDS)
-                      && (e.kind() == Kind.BACK && old.kind() == Kind.OUT && old.atMs() <= e.atMs()
-                          || e.kind() == Kind.OUT
-                              && old.kind() == Kind.BACK
-                              && old.atMs() < e.atMs());
-          if (over) {
-            digest ^= old.mark();
-          }
-          return over;
-        });
-    if (n.evidence.stream().filter(o -> o.kind() == e.kind()).count()
-        >= (e.kind() == Kind.OUT ? WITNESSES : 1)) {
-      // The oldest of others makes room, so that a trial's failure is known; not for what is older
-      // still.
-      VerdictEvidence oldest =
-          n.evidence.stream()
-              .filter(o -> o.kind() == e.kind() && o.witness() != me)
-              .min(Comparator.comparingDouble(VerdictEvidence::atMs))
-              .orElse(null);
-      if (oldest == null || oldest.atMs() >= e.atMs() && e.witness() != me) {
-        return false;
-      }
-      n.evidence.remove(oldest);
-      digest ^= oldest.mark();
-    }
-    n.evidence.add(e);
-    digest ^= e.mark();
-    review(now, n, e);
-    return true;
+  private boolean isAcceptable(double now, VerdictEvidence received) {
+    double validityMs = received.expiresMs() - received.observedMs();
+    return credibility.isKnown(received.observer())
+        && received.observer() != me
+        && now < received.expiresMs()
+        && received.observedMs() <= now
+        && validityMs <= MAX_VALIDITY_FACTOR * VALIDITY_MS
+        && !credibility.isDistrusted(now, received.observer());
   }
 
-  private double wrong(double now, int witness) {
-    if (!on(Part.CREDIT)) {
-      return 0;
+  private boolean add(double now, Node node, VerdictEvidence added) {
+    digest ^= node.evidence.digest();
+    boolean taken = node.evidence.add(now, added);
+    digest ^= node.evidence.digest();
+    if (taken) {
+      boolean answeredOther = added.kind() == Kind.RECOVERED && added.observer() != me;
+      review(now, node, added.observer() != me, answeredOther, added.observer());
     }
-    wrong[witness] *= Math.pow(0.5, (now - wrongMs[witness]) / WRONG_FADES_MS);
-    wrongMs[witness] = now;
-    return wrong[witness];
+    return taken;
   }
 
-  private void wronged(double now, int witness) {
-    wrong(now, witness);
-    wrong[witness]++;
+  /** Whether evidence of this proxy is not accepted for now. */
+  public boolean isDistrusted(double now, int observer) {
+    return credibility.isDistrusted(now, observer);
   }
 
-  /** Whether this one does not listen to that proxy for now. */
-  public boolean unheard(double now, int witness) {
-    return wrong(now, witness) >= MOST_WRONG;
-  }
-
-  // ---- judging
-
-  /** Whether the witnesses of a node make it out of reach for this one. */
-  private boolean outByHearsay(double now, Node n) {
-    int witnesses = 0;
-    boolean side = false;
+  /** Whether the evidence is enough to exclude the node. */
+  private boolean isUnreachable(double now, Node node) {
+    int observers = 0;
+    boolean diverse = false;
     int firstZone = -1;
-    for (VerdictEvidence e : n.evidence) {
-      boolean counts =
-          e.kind() == Kind.OUT
-              && now < e.untilMs()
-              && (e.atMs() > n.answeredMs || !on(Part.OWN_FIRST))
-              && (e.witness() == me || wrong(now, e.witness()) < MOST_WRONG);
-      if (counts) {
-        witnesses++;
-        side |= e.zone() == zone || firstZone >= 0 && e.zone() != firstZone;
-        firstZone = e.zone();
+    for (VerdictEvidence piece : node.evidence.pieces()) {
+      if (countsAgainst(now, node, piece)) {
+        observers++;
+        diverse |= piece.zone() == zone || firstZone >= 0 && piece.zone() != firstZone;
+        firstZone = piece.zone();
       }
     }
-    return witnesses >= (on(Part.TWO_WITNESSES) ? 2 : 1) && (side || !on(Part.SIDES));
+    return observers >= (isEnabled(Safeguard.TWO_OBSERVERS) ? 2 : 1)
+        && (diverse || !isEnabled(Safeguard.ZONE_DIVERSITY));
+  }
+
+  private boolean countsAgainst(double now, Node node, VerdictEvidence piece) {
+    return piece.kind() == Kind.UNREACHABLE
+        && now < piece.expiresMs()
+        && (piece.observedMs() > node.lastAnswerMs || !isEnabled(Safeguard.OWN_EXPERIENCE_FIRST))
+        && (piece.observer() == me || !credibility.isDistrusted(now, piece.observer()));
   }
 
-  private boolean mayGo(double now, Node n) {
-    if (!on(Part.LIMIT)) {
+  /** Whether one more node may be excluded, and whether this one is not the last of its zone. */
+  private boolean mayExclude(double now, Node node) {
+    if (!isEnabled(Safeguard.EXCLUSION_LIMIT)) {
       return true;
     }
-    int kept = 1;
-    boolean another = false;
+    int avoided = 1;
+    boolean anotherInZone = false;
     for (Node other : nodes.values()) {
-      boolean from = other.out || other.evidence.stream().anyMatch(e -> saysFull(now, e));
-      kept += other != n && from ? 1 : 0;
-      another |= other != n && other.zone == n.zone && !from;
+      boolean isAvoided = other.excluded || othersFoundNoSlot(now, other);
+      avoided += other != node && isAvoided ? 1 : 0;
+      anotherInZone |= other != node && other.zone == node.zone && !isAvoided;
     }
-    return another && kept <= MOST_OUT * nodes.size();
+    return anotherInZone && avoided <= MAX_EXCLUDED_SHARE * nodes.size();
+  }
+
+  private boolean othersFoundNoSlot(double now, Node node) {
+    return node.evidence.pieces().stream().anyMatch(piece -> isOthersNoSlot(now, piece));
   }
 
-  private boolean saysFull(double now, VerdictEvidence e) {
-    return e.kind() == Kind.FULL && e.witness() != me && now < e.untilMs();
+  private boolean isOthersNoSlot(double now, VerdictEvidence piece) {
+    return piece.kind() == Kind.NO_CONNECTION_SLOT
+        && piece.observer() != me
+        && now < piece.expiresMs();
+  }
+
+  private void reviewAfterExpiry(double now, Node node) {
+    review(now, node, false, false, me);
   }
 
   /**
-   * @param by what has just come; null: only time has passed
+   * Judges a node anew.
+   *
+   * @param byOther another proxy's evidence has just come; false: an own attempt, or expiry
+   * @param answeredOther that evidence is an answer
+   * @param observer whose evidence has just come
    */
-  private void review(double now, Node n, VerdictEvidence by) {
-    double next = Double.POSITIVE_INFINITY;
-    for (VerdictEvidence e : n.evidence) {
-      next = Math.min(next, e.untilMs());
-    }
-    n.reviewMs = next;
-    boolean is = outByHearsay(now, n);
-    if (is == n.out || is && !mayGo(now, n)) {
-      if (!is && by != null && by.kind() == Kind.BACK && by.witness() != me) {
-        listener.changed(now, n.id, false, true, "answered proxy " + by.witness());
-      }
-      return;
+  private void review(double now, Node node, boolean byOther, boolean answeredOther, int observer) {
+    node.reviewMs = node.evidence.nextExpiryMs();
+    boolean unreachable = isUnreachable(now, node);
+    boolean changes = unreachable != node.excluded && (!unreachable || mayExclude(now, node));
+    if (changes) {
+      node.excluded = unreachable;
+      excludedNodes += unreachable ? 1 : -1;
     }
-    n.out = is;
-    outs += is ? 1 : -1;
-    if (is) {
-      n.triedMs = now;
-      StringBuilder who = new StringBuilder("out of reach for");
-      n.evidence.stream()
-          .filter(e -> e.kind() == Kind.OUT)
-          .forEach(e -> who.append(' ').append(e.witness()));
-      listener.changed(now, n.id, true, by != null && by.witness() != me, who.toString());
-    } else {
-      boolean byOther = by != null && by.kind() == Kind.BACK && by.witness() != me;
-      listener.changed(
-          now,
-          n.id,
-          false,
-          byOther,
-          byOther
-              ? "answered proxy " + by.witness()
-              : n.answeredMs >= now ? "answered here" : "nobody has said so of late");
+    if (changes && unreachable) {
+      node.lastTriedMs = now;
+      listener.verdictChanged(now, node.id, true, byOther, observersOf(node));
+    } else if (answeredOther && !unreachable) {
+      listener.verdictChanged(now, node.id, false, true, "answered proxy " + observer);
+    } else if (changes) {
+      String cause = node.lastAnswerMs >= now ? "answered here" : "nobody has said so of late";
+      listener.verdictChanged(now, node.id, false, false, cause);
     }
   }
 
-  /** Lets go of what is over. */
-  public void tick(double now) {
-    for (Node n : nodes.values()) {
-      if (now >= n.reviewMs) {
-        n.evidence.removeIf(
-            e -> {
-              if (now >= e.untilMs()) {
-                digest ^= e.mark();
-                return true;
-              }
-              return false;
-            });
-        review(now, n, null);
+  private static String observersOf(Node node) {
+    StringBuilder cause = new StringBuilder("out of reach for");
+    node.evidence.pieces().stream()
+        .filter(piece -> piece.kind() == Kind.UNREACHABLE)
+        .forEach(piece -> cause.append(' ').append(piece.observer()));
+    return cause.toString();
+  }
+
+  /** Drops expired evidence and judges the nodes anew that it was about. */
+  public void expire(double now) {
+    for (Node node : nodes.values()) {
+      if (now >= node.reviewMs) {
+        digest ^= node.evidence.digest();
+        node.evidence.expire(now);
+        digest ^= node.evidence.digest();
+        reviewAfterExpiry(now, node);
       }
     }
   }
 
   /**
-   * Whether others' word keeps this one from it now; where it may try, false may be its turn to.
+   * Whether gossip keeps this proxy from the node for one request. On the request path.
+   *
+   * @param mayProbe the request may be the one that probes an excluded node; false is returned then
+   *     where a probe is due
    */
-  public boolean passOver(double now, int id, boolean mayTry) {
-    Node n = nodes.get(id);
-    if (n == null || n.evidence.isEmpty()) {
+  public boolean shouldSkip(double now, int id, boolean mayProbe) {
+    Node node = nodes.get(id);
+    if (node == null || node.evidence.isEmpty()) {
       return false;
     }
-    if (now >= n.reviewMs) {
-      review(now, n, null);
+    if (now >= node.reviewMs) {
+      reviewAfterExpiry(now, node);
     }
-    if (!n.out) {
-      return full(now, n);
+    if (!node.excluded) {
+      return lacksConnectionSlot(now, node);
     }
-    if (!mayTry || now - n.trialMs < TRIAL_MS) {
+    if (!mayProbe
+        || now - node.probeBeganMs < PROBE_TIMEOUT_MS
+        || !probes.isDue(now, node.evidence.pieces(), node.lastTriedMs)) {
       return true;
     }
-    double last = Double.NEGATIVE_INFINITY;
-    int mark = 0;
-    for (VerdictEvidence e : n.evidence) {
-      if (e.kind() == Kind.OUT && e.atMs() > last) {
-        last = e.atMs();
-        mark = e.mark();
-      }
-    }
-    double lots = Math.max(LEAST_LOTS_MS, Math.min(MOST_LOTS_MS, LOT_MS * alive));
-    if (now < last + REST_MS + (on(Part.LOTS) ? lot(mark) * lots : 0)
-        && now - n.triedMs < OWN_TRY_MS + OWN_TRY_EACH_MS * alive) {
-      return true;
-    }
-    n.trialMs = n.triedMs = now;
+    node.probeBeganMs = now;
+    node.lastTriedMs = now;
     return false;
   }
 
-  private boolean full(double now, Node n) {
-    return now - n.answeredMs > PLACE_MS
-        && n.evidence.stream().anyMatch(e -> saysFull(now, e) && lot(e.mark()) * LOOKS_ONE_IN >= 1);
-  }
-
-  /** This proxy's own lot in a matter, from 0 to 1. */
-  private double lot(int mark) {
-    int h = (mark ^ me * 0x9E3779B9) * 0xC2B2AE35;
-    h = (h ^ h >>> 15) * 0x27D4EB2F;
-    return ((h ^ h >>> 16) >>> 1) / (double) (1L << 31);
+  private boolean lacksConnectionSlot(double now, Node node) {
+    if (now - node.lastAnswerMs <= HAS_SLOT_MS) {
+      return false;
+    }
+    for (VerdictEvidence piece : node.evidence.pieces()) {
+      if (isOthersNoSlot(now, piece)
+          && probes.randomFraction(piece.fingerprint()) * IGNORES_NO_SLOT_ONE_IN >= 1) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  // ---- for who tells and who looks
-
-  /** The same at all who hold the same. */
+  /** The same number at all proxies that hold the same evidence. */
   public int digest() {
     return digest;
   }
 
-  /** All that is held and not over, in the order of the nodes. */
-  public List<VerdictEvidence> held(double now) {
-    List<VerdictEvidence> all = new ArrayList<>();
+  /** All valid evidence, in the order of the nodes. */
+  public List<VerdictEvidence> evidence(double now) {
+    List<VerdictEvidence> valid = new ArrayList<>();
     nodes.values().stream()
-        .filter(n -> !n.evidence.isEmpty())
-        .sorted(Comparator.comparingInt(n -> n.id))
-        .forEach(n -> n.evidence.stream().filter(e -> now < e.untilMs()).forEach(all::add));
-    return all;
+        .filter(node -> !node.evidence.isEmpty())
+        .sorted(Comparator.comparingInt(node -> node.id))
+        .flatMap(node -> node.evidence.pieces().stream())
+        .filter(piece -> now < piece.expiresMs())
+        .forEach(valid::add);
+    return valid;
   }
 
-  /** Whether it is out by others' word, whatever this one's turn to try it. */
-  public boolean out(int id) {
-    Node n = nodes.get(id);
-    return n != null && n.out;
+  /** Whether gossip excludes the node, whether or not a probe is due. */
+  public boolean isExcluded(int id) {
+    Node node = nodes.get(id);
+    return node != null && node.excluded;
   }
 
-  /** How many are. */
-  public int outs() {
-    return outs;
+  /** How many nodes gossip excludes. */
+  public int excludedCount() {
+    return excludedNodes;
   }
 
-  /** Pieces of others' evidence that were news, since the start. */
-  public long learned() {
-    return learned;
+  /** Pieces of evidence of others that were news, since the start. */
+  public long acceptedCount() {
+    return accepted;
   }
 
   /**
-   * Pieces that were not taken: of a node or a proxy that there is not, over, or of one that is not
-   * heard.
+   * Pieces on listed nodes that were not accepted: expired, or of unknown or distrusted proxies.
    */
-  public long dropped() {
-    return dropped;
+  public long rejectedCount() {
+    return rejected;
   }
 }
--- a/src/main/java/cacheproxy/shared/SlowStartQuota.java
+++ b/src/main/java/cacheproxy/shared/SlowStartQuota.java
@@ -2,204 +2,238 @@
 
 import java.util.ArrayList;
 import java.util.EnumSet;
-import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
- * This proxy's part of one budget of the whole tier, spent without asking anybody. The budget is
- * cut into {@link #WHOLE} units. A floor of them is each proxy's own for ever; the others are its
- * own too, but it may lend them: the lender gives up first, for a time that runs from its word by
- * its clock, late; the borrower's time runs from its question by its own clock, early. So in every
- * history of losses, delays, doubles, pauses, cuts, deaths and restarts what all may spend is the
- * whole at most, as long as clocks go alike within {@link Terms#drift}; wall clocks do not count.
+ * This proxy's part of one budget of the whole tier, spent without asking anybody: a token bucket
+ * whose rate and size follow from the units that the proxy may use. The budget is divided into
+ * {@link #TOTAL_UNITS} units. Each proxy owns a floor that it never lends, and other units that it
+ * lends to proxies that want more. The lender stops using lent units before the borrower begins,
+ * and its term, by its own clock from the grant on, ends after the borrower's, which runs by the
+ * borrower's clock from the request on. So, whatever messages are lost, delayed or duplicated and
+ * whatever proxies pause, crash or restart, the units in use never add up to more than the total,
+ * as long as clocks run alike within {@link Settings#clockDrift}; the time of day does not matter.
  *
- * <p>What a dead one has lent or borrowed comes back when its time is over; what it owned is lost
- * to the others until it is back, which no rule can mend without a majority that two halves would
- * have to do without. A restarted one does not know what its former life lent: it has its floor
- * alone until all that must be over. A borrowed part is not lent on.
+ * <p>What a crashed proxy has lent or borrowed comes back when the lease ends; what it owns is lost
+ * to the others until it is back. A restarted proxy does not know what it had lent, so it uses its
+ * floor alone until all such leases have ended. Borrowed units are not lent on.
  *
- * <p>Bounded: so many loans each way; a question and an answer of eleven bytes a period. Times in
- * milliseconds of one clock that does not go back.
+ * <p>Memory is bounded by {@link #MAX_LEASES}. Times in milliseconds of one clock that does not go
+ * back; one thread.
  */
 public final class SlowStartQuota {
-  /** The units that a budget has. */
-  public static final int WHOLE = 1 << 20;
+  /** The units of the whole budget. */
+  public static final int TOTAL_UNITS = 1 << 20;
 
-  /** Loans given, and taken, at one time. */
-  static final int MOST_LOANS = 32;
+  /** Leases granted, and taken, at one time. */
+  static final int MAX_LEASES = 32;
 
-  /** Of what one could lend, the most that goes to one borrower: so a liar does not get all. */
-  private static final int TO_ONE = 2;
+  /** One borrower gets at most the lendable units divided by this, so a faulty one not all. */
+  private static final int MAX_SHARE_DIVISOR = 2;
 
-  /** Loans from one lender at one time. */
-  private static final int FROM_ONE = 2;
+  /** Of what is spare, the lender keeps the part given by this divisor. */
+  private static final int RESERVE_DIVISOR = 4;
 
-  /** Use is counted over about this time. */
-  private static final double USE_MS = 1000;
+  /** Leases from one lender at one time. */
+  private static final int MAX_LEASES_PER_LENDER = 2;
 
-  /** What is left to the lender over what it has used lately. */
-  private static final double KEEP = 1.25;
+  /** Demand is an exponential average with this half-life. */
+  private static final double DEMAND_HALF_LIFE_MS = 1000;
+
+  /** A lender keeps, and a borrower asks for, this multiple of its demand. */
+  private static final double DEMAND_MARGIN = 1.25;
+
+  /** The quota is short when demand exceeds this part of the spendable units. */
+  private static final double SHORTAGE_THRESHOLD = 0.9;
 
   /**
-   * @param tier proxies that the configuration names
-   * @param floor part of the budget that is never lent, from 0 to 1
-   * @param perMs what the whole tier may spend in a millisecond
+   * Settings of one budget, the same at all proxies that share it.
+   *
+   * @param tier how many proxies share it, 1 to 10,000
+   * @param floorShare part of the budget that is never lent, from 0 to 1
+   * @param ratePerMs what the whole tier may spend in a millisecond
    * @param burst what the whole tier may have saved up
-   * @param lendMs a loan's time by the lender's clock
-   * @param drift by which part a clock may go faster or slower than another
+   * @param leaseMs a lease's term by the lender's clock
+   * @param clockDrift by which part a clock may be faster or slower than another, below 0.1
    */
-  public record Terms(
-      int tier, double floor, double perMs, double burst, double lendMs, double drift) {
-    public Terms {
-      if (tier < 1
-          || tier > 10_000
-          || !(floor >= 0
-              && floor <= 1
-              && perMs > 0
+  public record Settings(
+      int tier,
+      double floorShare,
+      double ratePerMs,
+      double burst,
+      double leaseMs,
+      double clockDrift) {
+    private static final int MAX_TIER = 10_000;
+    private static final double MAX_CLOCK_DRIFT = 0.1;
+    private static final double DEFAULT_FLOOR_SHARE = 0.3;
+    private static final double DEFAULT_LEASE_MS = 2000;
+    private static final double DEFAULT_CLOCK_DRIFT = 0.001;
+
+    /**
+     * Checks the bounds.
+     *
+     * @throws IllegalArgumentException a value is out of bounds
+     */
+    public Settings {
+      boolean valid =
+          tier >= 1
+              && tier <= MAX_TIER
+              && floorShare >= 0
+              && floorShare <= 1
+              && ratePerMs > 0
               && burst > 0
-              && lendMs > 0
-              && drift >= 0
-              && drift < 0.1)) {
+              && leaseMs > 0
+              && clockDrift >= 0
+              && clockDrift < MAX_CLOCK_DRIFT;
+      if (!valid) {
         throw new IllegalArgumentException(
-            "tier "
-                + tier
-                + ", floor "
-                + floor
-                + ", "
-                + perMs
-                + " per ms, burst "
-                + burst
-                + ", lend "
-                + lendMs
-                + " ms, drift "
-                + drift);
+            String.format(
+                "tier %s, floor %s, %s per ms, burst %s, lease %s ms, drift %s",
+                tier, floorShare, ratePerMs, burst, leaseMs, clockDrift));
       }
     }
 
     /**
-     * A budget of so much in each window of this length: a part of it may be spent in one moment.
+     * A budget of {@code limit} in each window of this length.
+     *
+     * @param burstShare part of the limit that may be spent at one moment
      */
-    public static Terms ofWindow(int tier, double guarantee, double windowMs, double atOnce) {
-      return new Terms(
-          tier, 0.3, guarantee * (1 - atOnce) / windowMs, guarantee * atOnce, 2000, 0.001);
+    public static Settings ofWindow(int tier, double limit, double windowMs, double burstShare) {
+      return new Settings(
+          tier,
+          DEFAULT_FLOOR_SHARE,
+          limit * (1 - burstShare) / windowMs,
+          limit * burstShare,
+          DEFAULT_LEASE_MS,
+          DEFAULT_CLOCK_DRIFT);
     }
 
-    /** The borrower's time, from its question on, by its own clock. */
-    double useMs() {
-      return lendMs * (1 - drift) / (1 + drift);
+    /** The borrower's term, from its request on, by its own clock. */
+    double borrowerTermMs() {
+      return leaseMs * (1 - clockDrift) / (1 + clockDrift);
     }
 
-    /** After so long by any clock nothing that a former life has lent can be spent. */
-    double quietMs() {
-      return lendMs * (1 + drift) / (1 - drift);
+    /** After this time by any clock no lease of an earlier incarnation is still in use. */
+    double restartQuietMs() {
+      return leaseMs * (1 + clockDrift) / (1 - clockDrift);
     }
   }
 
-  /** Parts that can be left out to see what each is for; all are on in use. */
-  public enum Part {
-    QUIET,
-    FROM_THE_QUESTION,
-    GIVEN_UP_FIRST,
-    CAP
+  /** Rules that a test can switch off to show what each is for; all are on in use. */
+  public enum Safeguard {
+    /** A restarted proxy uses its floor alone until its earlier leases have ended. */
+    RESTART_QUIET_PERIOD,
+    /** The borrower's term begins with its request. */
+    TERM_FROM_REQUEST,
+    /** The lender stops using lent units at once. */
+    LENDER_YIELDS_FIRST,
+    /** Saved tokens are cut to what the present units allow. */
+    TOKEN_CAP
   }
 
-  /** A question for units, or the answer to it. */
-  public record Message(boolean grant, int nonce, int units, int renews) {}
-
-  private static final class Loan {
-    final int with;
+  /** Units that are lent or borrowed from one time on until another. */
+  private static final class Lease {
+    final int partner;
     final int nonce;
     final int units;
-    double fromMs;
+    final double fromMs;
     double endMs;
 
-    Loan(int with, int nonce, int units, double fromMs, double endMs) {
-      this.with = with;
+    Lease(int partner, int nonce, int units, double fromMs, double endMs) {
+      this.partner = partner;
       this.nonce = nonce;
       this.units = units;
       this.fromMs = fromMs;
       this.endMs = endMs;
     }
 
-    double within(double from, double to) {
+    boolean isActive(double now) {
+      return fromMs <= now && now < endMs;
+    }
+
+    double activeMsBetween(double from, double to) {
       return Math.max(0, Math.min(to, endMs) - Math.max(from, fromMs));
     }
   }
 
-  private record Question(int nonce, int to, double atMs, int renews) {}
-
-  private final Terms terms;
-  private final Set<Part> without;
-  private final int floor;
-  private final int own;
-  private final List<Loan> lent = new ArrayList<>();
-  private final List<Loan> borrowed = new ArrayList<>();
-  private final List<Question> asked = new ArrayList<>();
-  private int nonces;
-  private double quietUntil;
-  private boolean beside;
-  private double perMs;
+  private record PendingRequest(int nonce, int lender, double sentMs, int renewedNonce) {}
+
+  private final Settings settings;
+  private final Set<Safeguard> disabled;
+  private final int floorUnits;
+  private final int lendableUnits;
+  private final List<Lease> lent = new ArrayList<>();
+  private final List<Lease> borrowed = new ArrayList<>();
+  private final List<PendingRequest> pending = new ArrayList<>();
+  private int lastNonce;
+  private double quietUntilMs;
+  private boolean overlapping;
+  private double ratePerMs;
   private double burst;
   private double tokens;
   private double lastMs;
-  private double wanted;
+  private double demand;
 
   /**
-   * A right with nothing saved. From its start on for {@link Terms#quietMs} the floor is all there
-   * is.
+   * A quota with no tokens, of a process that starts now.
    *
-   * @param nonce drawn anew at each start: answers to a former life's questions are not taken
+   * @param firstNonce drawn anew at each start: grants for requests of an earlier incarnation are
+   *     not accepted
+   * @param disabled rules to switch off, for tests
    */
-  public SlowStartQuota(Terms terms, int nonce, double now, Part... without) {
-    this(terms, nonce, now, now, without);
+  public SlowStartQuota(Settings settings, int firstNonce, double now, Safeguard... disabled) {
+    this(settings, firstNonce, now, now, disabled);
   }
 
   /**
-   * The same of a process that has run since then: its former life may have lent what it does not
-   * know of.
+   * The same of a process that started earlier.
+   *
+   * @param startedMs when; its earlier incarnation may have lent units just before
    */
-  public SlowStartQuota(Terms terms, int nonce, double now, double startedMs, Part... without) {
-    this.terms = terms;
-    perMs = terms.perMs();
-    burst = terms.burst();
-    this.without =
-        without.length == 0 ? EnumSet.noneOf(Part.class) : EnumSet.of(without[0], without);
-    floor = (int) (WHOLE * terms.floor()) / terms.tier();
-    own = (int) (WHOLE * (1 - terms.floor())) / terms.tier();
-    nonces = nonce;
+  public SlowStartQuota(
+      Settings settings, int firstNonce, double now, double startedMs, Safeguard... disabled) {
+    this.settings = settings;
+    ratePerMs = settings.ratePerMs();
+    burst = settings.burst();
+    this.disabled =
+        disabled.length == 0 ? EnumSet.noneOf(Safeguard.class) : EnumSet.of(disabled[0], disabled);
+    floorUnits = (int) (TOTAL_UNITS * settings.floorShare()) / settings.tier();
+    lendableUnits = (int) (TOTAL_UNITS * (1 - settings.floorShare())) / settings.tier();
+    lastNonce = firstNonce;
     lastMs = now;
-    quietUntil = on(Part.QUIET) ? startedMs + terms.quietMs() : now;
+    quietUntilMs =
+        isEnabled(Safeguard.RESTART_QUIET_PERIOD) ? startedMs + settings.restartQuietMs() : now;
   }
 
-  private boolean on(Part part) {
-    return !without.contains(part);
+  private boolean isEnabled(Safeguard safeguard) {
+    return !disabled.contains(safeguard);
   }
 
   /**
-   * Another process of this proxy runs, or has ended. Each has half of the floor then and neither
-   * what may be lent, also for as long afterwards as the other may have lent.
+   * Another process of this proxy runs, or has ended. While both run each has half of the floor and
+   * nothing to lend; nor has the one that is left, for as long as the other's leases may last.
    */
-  public void beside(double now, boolean another) {
+  public void setOverlapping(double now, boolean another) {
     advance(now);
-    beside = another;
-    quietUntil = Math.max(quietUntil, now + terms.quietMs());
+    overlapping = another;
+    quietUntilMs = Math.max(quietUntilMs, now + settings.restartQuietMs());
   }
 
-  /**
-   * The budget is another from now on: what the tier may spend in a millisecond, and have saved up.
-   */
-  public void pace(double now, double spendPerMs, double saved) {
+  /** Changes what the whole tier may spend in a millisecond, and have saved up. */
+  public void setRate(double now, double newRatePerMs, double newBurst) {
     advance(now);
-    perMs = spendPerMs;
-    burst = saved;
-    tokens = on(Part.CAP) ? Math.min(tokens, burst * held(now) / WHOLE) : tokens;
+    ratePerMs = newRatePerMs;
+    burst = newBurst;
+    capTokens(now);
   }
 
-  /** Spends so much of the budget, if this one's right allows it now. */
-  public boolean spend(double now, double amount) {
+  /** Spends this amount of the budget if the tokens allow it. On the request path. */
+  public boolean trySpend(double now, double amount) {
     advance(now);
-    wanted += amount;
+    demand += amount;
     if (tokens < amount) {
       return false;
     }
@@ -207,181 +241,223 @@
     return true;
   }
 
-  /** The units that this one may spend by now. */
-  public int units(double now) {
+  /** The units that this proxy may use now. */
+  public int spendableUnits(double now) {
     advance(now);
-    return held(now);
+    return unitsAt(now);
   }
 
-  private int held(double now) {
-    int units = beside ? floor / 2 : floor;
-    if (now >= quietUntil && !beside) {
-      units += own;
-      for (Loan l : lent) {
-        units -= l.fromMs <= now && now < l.endMs ? l.units : 0;
-      }
+  private int ownFloor() {
+    return overlapping ? floorUnits / 2 : floorUnits;
+  }
+
+  private int unitsAt(double now) {
+    int units = ownFloor();
+    if (now >= quietUntilMs && !overlapping) {
+      units += lendableUnits - activeUnits(lent, now);
     }
-    for (Loan l : borrowed) {
-      units += l.fromMs <= now && now < l.endMs ? l.units : 0;
+    return Math.max(0, units + activeUnits(borrowed, now));
+  }
+
+  private static int activeUnits(List<Lease> leases, double now) {
+    int units = 0;
+    for (Lease lease : leases) {
+      units += lease.isActive(now) ? lease.units : 0;
     }
-    return Math.max(0, units);
+    return units;
   }
 
   /**
-   * Looks at the clock before anything is spent: what has ended meanwhile gives nothing any more.
+   * Fills the bucket for the time that has passed, by the units of each part of it. Called before
+   * anything is spent, so that an ended lease is of no use even if no timer has fired.
    */
   private void advance(double now) {
-    double dt = now - lastMs;
-    if (dt <= 0) {
+    double elapsedMs = now - lastMs;
+    if (elapsedMs <= 0) {
       return;
     }
-    double unitMs = (beside ? floor / 2 : floor) * dt;
-    if (!beside) {
-      unitMs += own * Math.max(0, now - Math.max(lastMs, quietUntil));
-      for (Loan l : lent) {
-        unitMs -= l.units * l.within(Math.max(lastMs, quietUntil), now);
+    tokens += Math.max(0, unitMsUntil(now)) * ratePerMs / TOTAL_UNITS;
+    lastMs = now;
+    lent.removeIf(lease -> now >= lease.endMs);
+    borrowed.removeIf(lease -> now >= lease.endMs);
+    pending.removeIf(request -> now >= request.sentMs + settings.borrowerTermMs());
+    capTokens(now);
+    demand *= Math.pow(0.5, elapsedMs / DEMAND_HALF_LIFE_MS);
+  }
+
+  /** Units times milliseconds since the last call of {@link #advance}. */
+  private double unitMsUntil(double now) {
+    double unitMs = ownFloor() * (now - lastMs);
+    if (!overlapping) {
+      double fromMs = Math.max(lastMs, quietUntilMs);
+      unitMs += lendableUnits * Math.max(0, now - fromMs);
+      for (Lease lease : lent) {
+        unitMs -= lease.units * lease.activeMsBetween(fromMs, now);
       }
     }
-    for (Loan l : borrowed) {
-      unitMs += l.units * l.within(lastMs, now);
+    for (Lease lease : borrowed) {
+      unitMs += lease.units * lease.activeMsBetween(lastMs, now);
     }
-    tokens += Math.max(0, unitMs) * perMs / WHOLE;
-    lastMs = now;
-    lent.removeIf(l -> now >= l.endMs);
-    borrowed.removeIf(l -> now >= l.endMs);
-    asked.removeIf(q -> now >= q.atMs + terms.useMs());
-    if (on(Part.CAP)) {
-      tokens = Math.min(tokens, burst * held(now) / WHOLE);
+    return unitMs;
+  }
+
+  private void capTokens(double now) {
+    if (isEnabled(Safeguard.TOKEN_CAP)) {
+      tokens = Math.min(tokens, burst * unitsAt(now) / TOTAL_UNITS);
     }
-    double fade = Math.pow(0.5, dt / USE_MS);
-    wanted *= fade;
   }
 
-  /** What a count that halves in {@link #USE_MS} stands for, in units of the budget. */
-  private double unitsOf(double count) {
-    return perMs <= 0 ? 0 : Math.min(WHOLE, count * Math.log(2) / USE_MS / perMs * WHOLE);
+  /** The demand as units of the budget. */
+  private double demandUnits() {
+    if (ratePerMs <= 0) {
+      return 0;
+    }
+    double demandPerMs = demand * Math.log(2) / DEMAND_HALF_LIFE_MS;
+    return Math.min(TOTAL_UNITS, demandPerMs / ratePerMs * TOTAL_UNITS);
   }
 
-  /** Whether more is wanted of this one than its right allows. */
-  public boolean lacks(double now) {
+  /** Whether more is wanted of this proxy than its units allow. */
+  public boolean isShort(double now) {
     advance(now);
-    return unitsOf(wanted) > 0.9 * held(now);
+    return demandUnits() > SHORTAGE_THRESHOLD * unitsAt(now);
   }
 
   /** Units lent to others now. */
-  public int lent(double now) {
-    return sum(lent, now);
-  }
-
-  /** Units that others have lent to this one, of those that it may spend now. */
-  public int borrowed(double now) {
-    return sum(borrowed, now);
+  public int lentUnits(double now) {
+    return activeUnits(lent, now);
   }
 
-  private static int sum(List<Loan> loans, double now) {
-    return loans.stream()
-        .filter(l -> l.fromMs <= now && now < l.endMs)
-        .mapToInt(l -> l.units)
-        .sum();
+  /** Units borrowed from others now. */
+  public int borrowedUnits(double now) {
+    return activeUnits(borrowed, now);
   }
 
-  // ---- lending
-
   /**
-   * A question to another, where more is wanted than this one may spend, or a loan ends soon that
-   * is still used; null: none is due. The caller draws whom to ask, by lot among those that it
-   * believes to be there.
+   * A request to this lender for units that this proxy is short of, or for the renewal of a lease
+   * that ends soon and is still needed; empty: neither is due.
+   *
+   * @param lender another proxy, drawn by the caller among those that are present
    */
-  public Message asks(double now, int whom) {
+  public Optional<LeaseMessage.Request> requestLease(double now, int lender) {
     advance(now);
-    if (asked.size() >= MOST_LOANS) {
-      return null;
+    if (pending.size() >= MAX_LEASES || !isShort(now)) {
+      return Optional.empty();
     }
-    boolean lacking = lacks(now);
-    for (Loan l : borrowed) {
-      boolean under = asked.stream().anyMatch(q -> q.renews() == l.nonce);
-      if (l.with == whom && l.endMs - now < terms.useMs() / 2 && !under && lacking) {
-        asked.add(new Question(++nonces, whom, now, l.nonce));
-        return new Message(false, nonces, l.units, l.nonce);
+    for (Lease lease : borrowed) {
+      if (lease.partner == lender && needsRenewal(now, lease)) {
+        return Optional.of(request(now, lender, lease.units, lease.nonce));
       }
     }
-    int lacks = (int) Math.min(own, KEEP * unitsOf(wanted) - held(now));
-    if (!lacking
-        || lacks <= 0
-        || borrowed.size() >= MOST_LOANS
-        || borrowed.stream().filter(l -> l.with == whom).count() >= FROM_ONE
-        || asked.stream().anyMatch(q -> q.to() == whom)) {
-      return null;
-    }
-    asked.add(new Question(++nonces, whom, now, 0));
-    return new Message(false, nonces, lacks, 0);
+    int missingUnits = (int) Math.min(lendableUnits, DEMAND_MARGIN * demandUnits() - unitsAt(now));
+    boolean mayBorrow =
+        missingUnits > 0
+            && borrowed.size() < MAX_LEASES
+            && borrowed.stream().filter(lease -> lease.partner == lender).count()
+                < MAX_LEASES_PER_LENDER
+            && pending.stream().noneMatch(request -> request.lender == lender);
+    return mayBorrow
+        ? Optional.of(request(now, lender, missingUnits, LeaseMessage.NO_RENEWAL))
+        : Optional.empty();
   }
 
-  /** With whom a loan ends soon that should be renewed; -1: with none. */
-  public int renews(double now) {
-    for (Loan l : borrowed) {
-      if (l.endMs - now < terms.useMs() / 2
-          && asked.stream().noneMatch(q -> q.renews() == l.nonce)) {
-        return l.with;
+  private LeaseMessage.Request request(double now, int lender, int units, int renewedNonce) {
+    pending.add(new PendingRequest(++lastNonce, lender, now, renewedNonce));
+    return new LeaseMessage.Request(lastNonce, units, renewedNonce);
+  }
+
+  /** Whether the second half of its term has begun and no renewal is under way. */
+  private boolean needsRenewal(double now, Lease lease) {
+    return lease.endMs - now < settings.borrowerTermMs() / 2
+        && pending.stream().noneMatch(request -> request.renewedNonce == lease.nonce);
+  }
+
+  /** The lender of a lease that should be renewed now. */
+  public OptionalInt lenderToRenewWith(double now) {
+    for (Lease lease : borrowed) {
+      if (needsRenewal(now, lease)) {
+        return OptionalInt.of(lease.partner);
       }
     }
-    return -1;
+    return OptionalInt.empty();
   }
 
-  /** Another's question or answer; the answer to send back, null: none. */
-  public Message heard(double now, int from, Message m) {
-    advance(now);
-    if (m.grant()) {
-      taken(now, from, m);
-      return null;
+  /** A message of another proxy, and the grant to send back if it is a request. */
+  public Optional<LeaseMessage.Grant> receive(double now, int sender, LeaseMessage message) {
+    if (message instanceof LeaseMessage.Request request) {
+      return receiveRequest(now, sender, request);
     }
-    if (m.units() <= 0 || m.nonce() == 0 || beside || now < quietUntil) {
-      return null;
+    receiveGrant(now, sender, (LeaseMessage.Grant) message);
+    return Optional.empty();
+  }
+
+  /** Another proxy's request; empty: nothing is lent. */
+  Optional<LeaseMessage.Grant> receiveRequest(
+      double now, int borrower, LeaseMessage.Request request) {
+    advance(now);
+    if (request.units() <= 0 || request.nonce() == 0 || overlapping || now < quietUntilMs) {
+      return Optional.empty();
     }
-    for (Loan l : lent) {
-      if (l.with == from && (l.nonce == m.nonce() || m.renews() != 0 && l.nonce == m.renews())) {
-        // Asked for again, or the answer was lost: given up for longer, and by no more.
-        l.endMs = now + terms.lendMs();
-        return new Message(true, m.nonce(), l.units, m.renews());
+    boolean renewal = request.renewedNonce() != LeaseMessage.NO_RENEWAL;
+    for (Lease lease : lent) {
+      if (lease.partner == borrower
+          && (lease.nonce == request.nonce() || renewal && lease.nonce == request.renewedNonce())) {
+        // A renewal, or the first grant was lost: the term begins anew, the units stay the same.
+        lease.endMs = now + settings.leaseMs();
+        return Optional.of(
+            new LeaseMessage.Grant(request.nonce(), lease.units, request.renewedNonce()));
       }
     }
-    int out = 0;
-    int toThis = 0;
-    for (Loan l : lent) {
-      out += l.units;
-      toThis += l.with == from ? l.units : 0;
+    int units = Math.min(request.units(), unitsToLend(borrower));
+    if (units <= 0 || renewal || lent.size() >= MAX_LEASES) {
+      return Optional.empty();
     }
-    int spare = (int) Math.min(own - out - Math.max(0, KEEP * unitsOf(wanted) - floor), own);
-    int units = Math.min(Math.min(m.units(), spare - spare / 4), own / TO_ONE - toThis);
-    if (units <= 0 || m.renews() != 0 || lent.size() >= MOST_LOANS) {
-      return null;
+    double fromMs = isEnabled(Safeguard.LENDER_YIELDS_FIRST) ? now : now + settings.leaseMs() / 4;
+    lent.add(new Lease(borrower, request.nonce(), units, fromMs, now + settings.leaseMs()));
+    capTokens(now);
+    return Optional.of(new LeaseMessage.Grant(request.nonce(), units, LeaseMessage.NO_RENEWAL));
+  }
+
+  /** What this borrower can have more at most; may be negative. */
+  private int unitsToLend(int borrower) {
+    int lentUnits = 0;
+    int lentToBorrower = 0;
+    for (Lease lease : lent) {
+      lentUnits += lease.units;
+      lentToBorrower += lease.partner == borrower ? lease.units : 0;
     }
-    double from0 = on(Part.GIVEN_UP_FIRST) ? now : now + terms.lendMs() / 4;
-    lent.add(new Loan(from, m.nonce(), units, from0, now + terms.lendMs()));
-    tokens = on(Part.CAP) ? Math.min(tokens, burst * held(now) / WHOLE) : tokens;
-    return new Message(true, m.nonce(), units, 0);
+    double needed = Math.max(0, DEMAND_MARGIN * demandUnits() - floorUnits);
+    int spare = (int) Math.min(lendableUnits - lentUnits - needed, lendableUnits);
+    return Math.min(
+        spare - spare / RESERVE_DIVISOR, lendableUnits / MAX_SHARE_DIVISOR - lentToBorrower);
   }
 
-  private void taken(double now, int from, Message m) {
-    Question q =
-        asked.stream()
-            .filter(a -> a.nonce() == m.nonce() && a.to() == from)
-            .findFirst()
-            .orElse(null);
-    if (q == null || m.units() <= 0 || m.units() > own) {
-      return; // not asked, asked by a former life, or too late
+  /** A lender's grant; ignored if it answers no pending request, or comes too late. */
+  void receiveGrant(double now, int lender, LeaseMessage.Grant grant) {
+    advance(now);
+    Optional<PendingRequest> found =
+        pending.stream()
+            .filter(request -> request.nonce == grant.nonce() && request.lender == lender)
+            .findFirst();
+    if (found.isEmpty() || grant.units() <= 0 || grant.units() > lendableUnits) {
+      return;
+    }
+    PendingRequest request = found.get();
+    pending.remove(request);
+    double fromMs = isEnabled(Safeguard.TERM_FROM_REQUEST) ? request.sentMs : now;
+    double endMs = fromMs + settings.borrowerTermMs();
+    if (request.renewedNonce != LeaseMessage.NO_RENEWAL) {
+      extend(lender, request.renewedNonce, endMs);
+    } else if (now < endMs) {
+      borrowed.add(new Lease(lender, grant.nonce(), grant.units(), now, endMs));
     }
-    asked.remove(q);
-    double end = (on(Part.FROM_THE_QUESTION) ? q.atMs() : now) + terms.useMs();
-    for (Iterator<Loan> i = borrowed.iterator(); i.hasNext(); ) {
-      Loan l = i.next();
-      if (q.renews() != 0 && l.nonce == q.renews() && l.with == from) {
-        l.endMs = Math.max(l.endMs, end);
+  }
+
+  private void extend(int lender, int nonce, double endMs) {
+    for (Lease lease : borrowed) {
+      if (lease.nonce == nonce && lease.partner == lender) {
+        lease.endMs = Math.max(lease.endMs, endMs);
         return;
       }
     }
-    if (q.renews() == 0 && now < end) {
-      borrowed.add(new Loan(from, m.nonce(), m.units(), now, end));
-    }
   }
 }
--- a/src/main/java/cacheproxy/shared/TierCounters.java
+++ b/src/main/java/cacheproxy/shared/TierCounters.java
@@ -3,260 +3,265 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
 /**
- * What the tier did, of one kind: answers of warm nodes, trials, refusals. Each proxy counts its
- * own and tells its total; a total of one life of one number only grows, so totals merge by the
- * greater one: in any order, any number of times, with the same result. A former life's total is
- * kept beside the present one's, so a restart loses and doubles nothing.
+ * How often the proxies of a tier did one kind of thing, such as receiving an answer of a warm
+ * node. Each proxy counts for itself and reports its total. The total of one incarnation only
+ * grows, so reports merge by their maximum: in any order and any number of times, with the same
+ * result. The total of the earlier incarnation is kept beside the present one, so a restart loses
+ * and duplicates nothing.
  *
- * <p>A reading is an interval with an age and says whom it has not heard of. What grew between two
- * words that both lie within the window is the least; what may have been done between a word before
- * the window and one in it, and by the silent since, at the rate that the caller says none can
- * pass, makes the most. So a total that is heard for the first time, or after a cut, adds nothing
- * to the least, however great it is. It serves to judge how much there is to do; what must not be
- * passed is held by {@link SlowStartQuota}, never by a reading.
+ * <p>A {@link Reading} of a window is an interval. Its lower bound is the growth between two
+ * reports that both lie in the window; its upper bound adds what may have happened between a report
+ * before the window and one in it, and what proxies without a recent report may have done at a rate
+ * that the caller gives. A total that is heard of for the first time, or again after a partition,
+ * adds nothing to the lower bound, however large it is. Readings are for estimates; a limit that
+ * must hold is kept by {@link SlowStartQuota}.
  *
- * <p>Bounded: {@link #LIVES} lives of each number, {@link #MARKS} words of each. Times in
- * milliseconds of one clock.
+ * <p>Memory is bounded: {@link #MAX_INCARNATIONS} incarnations of each proxy, {@link
+ * IncarnationCounter#MAX_READINGS} readings of each. Times in milliseconds of one clock; one
+ * thread.
  */
 public final class TierCounters {
-  /** Of a number: the present one and one that ran beside or before it. */
-  static final int LIVES = 2;
+  /** Of each proxy: the present one and one that ran beside or before it. */
+  static final int MAX_INCARNATIONS = 2;
 
-  static final int MARKS = 6;
-  private static final double MOST_OF_MEDIAN = 10;
+  /** With at least so many proxies a rate far above the median is cut. */
+  private static final int MIN_FOR_MEDIAN = 3;
 
-  /** One total as it is told: whose, of which life, and how much. */
-  public record Total(int proxy, int life, long count) {}
+  private static final double MAX_MULTIPLE_OF_MEDIAN = 10;
+
+  /** Two readings must span this part of the window to give a rate. */
+  private static final double MIN_SPAN_SHARE = 1.0 / 8;
+
+  /**
+   * One total as it is reported.
+   *
+   * @param proxy whose it is
+   * @param incarnation drawn at that proxy's start, not 0
+   */
+  public record Total(int proxy, int incarnation, long count) {}
 
   /**
    * How often something was done within a window.
    *
-   * @param least what is known
-   * @param most with what those not heard of may have done
-   * @param ageMs since the word of the one heard of longest ago, of those heard of
-   * @param silent numbers of which there is no word within the window
+   * @param lowerBound what is known
+   * @param upperBound what is possible, with what silent proxies may have done
+   * @param ageMs the age of the oldest last report among the proxies that are not silent
+   * @param silentProxies those without a report in the window
    */
-  public record Reading(long least, long most, double ageMs, List<Integer> silent) {}
+  public record Reading(
+      long lowerBound, long upperBound, double ageMs, List<Integer> silentProxies) {}
 
+  private final int proxies;
   private final int me;
-  private final int[] lives;
-  private final long[] totals;
 
-  /** By life: when what was said, oldest first. */
-  private final double[][] markMs;
+  /** {@link #MAX_INCARNATIONS} for each proxy; null where none was heard of. */
+  private final IncarnationCounter[] counters;
 
-  private final long[][] marks;
-  private final int[] marked;
-  private final double spacingMs;
+  private final IncarnationCounter own;
+  private final double minSpacingMs;
+
+  /** Reused by {@link #ratePerMs}, which is called on the request path. */
+  private final double[] rates;
 
   /**
-   * @param life drawn at the start, not 0; two lives of one number differ by it
+   * Knows only this proxy, at 0.
+   *
+   * @param incarnation drawn at the start, not 0
    * @param windowMs the longest window that will be read
+   * @throws IllegalArgumentException a number is out of its bounds
    */
-  public TierCounters(int tier, int me, int life, double windowMs, double now) {
-    if (life == 0 || me < 0 || me >= tier) {
-      throw new IllegalArgumentException("life " + life + " of proxy " + me + " of " + tier);
+  public TierCounters(int proxies, int me, int incarnation, double windowMs, double now) {
+    if (incarnation == 0 || me < 0 || me >= proxies) {
+      throw new IllegalArgumentException(
+          "incarnation " + incarnation + " of proxy " + me + " of " + proxies);
     }
+    this.proxies = proxies;
     this.me = me;
-    lives = new int[tier * LIVES];
-    totals = new long[tier * LIVES];
-    markMs = new double[tier * LIVES][];
-    marks = new long[tier * LIVES][];
-    marked = new int[tier * LIVES];
-    spacingMs = windowMs / (MARKS - 2);
-    begin(me * LIVES, life);
-    mark(me * LIVES, now);
-  }
-
-  private void begin(int at, int life) {
-    lives[at] = life;
-    totals[at] = 0;
-    marked[at] = 0;
-    if (markMs[at] == null) { // who is never heard of takes no room
-      markMs[at] = new double[MARKS];
-      marks[at] = new long[MARKS];
-    }
+    counters = new IncarnationCounter[proxies * MAX_INCARNATIONS];
+    rates = new double[counters.length];
+    minSpacingMs = windowMs / (IncarnationCounter.MAX_READINGS - 2);
+    own = new IncarnationCounter(incarnation);
+    own.read(now, minSpacingMs);
+    counters[me * MAX_INCARNATIONS] = own;
   }
 
-  /** The newest word moves on until it stands far enough from the one before. */
-  private void mark(int at, double atMs) {
-    int n = marked[at];
-    double[] ms = markMs[at];
-    if (n > 0 && atMs < ms[n - 1]) {
-      marks[at][n - 1] = totals[at]; // by the later time it was so too
-      return;
-    }
-    if (n > 1 && ms[n - 1] - ms[n - 2] < spacingMs) {
-      n--;
-    } else if (n == MARKS) {
-      System.arraycopy(ms, 1, ms, 0, MARKS - 1);
-      System.arraycopy(marks[at], 1, marks[at], 0, MARKS - 1);
-      n--;
-    }
-    ms[n] = atMs;
-    marks[at][n] = totals[at];
-    marked[at] = n + 1;
-  }
-
-  /** This proxy has done it so often more. */
+  /**
+   * This proxy has done it so many more times. On the request path.
+   *
+   * @throws IllegalArgumentException the count is negative
+   */
   public void add(double now, long count) {
     if (count < 0) {
       throw new IllegalArgumentException("count " + count);
     }
-    totals[me * LIVES] = saturated(totals[me * LIVES], count);
-    mark(me * LIVES, now);
+    own.raiseTo(saturatedSum(own.count(), count));
+    own.read(now, minSpacingMs);
   }
 
-  private static long saturated(long a, long b) {
+  private static long saturatedSum(long a, long b) {
     return a > Long.MAX_VALUE - b ? Long.MAX_VALUE : a + b;
   }
 
-  /** What this one tells of a proxy, itself among them. */
+  private static int firstSlot(int proxy) {
+    return proxy * MAX_INCARNATIONS;
+  }
+
+  /** All totals that are known of a proxy, this one included. */
   public List<Total> totals(int proxy) {
-    List<Total> all = new ArrayList<>();
-    for (int l = proxy * LIVES; l < (proxy + 1) * LIVES; l++) {
-      if (lives[l] != 0) {
-        all.add(new Total(proxy, lives[l], totals[l]));
+    List<Total> totals = new ArrayList<>();
+    for (int slot = firstSlot(proxy); slot < firstSlot(proxy + 1); slot++) {
+      if (counters[slot] != null) {
+        totals.add(totalOf(proxy, counters[slot]));
       }
     }
-    return all;
+    return totals;
   }
 
-  /** The life of this proxy that was last heard of; null: none was. */
-  public Total latest(int proxy) {
-    int at = -1;
-    for (int l = proxy * LIVES; l < (proxy + 1) * LIVES; l++) {
-      at = lives[l] != 0 && (at < 0 || heardMs(l) > heardMs(at)) ? l : at;
+  private static Total totalOf(int proxy, IncarnationCounter counter) {
+    return new Total(proxy, counter.incarnation(), counter.count());
+  }
+
+  /** The total of the proxy's incarnation that was heard of last. */
+  public Optional<Total> latest(int proxy) {
+    IncarnationCounter latest = null;
+    for (int slot = firstSlot(proxy); slot < firstSlot(proxy + 1); slot++) {
+      if (counters[slot] != null && (latest == null || lastReadMs(slot) > latest.lastReadMs())) {
+        latest = counters[slot];
+      }
     }
-    return at < 0 ? null : new Total(proxy, lives[at], totals[at]);
+    return Optional.ofNullable(latest).map(counter -> totalOf(proxy, counter));
   }
 
-  private double heardMs(int at) {
-    return marked[at] == 0 ? Double.NEGATIVE_INFINITY : markMs[at][marked[at] - 1];
+  private double lastReadMs(int slot) {
+    return counters[slot] == null ? Double.NEGATIVE_INFINITY : counters[slot].lastReadMs();
   }
 
-  /** When the last word of this proxy is from; negative infinity: there is none. */
-  public double heardOf(int proxy) {
-    return Math.max(heardMs(proxy * LIVES), heardMs(proxy * LIVES + 1));
+  /** When the last report of this proxy is from; negative infinity: there is none. */
+  public double lastHeardMs(int proxy) {
+    return Math.max(lastReadMs(firstSlot(proxy)), lastReadMs(firstSlot(proxy) + 1));
   }
 
   /**
-   * Another's word, first-hand or passed on. False: it said nothing new.
+   * Merges another proxy's report, first-hand or passed on.
    *
-   * @param atMs when it was so
+   * @param atMs when the total had this value
+   * @return whether it said anything new; false for impossible numbers too
    */
-  public boolean merge(double atMs, Total told) {
-    int p = told.proxy();
-    if (p < 0
-        || p >= lives.length / LIVES
-        || told.life() == 0
-        || told.count() < 0
-        || p == me && told.life() == lives[me * LIVES]) {
+  public boolean merge(double atMs, Total reported) {
+    boolean possible =
+        reported.proxy() >= 0
+            && reported.proxy() < proxies
+            && reported.incarnation() != 0
+            && reported.count() >= 0;
+    if (!possible || reported.proxy() == me && reported.incarnation() == own.incarnation()) {
       return false;
     }
-    int at = -1;
-    for (int l = p * LIVES; l < (p + 1) * LIVES; l++) {
-      at = lives[l] == told.life() ? l : at;
+    IncarnationCounter counter = counterFor(atMs, reported);
+    if (counter == null) {
+      return false;
     }
-    for (int l = p * LIVES; l < (p + 1) * LIVES && at < 0; l++) {
-      if (lives[l] == 0) {
-        begin(l, told.life());
-        at = l;
-      }
+    boolean news = reported.count() > counter.count() || counter.size() == 0;
+    counter.raiseTo(reported.count());
+    if (reported.count() == counter.count()) { // a lower count says nothing of a later time
+      counter.read(atMs, minSpacingMs);
     }
-    if (at < 0) {
-      // A third life: the one heard of longest ago is the one to forget.
-      at = p * LIVES + (p == me || heardMs(p * LIVES) > heardMs(p * LIVES + 1) ? 1 : 0);
-      if (atMs <= heardMs(at)) {
-        return false;
+    return news;
+  }
+
+  /**
+   * The counter to merge into, begun if need be; null: the report is older than all that is kept.
+   */
+  private IncarnationCounter counterFor(double atMs, Total reported) {
+    int first = firstSlot(reported.proxy());
+    for (int slot = first; slot < first + MAX_INCARNATIONS; slot++) {
+      if (counters[slot] != null && counters[slot].incarnation() == reported.incarnation()) {
+        return counters[slot];
       }
-      begin(at, told.life());
     }
-    boolean news = told.count() > totals[at] || marked[at] == 0;
-    totals[at] = Math.max(totals[at], told.count());
-    if (told.count() == totals[at]) { // an older word says nothing of a later time
-      mark(at, atMs);
+    for (int slot = first; slot < first + MAX_INCARNATIONS; slot++) {
+      if (counters[slot] == null) {
+        return begin(slot, reported.incarnation());
+      }
     }
-    return news;
+    // A third incarnation replaces the one that was heard of longest ago, but never this process.
+    boolean second = reported.proxy() == me || lastReadMs(first) > lastReadMs(first + 1);
+    int oldest = second ? first + 1 : first;
+    return atMs <= lastReadMs(oldest) ? null : begin(oldest, reported.incarnation());
   }
 
-  /** All that is known, as one number that only grows but for forgotten lives. */
-  public long sum() {
-    long all = 0;
-    for (long t : totals) {
-      all = saturated(all, t);
-    }
-    return all;
+  private IncarnationCounter begin(int slot, int incarnation) {
+    counters[slot] = new IncarnationCounter(incarnation);
+    return counters[slot];
   }
 
-  /**
-   * The first word of this life that lies within the window; the number of its words: none does.
-   */
-  private int firstWithin(int at, double fromMs) {
-    int m = 0;
-    while (m < marked[at] && markMs[at][m] < fromMs) {
-      m++;
+  /** The sum of all known totals; it only grows, except when an old incarnation is forgotten. */
+  public long sum() {
+    long sum = 0;
+    for (IncarnationCounter counter : counters) {
+      sum = counter == null ? sum : saturatedSum(sum, counter.count());
     }
-    return m;
+    return sum;
   }
 
   /**
-   * What was done within the last so many milliseconds.
+   * What was done within the last {@code windowMs}.
    *
-   * @param mostPerMs what no proxy can pass
+   * @param maxRatePerMs a rate that no proxy can exceed
    */
-  public Reading read(double now, double windowMs, double mostPerMs) {
-    double from = now - windowMs;
-    long least = 0;
-    long known = 0;
-    double may = 0;
-    double age = 0;
+  public Reading read(double now, double windowMs, double maxRatePerMs) {
+    double fromMs = now - windowMs;
+    long lowerBound = 0;
+    long upperBound = 0;
+    for (IncarnationCounter counter : counters) {
+      if (counter != null) {
+        lowerBound = saturatedSum(lowerBound, counter.growthWithin(fromMs));
+        upperBound = saturatedSum(upperBound, counter.growthSinceBefore(fromMs));
+      }
+    }
+    double unreported = 0;
+    double ageMs = 0;
     List<Integer> silent = new ArrayList<>();
-    for (int p = 0; p < lives.length / LIVES; p++) {
-      for (int at = p * LIVES; at < (p + 1) * LIVES; at++) {
-        if (marked[at] > 0) {
-          int first = firstWithin(at, from);
-          long newest = marks[at][marked[at] - 1];
-          least = saturated(least, first == marked[at] ? 0 : newest - marks[at][first]);
-          known = saturated(known, newest - (first == 0 ? 0 : marks[at][first - 1]));
-        }
+    for (int proxy = 0; proxy < proxies; proxy++) {
+      if (proxy == me) {
+        continue;
       }
-      if (p != me) {
-        double since = now - heardOf(p);
-        may += mostPerMs * Math.min(since, windowMs);
-        if (since > windowMs) {
-          silent.add(p);
-        } else {
-          age = Math.max(age, since);
-        }
+      double sinceMs = now - lastHeardMs(proxy);
+      unreported += maxRatePerMs * Math.min(sinceMs, windowMs);
+      if (sinceMs > windowMs) {
+        silent.add(proxy);
+      } else {
+        ageMs = Math.max(ageMs, sinceMs);
       }
     }
-    return new Reading(least, saturated(known, (long) Math.ceil(may)), age, silent);
+    upperBound = saturatedSum(upperBound, (long) Math.ceil(unreported));
+    return new Reading(lowerBound, upperBound, ageMs, silent);
   }
 
   /**
-   * How often a millisecond it is done by those of whom there is word within the window; the others
-   * count as nothing, and who claims more than {@link #MOST_OF_MEDIAN} times what is usual among
-   * three and more counts as that.
+   * How often it is done in a millisecond by the proxies with reports in the window; the others
+   * count as 0. With three proxies or more, a rate above {@link #MAX_MULTIPLE_OF_MEDIAN} times the
+   * median counts as that. On the request path.
    */
-  public double perMs(double now, double windowMs) {
-    double[] each = new double[lives.length];
-    int n = 0;
-    for (int at = 0; at < lives.length; at++) {
-      int first = firstWithin(at, now - windowMs);
-      int last = marked[at] - 1;
-      double span = first < last ? markMs[at][last] - markMs[at][first] : 0;
-      if (span >= windowMs / 8) {
-        each[n++] = (marks[at][last] - marks[at][first]) / span;
+  public double ratePerMs(double now, double windowMs) {
+    int known = 0;
+    for (IncarnationCounter counter : counters) {
+      double rate =
+          counter == null ? -1 : counter.ratePerMs(now - windowMs, windowMs * MIN_SPAN_SHARE);
+      if (rate >= 0) {
+        rates[known++] = rate;
       }
     }
-    Arrays.sort(each, 0, n);
-    double most = n < 3 ? Double.POSITIVE_INFINITY : MOST_OF_MEDIAN * each[n / 2];
+    Arrays.sort(rates, 0, known);
+    double max =
+        known < MIN_FOR_MEDIAN
+            ? Double.POSITIVE_INFINITY
+            : MAX_MULTIPLE_OF_MEDIAN * rates[known / 2];
     double sum = 0;
-    for (int i = 0; i < n; i++) {
-      sum += Math.min(each[i], most);
+    for (int i = 0; i < known; i++) {
+      sum += Math.min(rates[i], max);
     }
     return sum;
   }
--- a/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
@@ -51,10 +51,10 @@
     assertThat(usual.tier())
         .satisfies(
             t -> {
-              assertThat(t.tier()).isEqualTo(8);
-              assertThat(t.judgements() && t.coldRights()).isTrue();
-              assertThat(t.bytesPerS()).isEqualTo(2000);
-              assertThat(t.tipMultiple()).isEqualTo(usual.settings().tipMultiple());
+              assertThat(t.proxies()).isEqualTo(8);
+              assertThat(t.healthVerdicts() && t.slowStartQuota()).isTrue();
+              assertThat(t.bytesPerSecond()).isEqualTo(2000);
+              assertThat(t.overloadFactor()).isEqualTo(usual.settings().tipMultiple());
             });
     assertThat(
             read(
@@ -63,8 +63,8 @@
                 .tier())
         .satisfies(
             t -> {
-              assertThat(t.judgements() || t.coldRights()).isFalse();
-              assertThat(t.bytesPerS()).isEqualTo(500);
+              assertThat(t.healthVerdicts() || t.slowStartQuota()).isFalse();
+              assertThat(t.bytesPerSecond()).isEqualTo(500);
             });
   }
 }
--- /dev/null
+++ b/src/test/java/cacheproxy/shared/AntiEntropyTest.java
@@ -0,0 +1,70 @@
+package cacheproxy.shared;
+
+import static cacheproxy.shared.SharedModels.model;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cacheproxy.model.SharedModel;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** How much evidence spreads for how many messages and bytes, in virtual time. */
+@Timeout(120)
+class AntiEntropyTest {
+  @Test
+  void lossOfThreeInTenNodesReachesAllWithinTheByteBudget() {
+    SharedModel tier = model(100, 6);
+    long[] before = IntStream.range(0, 100).mapToLong(tier::bytes).toArray();
+    for (int n = 0; n < 60; n++) {
+      tier.down(n * 3 % 200);
+    }
+    tier.run(10_000);
+    for (int p = 0; p < 100; p++) {
+      assertThat(tier.bytes(p) - before[p])
+          .as("bytes in 10 s by proxy %d", p)
+          .isLessThanOrEqualTo((long) (12 * SharedStateSettings.DEFAULT_BYTES_PER_SECOND));
+    }
+    int known = (int) IntStream.range(0, 60).filter(n -> tier.passOver(n * 3 % 200) >= 90).count();
+    assertThat(known).as("nodes that nine in ten pass over").isGreaterThan(45);
+  }
+
+  /** What it asks is answered with what is told least, then with all there is, page by page. */
+  @Test
+  void returningProxyCatchesUpWithinABoundedNumberOfPulls() {
+    SharedModel tier = model(14, 7);
+    tier.cut((from, to) -> from == 3 || to == 3);
+    tier.load(3, 0);
+    for (int n = 0; n < 20; n++) {
+      tier.down(n * 3);
+    }
+    tier.run(8000);
+    assertThat(IntStream.range(0, 20).filter(n -> tier.state(3).isExcluded(n * 3)).count())
+        .as("it was away")
+        .isZero();
+    tier.cut((from, to) -> false);
+    long before = tier.state(3).view(tier.nowMs()).pulls();
+    double began = tier.nowMs();
+    while (IntStream.range(0, 20).filter(n -> tier.state(3).isExcluded(n * 3)).count() < 18
+        && tier.nowMs() - began < 20_000) {
+      tier.run(10);
+    }
+    assertThat(tier.state(3).view(tier.nowMs()).pulls() - before)
+        .as("in %.0f ms", tier.nowMs() - began)
+        .isLessThanOrEqualTo(60);
+  }
+
+  @Test
+  void sameSeedGivesTheSameHistory() {
+    long[] sums = new long[2];
+    for (int i = 0; i < 2; i++) {
+      SharedModel tier = model(14, 11).wire(0.2, 0.1, 0);
+      tier.down(7);
+      tier.run(10_000);
+      sums[i] =
+          IntStream.range(0, 14).mapToLong(tier::bytes).sum() * 31
+              + tier.lostAttempts() * 7
+              + tier.sent();
+    }
+    assertThat(sums[0]).isEqualTo(sums[1]);
+  }
+}
--- /dev/null
+++ b/src/test/java/cacheproxy/shared/FaultyObserverTest.java
@@ -0,0 +1,182 @@
+package cacheproxy.shared;
+
+import static cacheproxy.shared.SharedModels.SEEDS;
+import static cacheproxy.shared.SharedModels.model;
+import static cacheproxy.shared.SharedModels.without;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cacheproxy.model.SharedModel;
+import cacheproxy.shared.SharedState.Safeguard;
+import cacheproxy.shared.VerdictEvidence.Kind;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What a tier makes of evidence that is wrong: from partitioned or faulty proxies, forged or late,
+ * in virtual time.
+ */
+@Timeout(120)
+class FaultyObserverTest {
+  /** A proxy whose own way to the nodes is cut calls them all gone; it alone goes without them. */
+  @Test
+  void proxyCutOffFromTheNodesExcludesNothingForTheOthers() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      SharedModel tier = model(14, seed);
+      tier.cutFromNodes(3, true);
+      tier.run(20_000);
+      assertThat(tier.wrongly()).as("seed %d", seed).isLessThan(20);
+      SharedModel alone =
+          model(
+              14,
+              seed,
+              HealthVerdicts.Safeguard.TWO_OBSERVERS,
+              HealthVerdicts.Safeguard.OBSERVER_CREDIBILITY);
+      alone.cutFromNodes(3, true);
+      alone.run(20_000);
+      assertThat(alone.wrongly()).isGreaterThan(30);
+    }
+  }
+
+  /** A zone that is cut off sees all others gone, and is right, for itself. */
+  @Test
+  void partitionedZoneExcludesNothingForTheOthers() {
+    long with = 0;
+    long without = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      for (boolean sides : new boolean[] {true, false}) {
+        SharedModel tier =
+            sides
+                ? model(16, seed)
+                : model(
+                    16,
+                    seed,
+                    HealthVerdicts.Safeguard.ZONE_DIVERSITY,
+                    HealthVerdicts.Safeguard.OBSERVER_CREDIBILITY);
+        IntStream.range(0, 16)
+            .filter(p -> tier.zoneOfProxy(p) == 2)
+            .forEach(p -> tier.cutFromNodes(p, true));
+        tier.run(15_000);
+        with += sides ? tier.wrongly() : 0;
+        without += sides ? 0 : tier.wrongly();
+      }
+    }
+    assertThat(with).isLessThan(50);
+    assertThat(without).isGreaterThan(10 * with + 100);
+  }
+
+  /**
+   * Reports the same falsehood on all nodes again and again, and as other observers too if forged.
+   */
+  private static SharedModel.Liar faultyPeer(int faulty, Kind kind, int nodes, boolean forged) {
+    SplittableRandom random = new SplittableRandom(9);
+    return (from, to, datagram) -> {
+      SharedMessage message = SharedMessageCodec.decode(datagram).orElseThrow();
+      if (from != faulty || message instanceof SharedMessage.PullRequest) {
+        return datagram;
+      }
+      if (message instanceof SharedMessage.PushNotification push) {
+        return SharedMessageCodec.encode(
+            new SharedMessage.PushNotification(push.incarnation(), random.nextInt()));
+      }
+      SharedMessage.PullResponse response = (SharedMessage.PullResponse) message;
+      List<SharedMessage.VerdictReport> reports = new ArrayList<>();
+      int first = random.nextInt(nodes);
+      for (int i = 0; i < SharedMessageCodec.verdictCapacity(0, 0); i++) {
+        int observer = forged ? random.nextInt(14) : faulty;
+        int node = (first + i / (forged ? 2 : 1)) % nodes;
+        int sequence = random.nextInt(0x10000);
+        reports.add(
+            new SharedMessage.VerdictReport(
+                node, kind, observer, observer % 4, sequence, 0, 12_000));
+      }
+      return SharedMessageCodec.encode(
+          new SharedMessage.PullResponse(
+              response.incarnation(),
+              response.nonce(),
+              random.nextInt(),
+              OptionalInt.empty(),
+              reports,
+              List.of(),
+              List.of()));
+    };
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void faultyPeerThatCallsAllNodesDeadExcludesALimitedShareUntilItStops(boolean forged) {
+    SharedModel[] model = {model(14, 5)};
+    model[0].liar(faultyPeer(0, Kind.UNREACHABLE, 70, forged));
+    long sentBefore = model[0].sent();
+    model[0].run(20_000);
+    double part = model[0].wrongly() / (double) (model[0].sent() - sentBefore + model[0].wrongly());
+    assertThat(part)
+        .as("of requests that lies moved to another node")
+        .isLessThan(forged ? HealthVerdicts.MAX_EXCLUDED_SHARE + 0.02 : 0.02);
+    IntStream.range(0, 14)
+        .forEach(
+            p ->
+                assertThat(model[0].state(p).view(model[0].nowMs()).excludedNodes())
+                    .isLessThanOrEqualTo((int) (70 * HealthVerdicts.MAX_EXCLUDED_SHARE)));
+    model[0].liar((from, to, message) -> message);
+    model[0].run(HealthVerdicts.VALIDITY_MS + 8000);
+    IntStream.range(0, 70).forEach(node -> assertThat(model[0].outFor(node)).isZero());
+  }
+
+  /** It costs an attempt each time it is believed, which is not often. */
+  @Test
+  void faultyPeerThatCallsADeadNodeRecoveredIsDistrusted() {
+    long[] lost = new long[3];
+    for (int how = 0; how < 3; how++) {
+      SharedModel[] model = {
+        how == 2 ? model(14, 5, HealthVerdicts.Safeguard.OBSERVER_CREDIBILITY) : model(14, 5)
+      };
+      model[0].down(7);
+      model[0].run(3000);
+      if (how > 0) {
+        model[0].liar(faultyPeer(0, Kind.RECOVERED, 70, false));
+      }
+      long before = model[0].lostAttempts();
+      model[0].run(120_000);
+      lost[how] = model[0].lostAttempts() - before;
+    }
+    assertThat(lost[1])
+        .as("%d with no lies, %d with all of them believed", lost[0], lost[2])
+        .isLessThan(lost[0] * 3);
+    assertThat(lost[2]).isGreaterThan(lost[1] * 4 / 3);
+  }
+
+  /** Of an answer to nobody's question nothing is believed: it may be an hour old. */
+  @Test
+  void responsesThatAreAnHourLateAreNotBelieved() {
+    long with = 0;
+    long without = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      for (boolean guarded : new boolean[] {true, false}) {
+        SharedModel tier =
+            guarded ? model(14, seed) : without(14, seed, Safeguard.SOLICITED_RESPONSES_ONLY);
+        tier.wire(0.1, 0.3, 0.4);
+        for (int i = 0; i < 4; i++) {
+          tier.down(10 * i);
+        }
+        tier.run(20_000);
+        for (int i = 0; i < 4; i++) {
+          tier.up(10 * i, false);
+        }
+        tier.run(20_000);
+        long before = tier.wrongly();
+        tier.run(400_000);
+        with += guarded ? tier.wrongly() - before : 0;
+        without += guarded ? 0 : tier.wrongly() - before;
+      }
+    }
+    assertThat(with).isZero();
+    assertThat(without).isPositive();
+  }
+}
--- a/src/test/java/cacheproxy/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -3,12 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.fleet.Fleet;
-import cacheproxy.proxy.peers.WithoutRights;
+import cacheproxy.proxy.peers.WithoutSlowStartQuota;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -99,7 +100,7 @@
   }
 
   @Test
-  void whatTwoFindOutKeepsAllFromADeadNodeAndNeitherSilenceNorALiarTakesAnything()
+  void evidenceOfTwoObserversExcludesADeadNodeAndNeitherPartitionNorFaultyPeerDoesHarm()
       throws Exception {
     try (Fleet of = new Fleet(Fleet.Plan.sharing(N, 40, 120, 3))) {
       fleet = of;
@@ -163,21 +164,28 @@
     }
   }
 
-  private static byte[] callsAllDead(byte[] bytes) {
-    Datagram d = Datagram.parse(bytes);
-    if (d == null || d.type() != Datagram.Type.TELL) {
-      return bytes;
+  private static byte[] callsAllDead(byte[] datagram) {
+    if (!(SharedMessageCodec.decode(datagram).orElse(null)
+        instanceof SharedMessage.PullResponse response)) {
+      return datagram;
     }
-    List<VerdictEvidence> lies = new ArrayList<>();
-    for (int i = 0; i < Datagram.room(0, 0); i++) {
-      int node = 1 + (int) Math.floorMod(d.nonce() * 31L + i, 40L);
-      lies.add(
-          new VerdictEvidence(
-              node, VerdictEvidence.Kind.OUT, 0, 0, d.nonce() + i & 0xFFFF, 0, 12_000));
+    List<SharedMessage.VerdictReport> reports = new ArrayList<>();
+    for (int i = 0; i < SharedMessageCodec.verdictCapacity(0, 0); i++) {
+      int node = 1 + (int) Math.floorMod(response.nonce() * 31L + i, 40L);
+      int sequence = response.nonce() + i & 0xFFFF;
+      reports.add(
+          new SharedMessage.VerdictReport(
+              node, VerdictEvidence.Kind.UNREACHABLE, 0, 0, sequence, 0, 12_000));
     }
-    return new Datagram(
-            d.type(), d.life(), d.nonce(), d.nonce(), 0xFFFF, lies, List.of(), List.of())
-        .bytes();
+    return SharedMessageCodec.encode(
+        new SharedMessage.PullResponse(
+            response.incarnation(),
+            response.nonce(),
+            response.nonce(),
+            OptionalInt.empty(),
+            reports,
+            List.of(),
+            List.of()));
   }
 
   private long cameTo(String node) {
@@ -198,8 +206,8 @@
    * have, and far more with nothing that holds them back.
    */
   @Test
-  void allTogetherSendAColdNodeItsPartInASplitFleetAndMoreWithoutTheRights() throws Exception {
-    for (String main : List.of("cacheproxy.Main", WithoutRights.class.getName())) {
+  void partitionedTierSendsAWarmingNodeItsShareAndMoreWithoutTheQuota() throws Exception {
+    for (String main : List.of("cacheproxy.Main", WithoutSlowStartQuota.class.getName())) {
       try (Fleet of =
           new Fleet(
               new Fleet.Plan(
@@ -246,7 +254,7 @@
             came, warm, main, fleet.notKnown());
         // Its mean part so far of what a warm one had; halves, each knowing half, send 0.6 of that.
         double part = 0.9 * (0.3 + 0.7 * last[2] / WARM_UP_MS / 2) * warm;
-        if (main.equals(WithoutRights.class.getName())) {
+        if (main.equals(WithoutSlowStartQuota.class.getName())) {
           assertThat((double) came)
               .as("without the rights, where a warm one had %.0f", warm)
               .isGreaterThan(part);
--- a/src/test/java/cacheproxy/shared/SharedMessageBytesTest.java
+++ b/src/test/java/cacheproxy/shared/SharedMessageBytesTest.java
@@ -2,9 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cacheproxy.shared.SharedMessage.CounterReport;
+import cacheproxy.shared.SharedMessage.PullRequest;
+import cacheproxy.shared.SharedMessage.PullResponse;
+import cacheproxy.shared.SharedMessage.PushNotification;
+import cacheproxy.shared.SharedMessage.QuotaGrant;
+import cacheproxy.shared.SharedMessage.QuotaRequest;
+import cacheproxy.shared.SharedMessage.VerdictReport;
 import cacheproxy.shared.VerdictEvidence.Kind;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -29,70 +37,64 @@
           + "020007fde800197fffffffffffffff"
           + "000001000100000000000000000000";
 
-  private static void assertBytes(Datagram message, String hex) {
-    assertThat(HexFormat.of().formatHex(message.bytes())).isEqualTo(hex);
+  private static void assertBytes(SharedMessage message, String hex) {
+    assertThat(HexFormat.of().formatHex(SharedMessageCodec.encode(message))).isEqualTo(hex);
   }
 
-  private static Datagram parsed(String hex) {
-    return Datagram.parse(HexFormat.of().parseHex(hex));
+  private static void assertDecodes(String hex, SharedMessage message) {
+    assertThat(SharedMessageCodec.decode(HexFormat.of().parseHex(hex))).contains(message);
   }
 
   @Test
   void pushNotificationKeepsItsBytes() {
-    Datagram message =
-        new Datagram(
-            Datagram.Type.NUDGE, 0xBEEF, 0, 0x12345678, 0xFFFF, List.of(), List.of(), List.of());
+    PushNotification message = new PushNotification(0xBEEF, 0x12345678);
     assertBytes(message, PUSH_NOTIFICATION);
-    assertThat(parsed(PUSH_NOTIFICATION)).isEqualTo(message);
+    assertDecodes(PUSH_NOTIFICATION, message);
   }
 
   @Test
   void pullRequestKeepsItsBytes() {
-    Datagram empty =
-        new Datagram(Datagram.Type.ASK, 1, 0x7A6B5C4D, -2, 0xFFFF, List.of(), List.of(), List.of());
-    Datagram message =
-        new Datagram(
-            Datagram.Type.ASK,
+    PullRequest empty = new PullRequest(1, 0x7A6B5C4D, -2, OptionalInt.empty(), List.of());
+    PullRequest message =
+        new PullRequest(
             0xFFFE,
             -3,
             0x01020304,
-            17,
-            List.of(),
+            OptionalInt.of(17),
             List.of(
-                new Datagram.Right(8, new SlowStartQuota.Message(false, 99, 1 << 19, 0)),
-                new Datagram.Right(-1, new SlowStartQuota.Message(false, -100, 3, 98))),
-            List.of());
+                new QuotaRequest(8, new LeaseMessage.Request(99, 1 << 19, 0)),
+                new QuotaRequest(-1, new LeaseMessage.Request(-100, 3, 98))));
     assertBytes(empty, EMPTY_PULL_REQUEST);
     assertBytes(message, PULL_REQUEST);
-    assertThat(parsed(EMPTY_PULL_REQUEST)).isEqualTo(empty);
-    assertThat(parsed(PULL_REQUEST)).isEqualTo(message);
+    assertDecodes(EMPTY_PULL_REQUEST, empty);
+    assertDecodes(PULL_REQUEST, message);
   }
 
   @Test
   void pullResponseKeepsItsBytes() {
-    Datagram empty = new Datagram(Datagram.Type.TELL, 9, 77, 5, 0, List.of(), List.of(), List.of());
-    Datagram message = response(-0.5, 1e9, 3);
+    PullResponse empty =
+        new PullResponse(9, 77, 5, OptionalInt.of(0), List.of(), List.of(), List.of());
     assertBytes(empty, EMPTY_PULL_RESPONSE);
-    assertBytes(message, PULL_RESPONSE);
-    assertThat(parsed(EMPTY_PULL_RESPONSE)).isEqualTo(empty);
-    assertThat(parsed(PULL_RESPONSE)).isEqualTo(response(-10, 655_350, 0));
+    assertBytes(response(0.5, 1e9, -3), PULL_RESPONSE);
+    assertDecodes(EMPTY_PULL_RESPONSE, empty);
+    assertDecodes(PULL_RESPONSE, response(10, 655_350, 0));
   }
 
   /** Ages travel rounded up to hundredths of a second and saturate at the ends of their range. */
-  private static Datagram response(double recoveredAt, double recoveredUntil, double fullAt) {
-    return new Datagram(
-        Datagram.Type.TELL,
+  private static PullResponse response(
+      double recoveredAgeMs, double recoveredRemainingMs, double noSlotAgeMs) {
+    return new PullResponse(
         9,
         77,
         5,
-        3,
+        OptionalInt.of(3),
         List.of(
-            new VerdictEvidence(-5, Kind.OUT, 300, 63, 65_535, -120, 12_000),
-            new VerdictEvidence(6, Kind.BACK, 1, 5, 258, recoveredAt, recoveredUntil),
-            new VerdictEvidence(9, Kind.FULL, 2, 0, 1, fullAt, 10)),
-        List.of(new Datagram.Right(8, new SlowStartQuota.Message(true, -3, 1 << 19, 44))),
+            new VerdictReport(-5, Kind.UNREACHABLE, 300, 63, 65_535, 120, 12_000),
+            new VerdictReport(6, Kind.RECOVERED, 1, 5, 258, recoveredAgeMs, recoveredRemainingMs),
+            new VerdictReport(9, Kind.NO_CONNECTION_SLOT, 2, 0, 1, noSlotAgeMs, 10)),
+        List.of(new QuotaGrant(8, new LeaseMessage.Grant(-3, 1 << 19, 44))),
         List.of(
-            new Datagram.Total(2, new TierCounters.Total(7, 65_000, Long.MAX_VALUE), 250),
-            new Datagram.Total(0, new TierCounters.Total(1, 1, 0), 0)));
+            new CounterReport(2, new TierCounters.Total(7, 65_000, Long.MAX_VALUE), 250),
+            new CounterReport(0, new TierCounters.Total(1, 1, 0), 0)));
   }
 }
--- a/src/test/java/cacheproxy/shared/SlowStartQuotaPropertiesTest.java
+++ b/src/test/java/cacheproxy/shared/SlowStartQuotaPropertiesTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.model.SlowStartQuotaModel;
-import cacheproxy.shared.SlowStartQuota.Terms;
+import cacheproxy.shared.SlowStartQuota.Settings;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -22,27 +22,27 @@
  * the verdict is the same each time.
  */
 class SlowStartQuotaPropertiesTest {
-  private static final int N = 4;
+  private static final int PROXIES = 4;
   private static final double WINDOW_MS = 1500;
   private static final double GUARANTEE = 300;
 
   /** What happens to one proxy, or to all, and for how long it goes on then. */
   record Step(int what, int proxy, double how, int forMs) {
-    void happen(SlowStartQuotaModel m) {
+    void happen(SlowStartQuotaModel model) {
       switch (what) {
-        case 0 -> m.wire(how * 0.6, how * 0.1);
-        case 1 -> m.side(proxy, (int) (how * 3));
-        case 2 -> IntStream.range(0, N).forEach(p -> m.side(p, 0));
-        case 3 -> m.pause(proxy, how * 6000);
+        case 0 -> model.wire(how * 0.6, how * 0.1);
+        case 1 -> model.side(proxy, (int) (how * 3));
+        case 2 -> IntStream.range(0, PROXIES).forEach(p -> model.side(p, 0));
+        case 3 -> model.pause(proxy, how * 6000);
         case 4 -> {
-          m.kill(proxy);
-          m.run(how * 50);
-          m.start(proxy);
+          model.kill(proxy);
+          model.run(how * 50);
+          model.start(proxy);
         }
-        case 5 -> IntStream.range(0, N).forEach(m::start);
-        default -> m.demand(proxy, how * 2 * GUARANTEE / WINDOW_MS);
+        case 5 -> IntStream.range(0, PROXIES).forEach(model::start);
+        default -> model.demand(proxy, how * 2 * GUARANTEE / WINDOW_MS);
       }
-      m.run(forMs);
+      model.run(forMs);
     }
   }
 
@@ -50,7 +50,7 @@
   Arbitrary<List<Step>> histories() {
     return Combinators.combine(
             Arbitraries.integers().between(0, 8),
-            Arbitraries.integers().between(0, N - 1),
+            Arbitraries.integers().between(0, PROXIES - 1),
             Arbitraries.doubles().between(0, 1).ofScale(3),
             Arbitraries.integers().between(0, 2500))
         .as(Step::new)
@@ -60,17 +60,18 @@
   }
 
   @Property(tries = 1500, seed = "20261")
-  void noHistoryOverspends(
+  void budgetIsNeverOverspentInAnyHistory(
       @ForAll("histories") List<Step> history, @ForAll @IntRange(max = 1_000_000) int seed) {
-    SlowStartQuotaModel m =
-        new SlowStartQuotaModel(Terms.ofWindow(N, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
+    SlowStartQuotaModel model =
+        new SlowStartQuotaModel(
+            Settings.ofWindow(PROXIES, GUARANTEE, WINDOW_MS, 0.1), WINDOW_MS, seed);
     long units = 0;
     for (Step step : history) {
-      step.happen(m);
-      units = Math.max(units, m.units());
+      step.happen(model);
+      units = Math.max(units, model.units());
     }
-    assertThat(units).isLessThanOrEqualTo(SlowStartQuota.WHOLE);
-    assertThat(m.most()).isLessThanOrEqualTo(m.allowed() * 1.0000001);
+    assertThat(units).isLessThanOrEqualTo(SlowStartQuota.TOTAL_UNITS);
+    assertThat(model.most()).isLessThanOrEqualTo(model.allowed() * 1.0000001);
   }
 
   @Provide
@@ -90,14 +91,14 @@
    */
   @Property(tries = 1000, seed = "20262")
   void mergesDependOnNeitherOrderNorRepetition(
-      @ForAll("totals") List<TierCounters.Total> told, @ForAll long lot) {
-    List<TierCounters.Total> other = new ArrayList<>(told);
-    other.addAll(told);
-    Collections.shuffle(other, new Random(lot));
+      @ForAll("totals") List<TierCounters.Total> reported, @ForAll long order) {
+    List<TierCounters.Total> other = new ArrayList<>(reported);
+    other.addAll(reported);
+    Collections.shuffle(other, new Random(order));
     TierCounters one = new TierCounters(5, 0, 99, 1000, 0);
     TierCounters two = new TierCounters(5, 0, 99, 1000, 0);
     TierCounters through = new TierCounters(5, 0, 98, 1000, 0);
-    told.forEach(t -> one.merge(10, t));
+    reported.forEach(t -> one.merge(10, t));
     other.subList(0, other.size() / 2).forEach(t -> through.merge(10, t));
     IntStream.range(1, 5).forEach(p -> through.totals(p).forEach(t -> two.merge(20, t)));
     other.forEach(t -> two.merge(30, t));
--- a/src/test/java/cacheproxy/shared/TierCountersTest.java
+++ b/src/test/java/cacheproxy/shared/TierCountersTest.java
@@ -11,50 +11,53 @@
 
 /** Totals merge in any order, any number of times; readings say what they do not know. */
 class TierCountersTest {
-  private static long merged(List<TierCounters.Total> told, SplittableRandom lots) {
-    List<TierCounters.Total> all = new ArrayList<>(told);
-    told.forEach(t -> all.add(told.get(lots.nextInt(told.size())))); // some twice and more
-    Collections.shuffle(all, new Random(lots.nextLong()));
+  private static long merged(List<TierCounters.Total> reported, SplittableRandom random) {
+    List<TierCounters.Total> all = new ArrayList<>(reported);
+    reported.forEach(
+        total -> all.add(reported.get(random.nextInt(reported.size())))); // some twice and more
+    Collections.shuffle(all, new Random(random.nextLong()));
     TierCounters counts = new TierCounters(5, 0, 99, 1000, 0);
-    all.forEach(t -> counts.merge(10, t));
+    all.forEach(total -> counts.merge(10, total));
     return counts.sum();
   }
 
   @Test
-  void anyOrderAndAnyRepetitionGiveTheSame() {
+  void mergeDependsOnNeitherOrderNorRepetition() {
     for (int seed = 0; seed < 500; seed++) {
-      SplittableRandom lots = new SplittableRandom(seed);
-      List<TierCounters.Total> told = new ArrayList<>();
+      SplittableRandom random = new SplittableRandom(seed);
+      List<TierCounters.Total> reported = new ArrayList<>();
       long truth = 0;
-      for (int p = 1; p < 5; p++) {
-        for (int life = 1; life <= 2; life++) { // a restart between: both lives count
+      for (int proxy = 1; proxy < 5; proxy++) {
+        for (int incarnation = 1;
+            incarnation <= 2;
+            incarnation++) { // a restart between: both incarnations count
           long total = 0;
           for (int t = 0; t < 5; t++) {
-            total += lots.nextInt(100);
-            told.add(new TierCounters.Total(p, life, total));
+            total += random.nextInt(100);
+            reported.add(new TierCounters.Total(proxy, incarnation, total));
           }
           truth += total;
         }
       }
-      assertThat(merged(told, lots))
+      assertThat(merged(reported, random))
           .as("seed %d", seed)
           .isEqualTo(truth)
-          .isEqualTo(merged(told, lots));
+          .isEqualTo(merged(reported, random));
     }
   }
 
   @Test
-  void passedOnByWayOfOthersNothingIsLostOrDoubled() {
+  void totalsPassedOnByOthersAreNeitherLostNorDoubled() {
     TierCounters[] tier = new TierCounters[4];
-    for (int p = 0; p < 4; p++) {
-      tier[p] = new TierCounters(4, p, 7, 1000, 0);
-      tier[p].add(1, 10 + p);
+    for (int proxy = 0; proxy < 4; proxy++) {
+      tier[proxy] = new TierCounters(4, proxy, 7, 1000, 0);
+      tier[proxy].add(1, 10 + proxy);
     }
-    for (int p = 0; p < 3; p++) { // each speaks to the next alone, twice, and 3 to none
+    for (int proxy = 0; proxy < 3; proxy++) { // each speaks to the next alone, twice, and 3 to none
       for (int of = 0; of < 4; of++) {
-        for (TierCounters.Total t : tier[p].totals(of)) {
-          tier[p + 1].merge(2, t);
-          tier[p + 1].merge(3, t);
+        for (TierCounters.Total total : tier[proxy].totals(of)) {
+          tier[proxy + 1].merge(2, total);
+          tier[proxy + 1].merge(3, total);
         }
       }
     }
@@ -63,44 +66,44 @@
   }
 
   @Test
-  void aReadingIsAnIntervalWithAnAgeAndNamesTheSilent() {
+  void readingIsAnIntervalWithAnAgeAndNamesSilentProxies() {
     TierCounters counts = new TierCounters(4, 0, 5, 1000, 0);
     counts.add(100, 5);
     counts.merge(500, new TierCounters.Total(1, 3, 30));
     counts.merge(900, new TierCounters.Total(1, 3, 40));
     counts.merge(950, new TierCounters.Total(2, 3, 2));
-    TierCounters.Reading r = counts.read(1000, 1000, 0.1);
-    assertThat(r.least())
+    TierCounters.Reading reading = counts.read(1000, 1000, 0.1);
+    assertThat(reading.lowerBound())
         .as("5 here and 10 there; of what was heard once nothing is known")
         .isEqualTo(15);
-    assertThat(r.most())
+    assertThat(reading.upperBound())
         .as("all that may lie in it, and 0.1 a ms for 100, 50 and all of 1000 ms")
         .isEqualTo(47 + 115);
-    assertThat(r.ageMs()).isEqualTo(100);
-    assertThat(r.silent()).containsExactly(3);
+    assertThat(reading.ageMs()).isEqualTo(100);
+    assertThat(reading.silentProxies()).containsExactly(3);
     counts.add(3000, 1);
-    assertThat(counts.read(3500, 1000, 0.1).least()).as("what was long ago is over").isZero();
-    assertThat(counts.read(3000, 1000, 0.1).silent()).containsExactly(1, 2, 3);
+    assertThat(counts.read(3500, 1000, 0.1).lowerBound()).as("what was long ago is over").isZero();
+    assertThat(counts.read(3000, 1000, 0.1).silentProxies()).containsExactly(1, 2, 3);
   }
 
   /** What a cut has kept back comes all at once: it was not all done just now. */
   @Test
-  void whatIsHeardAfterACutIsNoBurst() {
+  void totalHeardAfterAPartitionIsNoBurst() {
     TierCounters counts = new TierCounters(2, 0, 5, 3000, 0);
     for (int t = 0; t <= 3000; t += 250) {
       counts.merge(t, new TierCounters.Total(1, 3, 1000 + t / 10));
     }
-    assertThat(counts.perMs(3000, 3000)).isBetween(0.099, 0.101);
+    assertThat(counts.ratePerMs(3000, 3000)).isBetween(0.099, 0.101);
     counts.merge(33_000, new TierCounters.Total(1, 3, 1000 + 3300));
-    assertThat(counts.read(33_000, 3000, 1).least()).isZero();
-    assertThat(counts.perMs(33_000, 3000)).isZero();
+    assertThat(counts.read(33_000, 3000, 1).lowerBound()).isZero();
+    assertThat(counts.ratePerMs(33_000, 3000)).isZero();
     counts.merge(34_000, new TierCounters.Total(1, 3, 1000 + 3400));
-    assertThat(counts.perMs(34_000, 3000)).isBetween(0.099, 0.101);
-    assertThat(counts.perMs(40_000, 3000)).as("silent").isZero();
+    assertThat(counts.ratePerMs(34_000, 3000)).isBetween(0.099, 0.101);
+    assertThat(counts.ratePerMs(40_000, 3000)).as("silent").isZero();
   }
 
   @Test
-  void whatCantBeChangesNothingAndTheEndOfTheCounterIsTheEnd() {
+  void impossibleTotalsAreIgnoredAndCountersSaturate() {
     TierCounters counts = new TierCounters(3, 0, 5, 1000, 0);
     counts.add(1, 3);
     assertThat(counts.merge(2, new TierCounters.Total(7, 1, 9))).isFalse();
@@ -108,12 +111,12 @@
     assertThat(counts.merge(2, new TierCounters.Total(1, 0, 9))).isFalse();
     assertThat(counts.merge(2, new TierCounters.Total(1, 1, -9))).isFalse();
     assertThat(counts.merge(2, new TierCounters.Total(0, 5, 900)))
-        .as("nobody knows better what this life did")
+        .as("nobody knows better what this incarnation did")
         .isFalse();
     assertThat(counts.sum()).isEqualTo(3);
     assertThat(counts.merge(2, new TierCounters.Total(1, 1, Long.MAX_VALUE))).isTrue();
     counts.add(3, 10);
     assertThat(counts.sum()).isEqualTo(Long.MAX_VALUE);
-    assertThat(counts.read(4, 1000, 1e300).most()).isEqualTo(Long.MAX_VALUE);
+    assertThat(counts.read(4, 1000, 1e300).upperBound()).isEqualTo(Long.MAX_VALUE);
   }
 }
