Shared-state tests speak in the glossary's terms and in whole names

Need: comments, descriptions and one-letter names of the split tests still had the earlier words.

Change: wording and names alone; what the tests measure and their bounds stay.

--- a/src/test/java/cacheproxy/shared/AntiEntropyTest.java
+++ b/src/test/java/cacheproxy/shared/AntiEntropyTest.java
@@ -15,36 +15,37 @@
   void lossOfThreeInTenNodesReachesAllWithinTheByteBudget() {
     SharedModel tier = model(100, 6);
     long[] before = IntStream.range(0, 100).mapToLong(tier::bytes).toArray();
-    for (int n = 0; n < 60; n++) {
-      tier.down(n * 3 % 200);
+    for (int node = 0; node < 60; node++) {
+      tier.down(node * 3 % 200);
     }
     tier.run(10_000);
-    for (int p = 0; p < 100; p++) {
-      assertThat(tier.bytes(p) - before[p])
-          .as("bytes in 10 s by proxy %d", p)
+    for (int proxy = 0; proxy < 100; proxy++) {
+      assertThat(tier.bytes(proxy) - before[proxy])
+          .as("bytes in 10 s by proxy %d", proxy)
           .isLessThanOrEqualTo((long) (12 * SharedStateSettings.DEFAULT_BYTES_PER_SECOND));
     }
-    int known = (int) IntStream.range(0, 60).filter(n -> tier.passOver(n * 3 % 200) >= 90).count();
-    assertThat(known).as("nodes that nine in ten pass over").isGreaterThan(45);
+    int known =
+        (int) IntStream.range(0, 60).filter(node -> tier.passOver(node * 3 % 200) >= 90).count();
+    assertThat(known).as("nodes that nine in ten skip").isGreaterThan(45);
   }
 
-  /** What it asks is answered with what is told least, then with all there is, page by page. */
+  /** It receives the evidence that was reported least, then all there is, page by page. */
   @Test
   void returningProxyCatchesUpWithinABoundedNumberOfPulls() {
     SharedModel tier = model(14, 7);
     tier.cut((from, to) -> from == 3 || to == 3);
     tier.load(3, 0);
-    for (int n = 0; n < 20; n++) {
-      tier.down(n * 3);
+    for (int node = 0; node < 20; node++) {
+      tier.down(node * 3);
     }
     tier.run(8000);
-    assertThat(IntStream.range(0, 20).filter(n -> tier.state(3).isExcluded(n * 3)).count())
+    assertThat(IntStream.range(0, 20).filter(node -> tier.state(3).isExcluded(node * 3)).count())
         .as("it was away")
         .isZero();
     tier.cut((from, to) -> false);
     long before = tier.state(3).view(tier.nowMs()).pulls();
     double began = tier.nowMs();
-    while (IntStream.range(0, 20).filter(n -> tier.state(3).isExcluded(n * 3)).count() < 18
+    while (IntStream.range(0, 20).filter(node -> tier.state(3).isExcluded(node * 3)).count() < 18
         && tier.nowMs() - began < 20_000) {
       tier.run(10);
     }
--- a/src/test/java/cacheproxy/shared/FaultyObserverTest.java
+++ b/src/test/java/cacheproxy/shared/FaultyObserverTest.java
@@ -24,7 +24,7 @@
  */
 @Timeout(120)
 class FaultyObserverTest {
-  /** A proxy whose own way to the nodes is cut calls them all gone; it alone goes without them. */
+  /** A proxy that can reach no node reports all of them unreachable; only it avoids them. */
   @Test
   void proxyCutOffFromTheNodesExcludesNothingForTheOthers() {
     for (int seed = 0; seed < SEEDS; seed++) {
@@ -44,7 +44,7 @@
     }
   }
 
-  /** A zone that is cut off sees all others gone, and is right, for itself. */
+  /** The nodes of all other zones are unreachable for a partitioned zone, and for it alone. */
   @Test
   void partitionedZoneExcludesNothingForTheOthers() {
     long with = 0;
@@ -117,7 +117,7 @@
     model[0].run(20_000);
     double part = model[0].wrongly() / (double) (model[0].sent() - sentBefore + model[0].wrongly());
     assertThat(part)
-        .as("of requests that lies moved to another node")
+        .as("of requests that false evidence moved to another node")
         .isLessThan(forged ? HealthVerdicts.MAX_EXCLUDED_SHARE + 0.02 : 0.02);
     IntStream.range(0, 14)
         .forEach(
@@ -129,7 +129,7 @@
     IntStream.range(0, 70).forEach(node -> assertThat(model[0].outFor(node)).isZero());
   }
 
-  /** It costs an attempt each time it is believed, which is not often. */
+  /** Each time that it is believed costs an attempt, which is not often. */
   @Test
   void faultyPeerThatCallsADeadNodeRecoveredIsDistrusted() {
     long[] lost = new long[3];
@@ -147,12 +147,12 @@
       lost[how] = model[0].lostAttempts() - before;
     }
     assertThat(lost[1])
-        .as("%d with no lies, %d with all of them believed", lost[0], lost[2])
+        .as("%d with no false evidence, %d with all of it believed", lost[0], lost[2])
         .isLessThan(lost[0] * 3);
     assertThat(lost[2]).isGreaterThan(lost[1] * 4 / 3);
   }
 
-  /** Of an answer to nobody's question nothing is believed: it may be an hour old. */
+  /** A response to no pending pull may be an hour old, so none of it is believed. */
   @Test
   void responsesThatAreAnHourLateAreNotBelieved() {
     long with = 0;
--- a/src/test/java/cacheproxy/shared/HealthVerdictsTest.java
+++ b/src/test/java/cacheproxy/shared/HealthVerdictsTest.java
@@ -57,12 +57,10 @@
     verdicts.receive(1100, new VerdictEvidence(1, Kind.UNREACHABLE, 2, 0, 1, 950, 9000));
     assertThat(verdicts.shouldSkip(1100, 1, false)).as("it has answered since").isFalse();
     verdicts.receive(1200, new VerdictEvidence(1, Kind.UNREACHABLE, 1, 0, 2, 1050, 9000));
-    assertThat(verdicts.shouldSkip(1200, 1, false)).as("one is not enough").isFalse();
+    assertThat(verdicts.shouldSkip(1200, 1, false)).as("one observer is not enough").isFalse();
     verdicts.receive(1200, new VerdictEvidence(1, Kind.UNREACHABLE, 2, 0, 2, 1060, 9000));
     assertThat(verdicts.shouldSkip(1200, 1, false)).isTrue();
-    assertThat(verdicts.shouldSkip(1200, 9, false))
-        .as("of what is not on the own list nothing is held")
-        .isFalse();
+    assertThat(verdicts.shouldSkip(1200, 9, false)).as("a node that is not listed").isFalse();
     verdicts.setNodes(new int[] {2}, new int[] {0});
     assertThat(
             verdicts.receive(1300, new VerdictEvidence(1, Kind.UNREACHABLE, 1, 0, 3, 1290, 9000)))
@@ -90,7 +88,7 @@
     SharedModel tier = SharedModel.of(plan(100, 2, true)).run(1000);
     tier.noPlace(7, true);
     tier.run(20_000);
-    assertThat(tier.passedOver()).as("requests that went straight to the next").isGreaterThan(30);
+    assertThat(tier.passedOver()).as("requests that skipped the node").isGreaterThan(30);
     int looks = 0;
     for (int me = 0; me < 100; me++) {
       HealthVerdicts verdicts =
@@ -100,7 +98,7 @@
       looks += verdicts.shouldSkip(20, 1, true) ? 0 : 1;
       verdicts.recordAnswer(30, 1, 20);
       assertThat(verdicts.shouldSkip(40, 1, true))
-          .as("it has a place for who was served just now")
+          .as("it has a slot for the proxy that it has just answered")
           .isFalse();
     }
     assertThat(looks).isBetween(15, 35);
--- a/src/test/java/cacheproxy/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * What eight real proxies share under load, with faults of nodes and of ways between them, judged
- * by what they hold and by the ledger.
+ * Shared state of eight real proxies under load, with failures of nodes and of the network between
+ * the proxies, checked by what they hold and by the ledger of the site.
  */
 @Timeout(300)
 class SharedFleetTest {
@@ -53,7 +53,7 @@
     }
   }
 
-  /** Whether it holds evidence of that node of which this is so. */
+  /** Whether the proxy holds evidence on the node that satisfies the condition. */
   private boolean holds(int p, String node, Predicate<JsonObject> of) {
     JsonObject all = shared(p);
     for (JsonElement e :
@@ -66,7 +66,7 @@
     return false;
   }
 
-  /** Whether others' word keeps this proxy from that node. */
+  /** Whether gossip excludes the node for this proxy. */
   private boolean out(int p, String node) {
     return holds(p, node, e -> e.get("out").getAsBoolean());
   }
@@ -76,7 +76,7 @@
     return of.has(key) ? of.get(key).getAsInt() : -1;
   }
 
-  /** Whether it has heard nobody for so long. */
+  /** Whether it has received no response for this time. */
   private boolean hearsNobody(int p, double forMs) {
     JsonObject of = shared(p);
     if (!of.has("proxies")) {
@@ -91,7 +91,7 @@
     return true;
   }
 
-  /** Of so many tries of this proxy's from now on, the part that was served. */
+  /** The share of this proxy's next attempts, at least so many, that is served. */
   private double servedOfNext(int p, int tries) throws Exception {
     long[] before = fleet.tries(p);
     comesTo("tries at n" + p, () -> fleet.tries(p)[1] - before[1] >= tries);
@@ -111,14 +111,15 @@
         comesTo("n" + p + " is at work", () -> fleet.tries(p)[0] > 100);
       }
 
-      // A machine goes and no list says so: each is kept from it by the word of others, though not
-      // each has lost by it.
+      // A node vanishes and no endpoint list says so: gossip excludes it for all proxies, though
+      // not
+      // each has lost an attempt by it.
       fleet.site().vanish("s-0007");
-      comesTo("all are kept from it", () -> all.stream().allMatch(p -> out(p, "7")));
+      comesTo("all exclude it", () -> all.stream().allMatch(p -> out(p, "7")));
       long found =
           all.stream().filter(p -> holds(p, "7", e -> e.get("witness").getAsInt() == p)).count();
       System.out.printf(
-          "dead node: all %d kept from it, %d of them by an attempt of their own%n", N, found);
+          "dead node: excluded by all %d, %d of them by an attempt of their own%n", N, found);
       assertThat(found).as("found out by an attempt of their own").isBetween(2L, (long) N);
       fleet.site().appear("s-0007");
       comesTo("all use it again", () -> all.stream().noneMatch(p -> out(p, "7")));
@@ -126,7 +127,7 @@
           .as("all heard of it")
           .isPositive();
 
-      // One is cut off from its peers alone: it serves as it did, and so do they.
+      // One proxy is partitioned from its peers alone: all go on serving as before.
       double before = servedOfNext(5, 200);
       fleet.cut(List.of(5), all, true, true);
       comesTo("it hears nobody", () -> hearsNobody(5, 3000));
@@ -135,12 +136,12 @@
       fleet.heal();
       comesTo("it hears them again", () -> !hearsNobody(5, 3000) && fleet.beliefs().agreed());
 
-      // One calls all nodes dead, in answer to each question: its word alone takes none, and it is
-      // found out.
+      // A faulty peer calls all nodes unreachable in each response: it alone excludes none, and it
+      // becomes distrusted.
       fleet.liar(0, bytes -> callsAllDead(bytes));
       long[] taken = {0};
       comesTo(
-          "some do not listen to it any more",
+          "some distrust it",
           () -> {
             taken[0] =
                 Math.max(
@@ -201,9 +202,9 @@
   }
 
   /**
-   * A cold node that is given thirty shares by mistake, in a tier whose halves hear nothing of each
-   * other: by the site's own count, all together send it no more than its part of what warm ones
-   * have, and far more with nothing that holds them back.
+   * A warming-up node that is given thirty shares by mistake, in a tier that is partitioned into
+   * halves: by the site's own count the whole tier sends it no more than its part of what warm
+   * nodes receive, and far more without the quota.
    */
   @Test
   void partitionedTierSendsAWarmingNodeItsShareAndMoreWithoutTheQuota() throws Exception {
@@ -230,7 +231,7 @@
         long before = cameToWarmOnes();
         double born = fleet.nowMs();
         String name = fleet.site().join(30);
-        // While it is cold and no longer: from then on it is sent its thirty shares by all alike.
+        // Counted while it warms up and no longer: from then on all send it its thirty shares.
         double[] last = new double[3];
         comesTo(
             "its warm-up is over",
@@ -256,7 +257,7 @@
         double part = 0.9 * (0.3 + 0.7 * last[2] / WARM_UP_MS / 2) * warm;
         if (main.equals(WithoutSlowStartQuota.class.getName())) {
           assertThat((double) came)
-              .as("without the rights, where a warm one had %.0f", warm)
+              .as("without the quota, where a warm one had %.0f", warm)
               .isGreaterThan(part);
         } else {
           assertThat((double) came).as("where a warm one had %.0f", warm).isBetween(10.0, part);
--- a/src/test/java/cacheproxy/shared/SharedModels.java
+++ b/src/test/java/cacheproxy/shared/SharedModels.java
@@ -11,37 +11,44 @@
 final class SharedModels {
   static final int SEEDS = 5;
 
-  static Plan plan(int n, long seed, boolean sharing) {
-    return n == 100
+  private SharedModels() {}
+
+  /** Nodes and load for a tier of this size. */
+  static Plan plan(int proxies, long seed, boolean sharing) {
+    return proxies == 100
         ? new Plan(100, 200, 4, 20, seed, sharing)
-        : new Plan(n, 5 * n, 4, n == 14 ? 40 : 100, seed, sharing);
+        : new Plan(proxies, 5 * proxies, 4, proxies == 14 ? 40 : 100, seed, sharing);
   }
 
-  static SharedModel model(int n, long seed, HealthVerdicts.Safeguard... without) {
-    return new SharedModel(plan(n, seed, true), Set.of(), without).run(10_000);
+  /** A tier that has run for ten seconds, with rules of the verdicts switched off. */
+  static SharedModel model(int proxies, long seed, HealthVerdicts.Safeguard... disabled) {
+    return new SharedModel(plan(proxies, seed, true), Set.of(), disabled).run(10_000);
   }
 
-  static SharedModel without(int n, long seed, Safeguard part) {
-    return new SharedModel(plan(n, seed, true), EnumSet.of(part)).run(10_000);
+  /** A tier that has run for ten seconds without one rule. */
+  static SharedModel without(int proxies, long seed, Safeguard disabled) {
+    return new SharedModel(plan(proxies, seed, true), EnumSet.of(disabled)).run(10_000);
   }
 
-  /** How long until so many pass it over; infinite: not within 20 s. */
-  static double until(SharedModel tier, int node, boolean most, double part, int n) {
+  /**
+   * How long until this share of the proxies skips the node, or uses it again; infinite: not within
+   * 20 s.
+   */
+  static double until(SharedModel tier, int node, boolean skips, double share, int proxies) {
     double began = tier.nowMs();
     while (tier.nowMs() - began < 20_000) {
       tier.run(20);
-      if (most ? tier.passOver(node) >= part * n : tier.passOver(node) <= (1 - part) * n) {
+      int skipping = tier.passOver(node);
+      if (skips ? skipping >= share * proxies : skipping <= (1 - share) * proxies) {
         return tier.nowMs() - began;
       }
     }
     return Double.POSITIVE_INFINITY;
   }
 
-  static double median(double[] of) {
-    double[] sorted = of.clone();
+  static double median(double[] values) {
+    double[] sorted = values.clone();
     Arrays.sort(sorted);
     return sorted[sorted.length / 2];
   }
-
-  private SharedModels() {}
 }
--- a/src/test/java/cacheproxy/shared/SlowStartQuotaTest.java
+++ b/src/test/java/cacheproxy/shared/SlowStartQuotaTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A budget of the tier is never overspent, in any history, and most of it is used where it is
+ * The budget of a tier is never overspent, in any history, and most of it is used where it is
  * wanted.
  */
 @Timeout(120)
@@ -22,40 +22,44 @@
   private static final double WINDOW_MS = 1500;
   private static final double GUARANTEE = 300;
 
-  private static Settings settings(int n) {
-    return Settings.ofWindow(n, GUARANTEE, WINDOW_MS, 0.1);
+  private static Settings settings(int proxies) {
+    return Settings.ofWindow(proxies, GUARANTEE, WINDOW_MS, 0.1);
   }
 
   /**
-   * Any faults, by its seed. Over: by how much what was spent, or the units held, passed what is
-   * allowed; 1: not at all.
+   * Runs a tier through random faults, given by the seed.
+   *
+   * @return the most that was spent in a window, or the most units in use, whichever is more, as a
+   *     multiple of what is allowed
    */
-  private static double history(long seed, Safeguard... without) {
+  private static double history(long seed, Safeguard... disabled) {
     SplittableRandom random = new SplittableRandom(seed);
-    int n = 2 + random.nextInt(5);
-    SlowStartQuotaModel model = new SlowStartQuotaModel(settings(n), WINDOW_MS, seed, without);
-    boolean look =
-        seed % 2 == 0; // looking has each see its clock: half of the histories go without
+    int proxies = 2 + random.nextInt(5);
+    SlowStartQuotaModel model =
+        new SlowStartQuotaModel(settings(proxies), WINDOW_MS, seed, disabled);
+    boolean readsUnits =
+        seed % 2 == 0; // reading units advances each clock: half of the histories do without
     double units = 0;
-    for (int f = 0; f < 30; f++) {
-      int p = random.nextInt(n);
+    for (int fault = 0; fault < 30; fault++) {
+      int proxy = random.nextInt(proxies);
       switch (random.nextInt(9)) {
         case 0 -> model.wire(random.nextDouble() * 0.6, random.nextDouble() * 0.1);
-        case 1 -> model.side(p, random.nextInt(3));
-        case 2 -> IntStream.range(0, n).forEach(i -> model.side(i, 0));
-        case 3 -> model.pause(p, random.nextDouble() * 6000);
+        case 1 -> model.side(proxy, random.nextInt(3));
+        case 2 -> IntStream.range(0, proxies).forEach(i -> model.side(i, 0));
+        case 3 -> model.pause(proxy, random.nextDouble() * 6000);
         case 4 -> {
-          model.kill(p);
+          model.kill(proxy);
           model.run(random.nextDouble() * 50);
-          model.start(p);
+          model.start(proxy);
         }
-        case 5 -> IntStream.range(0, n).forEach(model::start); // a loss of power
+        case 5 -> IntStream.range(0, proxies).forEach(model::start); // a loss of power
         default ->
             model.demand(
-                p, random.nextInt(3) == 0 ? 0 : random.nextDouble() * GUARANTEE / WINDOW_MS * 2);
+                proxy,
+                random.nextInt(3) == 0 ? 0 : random.nextDouble() * GUARANTEE / WINDOW_MS * 2);
       }
       model.run(random.nextDouble() * 2500);
-      units = Math.max(units, look ? (double) model.units() : 0);
+      units = Math.max(units, readsUnits ? (double) model.units() : 0);
     }
     return Math.max(model.most() / model.allowed(), units / SlowStartQuota.TOTAL_UNITS);
   }
@@ -68,7 +72,7 @@
             seed -> assertThat(history(seed)).as("seed %d", seed).isLessThanOrEqualTo(1.0000001));
   }
 
-  /** Each part is there for something: without it some history overspends. */
+  /** Each rule is needed: without it some history overspends. */
   @ParameterizedTest
   @EnumSource(Safeguard.class)
   void budgetIsOverspentWithoutASafeguard(Safeguard safeguard) {
@@ -80,36 +84,36 @@
   }
 
   /**
-   * One with ten times the load of the others gets what they do not use; three quarters of the
-   * whole and more are used.
+   * A proxy with ten times the load of each other gets what they do not use; at least three
+   * quarters of the budget are used.
    */
   @ParameterizedTest
   @ValueSource(ints = {8, 14, 100})
-  void unusedQuotaMovesToWhereItIsWanted(int n) {
-    SlowStartQuotaModel model = new SlowStartQuotaModel(settings(n), WINDOW_MS, 1);
-    double each = 0.9 * GUARANTEE / WINDOW_MS / (n + 9);
-    for (int p = 0; p < n; p++) {
-      model.demand(p, p == 0 ? 10 * each : each);
+  void unusedQuotaMovesToWhereItIsWanted(int proxies) {
+    SlowStartQuotaModel model = new SlowStartQuotaModel(settings(proxies), WINDOW_MS, 1);
+    double each = 0.9 * GUARANTEE / WINDOW_MS / (proxies + 9);
+    for (int proxy = 0; proxy < proxies; proxy++) {
+      model.demand(proxy, proxy == 0 ? 10 * each : each);
     }
     model.run(30_000);
     double before = model.spent();
     model.run(30_000);
     double served = (model.spent() - before) / 30_000 / (0.9 * GUARANTEE / WINDOW_MS);
-    assertThat(served).isGreaterThan(n == 100 ? 0.9 : 0.75);
+    assertThat(served).isGreaterThan(proxies == 100 ? 0.9 : 0.75);
     assertThat(model.most()).isLessThanOrEqualTo(model.allowed());
   }
 
   /**
-   * In a split each half trades among itself; one that is alone still has its floor and what is its
-   * own.
+   * During a partition the proxies of each part lend to each other; one that is alone has its floor
+   * and its own units.
    */
   @Test
   void partitionsLendAmongThemselvesAndALoneProxyKeepsItsOwnPart() {
     SlowStartQuotaModel model = new SlowStartQuotaModel(settings(8), WINDOW_MS, 3);
     double fair = GUARANTEE * 0.9 / WINDOW_MS / 8;
-    for (int p = 0; p < 8; p++) {
-      model.side(p, p == 7 ? 2 : p % 2);
-      model.demand(p, p == 0 || p == 7 ? 3 * fair : 0.2 * fair);
+    for (int proxy = 0; proxy < 8; proxy++) {
+      model.side(proxy, proxy == 7 ? 2 : proxy % 2);
+      model.demand(proxy, proxy == 0 || proxy == 7 ? 3 * fair : 0.2 * fair);
     }
     model.run(10_000);
     double before = model.spent();
@@ -119,10 +123,7 @@
     assertThat(model.most()).isLessThanOrEqualTo(model.allowed());
   }
 
-  /**
-   * Seventy of a hundred die within a second: what they had borrowed is lent anew, and not before
-   * its time is over.
-   */
+  /** Units whose borrower has crashed can be lent again, but not before the lease has ended. */
   @Test
   void lentUnitsComeBackWhenTheLeaseEnds() {
     Settings settings = settings(2);
@@ -135,17 +136,17 @@
         lender.receiveRequest(now, 1, borrower.requestLease(now, 0).orElseThrow()).orElseThrow();
     assertThat(grant.units()).as("granted").isPositive();
     assertThat(lender.spendableUnits(now))
-        .as("given up before it is got")
+        .as("the lender yields first")
         .isEqualTo(whole - grant.units());
     assertThat(lender.spendableUnits(now + settings.leaseMs() - 1))
-        .as("whatever has become of it")
+        .as("whatever has become of the borrower")
         .isEqualTo(whole - grant.units());
     assertThat(lender.spendableUnits(now + settings.leaseMs() + 1)).as("back").isEqualTo(whole);
   }
 
   /**
-   * A grant that is doubled, an hour late, or of a question of a former life gives nothing; a claim
-   * of all gets half of one's own.
+   * A grant that is duplicated, an hour late, or for a request of an earlier incarnation has no
+   * effect; a borrower that asks for everything gets half of the lendable units.
    */
   @Test
   void grantsCountOnceForOwnRequestsAndAFaultyBorrowerGetsHalf() {
--- a/src/test/java/cacheproxy/shared/TierCountersTest.java
+++ b/src/test/java/cacheproxy/shared/TierCountersTest.java
@@ -9,7 +9,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Totals merge in any order, any number of times; readings say what they do not know. */
+/** Totals merge in any order and any number of times; readings state what is not known. */
 class TierCountersTest {
   private static long merged(List<TierCounters.Total> reported, SplittableRandom random) {
     List<TierCounters.Total> all = new ArrayList<>(reported);
@@ -74,19 +74,19 @@
     counts.merge(950, new TierCounters.Total(2, 3, 2));
     TierCounters.Reading reading = counts.read(1000, 1000, 0.1);
     assertThat(reading.lowerBound())
-        .as("5 here and 10 there; of what was heard once nothing is known")
+        .as("5 here and 10 there; one report alone says nothing")
         .isEqualTo(15);
     assertThat(reading.upperBound())
-        .as("all that may lie in it, and 0.1 a ms for 100, 50 and all of 1000 ms")
+        .as("all that may lie in the window, and 0.1 per ms for 100, 50 and all of 1000 ms")
         .isEqualTo(47 + 115);
     assertThat(reading.ageMs()).isEqualTo(100);
     assertThat(reading.silentProxies()).containsExactly(3);
     counts.add(3000, 1);
-    assertThat(counts.read(3500, 1000, 0.1).lowerBound()).as("what was long ago is over").isZero();
+    assertThat(counts.read(3500, 1000, 0.1).lowerBound()).as("growth before the window").isZero();
     assertThat(counts.read(3000, 1000, 0.1).silentProxies()).containsExactly(1, 2, 3);
   }
 
-  /** What a cut has kept back comes all at once: it was not all done just now. */
+  /** After a partition all of the growth is reported at once, though it was not all recent. */
   @Test
   void totalHeardAfterAPartitionIsNoBurst() {
     TierCounters counts = new TierCounters(2, 0, 5, 3000, 0);
@@ -111,7 +111,7 @@
     assertThat(counts.merge(2, new TierCounters.Total(1, 0, 9))).isFalse();
     assertThat(counts.merge(2, new TierCounters.Total(1, 1, -9))).isFalse();
     assertThat(counts.merge(2, new TierCounters.Total(0, 5, 900)))
-        .as("nobody knows better what this incarnation did")
+        .as("a proxy believes nobody else on its own incarnation")
         .isFalse();
     assertThat(counts.sum()).isEqualTo(3);
     assertThat(counts.merge(2, new TierCounters.Total(1, 1, Long.MAX_VALUE))).isTrue();
