--- a/src/test/java/cacheproxy/shared/SharedMessageCodecTest.java
+++ b/src/test/java/cacheproxy/shared/SharedMessageCodecTest.java
@@ -5,8 +5,10 @@
 
 import cacheproxy.model.SharedModel;
 import cacheproxy.shared.SharedMessage.CounterReport;
+import cacheproxy.shared.SharedMessage.PullRequest;
 import cacheproxy.shared.SharedMessage.PullResponse;
 import cacheproxy.shared.SharedMessage.QuotaGrant;
+import cacheproxy.shared.SharedMessage.QuotaRequest;
 import cacheproxy.shared.SharedMessage.VerdictReport;
 import cacheproxy.shared.VerdictEvidence.Kind;
 import java.util.ArrayList;
@@ -74,4 +76,21 @@
     assertThat(SharedMessageCodec.encode(largest).length)
         .isLessThanOrEqualTo(SharedMessageCodec.MAX_BYTES);
   }
+
+  /** The format allows both in either message; the version that introduced it ignored them. */
+  @Test
+  void grantsInARequestAndRequestsInAResponseAreLeftOut() {
+    LeaseMessage.Request request = new LeaseMessage.Request(5, 100, 0);
+    byte[] pull =
+        SharedMessageCodec.encode(
+            new PullRequest(9, 77, 5, OptionalInt.empty(), List.of(new QuotaRequest(8, request))));
+    byte[] response = pull.clone();
+    response[3] = 2;
+    assertThat(SharedMessageCodec.decode(response))
+        .contains(new PullResponse(9, 77, 5, OptionalInt.empty(), List.of(), List.of(), List.of()));
+    byte[] withGrant = pull.clone();
+    withGrant[23] |= (byte) 0x80;
+    assertThat(SharedMessageCodec.decode(withGrant))
+        .contains(new PullRequest(9, 77, 5, OptionalInt.empty(), List.of()));
+  }
 }
