--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -4,7 +4,7 @@
 import cacheproxy.membership.Timing;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.Settings;
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import com.google.gson.JsonObject;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -125,7 +125,7 @@
   }
 
   /** What is shared with the tier; null: nothing is. */
-  SharedState.Terms tier() {
+  SharedStateSettings tier() {
     return options.sharedState().orElse(null);
   }
 
--- a/src/main/java/cacheproxy/proxy/OperatorOptions.java
+++ b/src/main/java/cacheproxy/proxy/OperatorOptions.java
@@ -2,7 +2,7 @@
 
 import cacheproxy.limits.Limits;
 import cacheproxy.membership.Timing;
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import java.util.Optional;
 
 /**
@@ -18,7 +18,7 @@
     Limits limits,
     LoadShedding loadShedding,
     Optional<Timing> membership,
-    Optional<SharedState.Terms> sharedState) {
+    Optional<SharedStateSettings> sharedState) {
   /** What holds without an operator's file. */
   static OperatorOptions defaults(Limits limits) {
     return new OperatorOptions(
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -11,7 +11,7 @@
 import cacheproxy.settings.SettingsTable;
 import cacheproxy.settings.SharedStateKeys;
 import cacheproxy.settings.TableSchema;
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import java.nio.file.Path;
 import java.util.Optional;
 
@@ -43,7 +43,7 @@
 
   private Config apply() throws SettingsException {
     Optional<Timing> membership = membership(file.table(TableSchema.MEMBERSHIP));
-    Optional<SharedState.Terms> sharedState =
+    Optional<SharedStateSettings> sharedState =
         sharedState(file.table(TableSchema.SHARED_STATE), membership.isPresent());
     Limits limits = limits(file.table(TableSchema.LIMITS), config.limits());
     LoadShedding loadShedding = loadShedding(file.table(TableSchema.OVERLOAD));
@@ -75,7 +75,7 @@
   }
 
   /** Empty: it is switched off, or the configuration names nobody to share with. */
-  private Optional<SharedState.Terms> sharedState(SettingsTable table, boolean hasMembership)
+  private Optional<SharedStateSettings> sharedState(SettingsTable table, boolean hasMembership)
       throws SettingsException {
     if (!table.flag(SharedStateKeys.ENABLED, false)) {
       return Optional.empty();
@@ -89,14 +89,15 @@
       return Optional.empty();
     }
     return Optional.of(
-        new SharedState.Terms(
+        new SharedStateSettings(
             tierSize,
             self,
             config.settings().zone(),
             config.settings().tipMultiple(),
             config.settings().fallMs(),
             table.number(
-                SharedStateKeys.BYTES_PER_SECOND, (long) SharedState.Terms.USUAL_BYTES_PER_S),
+                SharedStateKeys.BYTES_PER_SECOND,
+                (long) SharedStateSettings.DEFAULT_BYTES_PER_SECOND),
             table.flag(SharedStateKeys.HEALTH_VERDICTS, true),
             table.flag(SharedStateKeys.SLOW_START_QUOTA, true)));
   }
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -149,7 +149,7 @@
                     new SharedLink(
                         loop, peers, members, config.tier(), config.seed(), new Sharer());
                 dispatcher.share(sharing.tier());
-                sharing.beside(!otherProcess.isAbsent());
+                sharing.setOverlapping(!otherProcess.isAbsent());
               }
               discovery.listenTo(peers);
               discovery.start();
@@ -218,8 +218,8 @@
     }
 
     @Override
-    public void word(int server, boolean out) {
-      dispatcher.word(server, out);
+    public void verdictReceived(int server, boolean excluded) {
+      dispatcher.word(server, excluded);
     }
 
     @Override
@@ -289,7 +289,7 @@
         loop.execute(() -> members.setParallelProcess(!other.isAbsent()));
       }
       if (sharing != null) {
-        loop.execute(() -> sharing.beside(!other.isAbsent()));
+        loop.execute(() -> sharing.setOverlapping(!other.isAbsent()));
       }
     }
   }
--- a/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import cacheproxy.shared.SharedState;
+import cacheproxy.shared.SharedStateSettings;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -17,7 +17,7 @@
 class SharedSettingsTest {
   @TempDir Path folder;
 
-  private Optional<SharedState.Terms> sharedState(int peers, String text) throws Exception {
+  private Optional<SharedStateSettings> sharedState(int peers, String text) throws Exception {
     return read(peers, text).options().sharedState();
   }
 
@@ -67,10 +67,10 @@
     assertThat(config.options().sharedState())
         .hasValueSatisfying(
             terms -> {
-              assertThat(terms.tier()).isEqualTo(8);
-              assertThat(terms.judgements() && terms.coldRights()).isTrue();
-              assertThat(terms.bytesPerS()).isEqualTo(2000);
-              assertThat(terms.tipMultiple()).isEqualTo(config.settings().tipMultiple());
+              assertThat(terms.proxies()).isEqualTo(8);
+              assertThat(terms.healthVerdicts() && terms.slowStartQuota()).isTrue();
+              assertThat(terms.bytesPerSecond()).isEqualTo(2000);
+              assertThat(terms.overloadFactor()).isEqualTo(config.settings().tipMultiple());
             });
   }
 
@@ -83,8 +83,8 @@
                     + "judgements = false\ncold_rights = false\nbytes_per_s = 500\n"))
         .hasValueSatisfying(
             terms -> {
-              assertThat(terms.judgements() || terms.coldRights()).isFalse();
-              assertThat(terms.bytesPerS()).isEqualTo(500);
+              assertThat(terms.healthVerdicts() || terms.slowStartQuota()).isFalse();
+              assertThat(terms.bytesPerSecond()).isEqualTo(500);
             });
   }
 }
--- a/src/test/java/cacheproxy/shared/SharedFleetTest.java
+++ b/src/test/java/cacheproxy/shared/SharedFleetTest.java
@@ -3,12 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.fleet.Fleet;
-import cacheproxy.proxy.peers.WithoutRights;
+import cacheproxy.proxy.peers.WithoutSlowStartQuota;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -16,8 +17,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * What eight real proxies share under load, with faults of nodes and of ways between them, judged
- * by what they hold and by the ledger.
+ * Shared state of eight real proxies under load, with failures of nodes and of the network between
+ * the proxies, checked by what they hold and by the ledger of the site.
  */
 @Timeout(300)
 class SharedFleetTest {
@@ -52,7 +53,7 @@
     }
   }
 
-  /** Whether it holds evidence of that node of which this is so. */
+  /** Whether the proxy holds evidence on the node that satisfies the condition. */
   private boolean holds(int p, String node, Predicate<JsonObject> of) {
     JsonObject all = shared(p);
     for (JsonElement e :
@@ -65,7 +66,7 @@
     return false;
   }
 
-  /** Whether others' word keeps this proxy from that node. */
+  /** Whether gossip excludes the node for this proxy. */
   private boolean out(int p, String node) {
     return holds(p, node, e -> e.get("out").getAsBoolean());
   }
@@ -75,7 +76,7 @@
     return of.has(key) ? of.get(key).getAsInt() : -1;
   }
 
-  /** Whether it has heard nobody for so long. */
+  /** Whether it has received no response for this time. */
   private boolean hearsNobody(int p, double forMs) {
     JsonObject of = shared(p);
     if (!of.has("proxies")) {
@@ -90,7 +91,7 @@
     return true;
   }
 
-  /** Of so many tries of this proxy's from now on, the part that was served. */
+  /** The share of this proxy's next attempts, at least so many, that is served. */
   private double servedOfNext(int p, int tries) throws Exception {
     long[] before = fleet.tries(p);
     comesTo("tries at n" + p, () -> fleet.tries(p)[1] - before[1] >= tries);
@@ -99,7 +100,7 @@
   }
 
   @Test
-  void whatTwoFindOutKeepsAllFromADeadNodeAndNeitherSilenceNorALiarTakesAnything()
+  void evidenceOfTwoObserversExcludesADeadNodeAndNeitherPartitionNorFaultyPeerDoesHarm()
       throws Exception {
     try (Fleet of = new Fleet(Fleet.Plan.sharing(N, 40, 120, 3))) {
       fleet = of;
@@ -110,14 +111,15 @@
         comesTo("n" + p + " is at work", () -> fleet.tries(p)[0] > 100);
       }
 
-      // A machine goes and no list says so: each is kept from it by the word of others, though not
-      // each has lost by it.
+      // A node vanishes and no endpoint list says so: gossip excludes it for all proxies, though
+      // not
+      // each has lost an attempt by it.
       fleet.site().vanish("s-0007");
-      comesTo("all are kept from it", () -> all.stream().allMatch(p -> out(p, "7")));
+      comesTo("all exclude it", () -> all.stream().allMatch(p -> out(p, "7")));
       long found =
           all.stream().filter(p -> holds(p, "7", e -> e.get("witness").getAsInt() == p)).count();
       System.out.printf(
-          "dead node: all %d kept from it, %d of them by an attempt of their own%n", N, found);
+          "dead node: excluded by all %d, %d of them by an attempt of their own%n", N, found);
       assertThat(found).as("found out by an attempt of their own").isBetween(2L, (long) N);
       fleet.site().appear("s-0007");
       comesTo("all use it again", () -> all.stream().noneMatch(p -> out(p, "7")));
@@ -125,7 +127,7 @@
           .as("all heard of it")
           .isPositive();
 
-      // One is cut off from its peers alone: it serves as it did, and so do they.
+      // One proxy is partitioned from its peers alone: all go on serving as before.
       double before = servedOfNext(5, 200);
       fleet.cut(List.of(5), all, true, true);
       comesTo("it hears nobody", () -> hearsNobody(5, 3000));
@@ -134,12 +136,12 @@
       fleet.heal();
       comesTo("it hears them again", () -> !hearsNobody(5, 3000) && fleet.beliefs().agreed());
 
-      // One calls all nodes dead, in answer to each question: its word alone takes none, and it is
-      // found out.
+      // A faulty peer calls all nodes unreachable in each response: it alone excludes none, and it
+      // becomes distrusted.
       fleet.liar(0, bytes -> callsAllDead(bytes));
       long[] taken = {0};
       comesTo(
-          "some do not listen to it any more",
+          "some distrust it",
           () -> {
             taken[0] =
                 Math.max(
@@ -163,21 +165,28 @@
     }
   }
 
-  private static byte[] callsAllDead(byte[] bytes) {
-    Datagram d = Datagram.parse(bytes);
-    if (d == null || d.type() != Datagram.Type.TELL) {
-      return bytes;
+  private static byte[] callsAllDead(byte[] datagram) {
+    if (!(SharedMessageCodec.decode(datagram).orElse(null)
+        instanceof SharedMessage.PullResponse response)) {
+      return datagram;
     }
-    List<VerdictEvidence> lies = new ArrayList<>();
-    for (int i = 0; i < Datagram.room(0, 0); i++) {
-      int node = 1 + (int) Math.floorMod(d.nonce() * 31L + i, 40L);
-      lies.add(
-          new VerdictEvidence(
-              node, VerdictEvidence.Kind.OUT, 0, 0, d.nonce() + i & 0xFFFF, 0, 12_000));
+    List<SharedMessage.VerdictReport> reports = new ArrayList<>();
+    for (int i = 0; i < SharedMessageCodec.verdictCapacity(0, 0); i++) {
+      int node = 1 + (int) Math.floorMod(response.nonce() * 31L + i, 40L);
+      int sequence = response.nonce() + i & 0xFFFF;
+      reports.add(
+          new SharedMessage.VerdictReport(
+              node, VerdictEvidence.Kind.UNREACHABLE, 0, 0, sequence, 0, 12_000));
     }
-    return new Datagram(
-            d.type(), d.life(), d.nonce(), d.nonce(), 0xFFFF, lies, List.of(), List.of())
-        .bytes();
+    return SharedMessageCodec.encode(
+        new SharedMessage.PullResponse(
+            response.incarnation(),
+            response.nonce(),
+            response.nonce(),
+            OptionalInt.empty(),
+            reports,
+            List.of(),
+            List.of()));
   }
 
   private long cameTo(String node) {
@@ -193,13 +202,13 @@
   }
 
   /**
-   * A cold node that is given thirty shares by mistake, in a tier whose halves hear nothing of each
-   * other: by the site's own count, all together send it no more than its part of what warm ones
-   * have, and far more with nothing that holds them back.
+   * A warming-up node that is given thirty shares by mistake, in a tier that is partitioned into
+   * halves: by the site's own count the whole tier sends it no more than its part of what warm
+   * nodes receive, and far more without the quota.
    */
   @Test
-  void allTogetherSendAColdNodeItsPartInASplitFleetAndMoreWithoutTheRights() throws Exception {
-    for (String main : List.of("cacheproxy.Main", WithoutRights.class.getName())) {
+  void partitionedTierSendsAWarmingNodeItsShareAndMoreWithoutTheQuota() throws Exception {
+    for (String main : List.of("cacheproxy.Main", WithoutSlowStartQuota.class.getName())) {
       try (Fleet of =
           new Fleet(
               new Fleet.Plan(
@@ -222,7 +231,7 @@
         long before = cameToWarmOnes();
         double born = fleet.nowMs();
         String name = fleet.site().join(30);
-        // While it is cold and no longer: from then on it is sent its thirty shares by all alike.
+        // Counted while it warms up and no longer: from then on all send it its thirty shares.
         double[] last = new double[3];
         comesTo(
             "its warm-up is over",
@@ -246,9 +255,9 @@
             came, warm, main, fleet.notKnown());
         // Its mean part so far of what a warm one had; halves, each knowing half, send 0.6 of that.
         double part = 0.9 * (0.3 + 0.7 * last[2] / WARM_UP_MS / 2) * warm;
-        if (main.equals(WithoutRights.class.getName())) {
+        if (main.equals(WithoutSlowStartQuota.class.getName())) {
           assertThat((double) came)
-              .as("without the rights, where a warm one had %.0f", warm)
+              .as("without the quota, where a warm one had %.0f", warm)
               .isGreaterThan(part);
         } else {
           assertThat((double) came).as("where a warm one had %.0f", warm).isBetween(10.0, part);
--- /dev/null
+++ b/src/test/java/cacheproxy/shared/SharedModels.java
@@ -0,0 +1,54 @@
+package cacheproxy.shared;
+
+import cacheproxy.model.SharedModel;
+import cacheproxy.model.SharedModel.Plan;
+import cacheproxy.shared.SharedState.Safeguard;
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Tiers in virtual time that the tests of shared state have in common. */
+final class SharedModels {
+  static final int SEEDS = 5;
+
+  private SharedModels() {}
+
+  /** Nodes and load for a tier of this size. */
+  static Plan plan(int proxies, long seed, boolean sharing) {
+    return proxies == 100
+        ? new Plan(100, 200, 4, 20, seed, sharing)
+        : new Plan(proxies, 5 * proxies, 4, proxies == 14 ? 40 : 100, seed, sharing);
+  }
+
+  /** A tier that has run for ten seconds, with rules of the verdicts switched off. */
+  static SharedModel model(int proxies, long seed, HealthVerdicts.Safeguard... disabled) {
+    return new SharedModel(plan(proxies, seed, true), Set.of(), disabled).run(10_000);
+  }
+
+  /** A tier that has run for ten seconds without one rule. */
+  static SharedModel without(int proxies, long seed, Safeguard disabled) {
+    return new SharedModel(plan(proxies, seed, true), EnumSet.of(disabled)).run(10_000);
+  }
+
+  /**
+   * How long until this share of the proxies skips the node, or uses it again; infinite: not within
+   * 20 s.
+   */
+  static double until(SharedModel tier, int node, boolean skips, double share, int proxies) {
+    double began = tier.nowMs();
+    while (tier.nowMs() - began < 20_000) {
+      tier.run(20);
+      int skipping = tier.passOver(node);
+      if (skips ? skipping >= share * proxies : skipping <= (1 - share) * proxies) {
+        return tier.nowMs() - began;
+      }
+    }
+    return Double.POSITIVE_INFINITY;
+  }
+
+  static double median(double[] values) {
+    double[] sorted = values.clone();
+    Arrays.sort(sorted);
+    return sorted[sorted.length / 2];
+  }
+}
