--- a/src/main/java/cacheproxy/Main.java
+++ b/src/main/java/cacheproxy/Main.java
@@ -4,7 +4,7 @@
 import cacheproxy.load.LoadCommand;
 import cacheproxy.proxy.Proxy;
 import cacheproxy.settings.CheckCommand;
-import cacheproxy.simulator.SimulatorAdapter;
+import cacheproxy.simulator.SimulateCommand;
 import java.util.Arrays;
 
 /**
@@ -25,7 +25,7 @@
     String[] rest = args.length > 0 ? Arrays.copyOfRange(args, 1, args.length) : args;
     switch (args.length == 1 || args.length > 1 && !args[0].matches("serve|drill") ? args[0] : "") {
       case "serve" -> Proxy.main(null);
-      case "drill" -> System.exit(SimulatorAdapter.main());
+      case "drill" -> System.exit(SimulateCommand.run());
       case "load" -> System.exit(LoadCommand.run(rest));
       case "demo" -> System.exit(FleetCommand.run(true, rest));
       case "fleet" -> System.exit(FleetCommand.run(false, rest));
--- a/src/main/java/cacheproxy/simulator/SettingsParser.java
+++ b/src/main/java/cacheproxy/simulator/SettingsParser.java
@@ -10,29 +10,78 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
-/** Reads an instance's settings from their paths and values; unknown paths are skipped. */
+/**
+ * Reads the routing policy's settings from values by path, such as {@code caps.max-attempts} or
+ * {@code classes.0.name}. Unknown paths are ignored. The platform's configuration has the same
+ * settings as the simulator, so the proxy uses this parser too. Immutable if its map is.
+ */
 public final class SettingsParser {
+  private static final List<Choice<Boolean>> FLAGS = falseOrTrue("false", "true");
+  private static final List<Choice<Boolean>> POLLS_DISCOVERY = falseOrTrue("push", "ask");
+  private static final List<Choice<Boolean>> CACHE_ASIDE = falseOrTrue("through", "aside");
+  private static final List<Choice<Boolean>> VALUE_BY_WORK = falseOrTrue("request", "work");
+  private static final List<Choice<Reports>> REPORTS =
+      List.of(
+          new Choice<>("silent", Reports.NONE),
+          new Choice<>("piggyback", Reports.WITH_ANSWERS),
+          new Choice<>("pull", Reports.BY_PROBE));
+  private static final List<Choice<Effect>> EFFECTS =
+      List.of(
+          new Choice<>("retryable", Effect.SAFE),
+          new Choice<>("dedup", Effect.KEYED),
+          new Choice<>("fragile", Effect.UNSAFE));
+  private static final List<Choice<Group>> GROUPS =
+      List.of(
+          new Choice<>("all", Group.ALL),
+          new Choice<>("zone", Group.ZONE),
+          new Choice<>("cell", Group.CELL));
+
+  /** How the policy's settings say that there is no origin. */
+  private static final int NO_ORIGIN_KIND = -1;
+
+  private static final double DEFAULT_OVER_SHARE_WORTH = 1;
+  private static final double DEFAULT_CLASS_WORTH = 1;
+
   private final Map<String, String> values;
 
-  /** Over values by path, as the real proxy's configuration has them once flattened. */
+  /** A word that a setting may have, and what it stands for. */
+  private record Choice<T>(String word, T value) {}
+
+  private static List<Choice<Boolean>> falseOrTrue(String falseWord, String trueWord) {
+    return List.of(new Choice<>(falseWord, false), new Choice<>(trueWord, true));
+  }
+
+  /**
+   * A parser of values by path. The map is not copied and must not change.
+   *
+   * @param values lists of plain values are joined by commas; lists of objects have their length at
+   *     {@code .count} and their items at {@code .0}, {@code .1} and so on
+   */
   public SettingsParser(Map<String, String> values) {
     this.values = values;
   }
 
-  /** Over path=value lines, as the simulator sends them. */
-  static SettingsParser ofLines(String text) {
+  /**
+   * A parser of path=value lines, as the simulator sends them. Lines without a path are skipped.
+   */
+  static SettingsParser fromLines(String text) {
     Map<String, String> values = new HashMap<>();
     for (String line : text.split("\n")) {
-      int eq = line.indexOf('=');
-      if (eq > 0) {
-        values.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
+      int equalsSign = line.indexOf('=');
+      if (equalsSign > 0) {
+        values.put(line.substring(0, equalsSign).trim(), line.substring(equalsSign + 1).trim());
       }
     }
     return new SettingsParser(values);
   }
 
-  /** The settings as the module takes them; a WireException names what is missing or wrong. */
+  /**
+   * The settings as the routing policy takes them.
+   *
+   * @throws WireException if one is missing or can't be read; the message names it
+   */
   public Settings settings() {
     List<String> zones = list("zones");
     List<String> kinds = list("kinds");
@@ -42,13 +91,13 @@
         integer("locality"),
         zones.size(),
         kinds.size(),
-        oneOf("discovery", "push", "ask") == 1,
-        values.containsKey("extra.mode") && oneOf("extra.mode", "through", "aside") == 1,
-        (int) number("extra.origin-kind", -1),
-        Reports.values()[oneOf("report.how", "silent", "piggyback", "pull")],
+        choice("discovery", POLLS_DISCOVERY),
+        values.containsKey("extra.mode") && choice("extra.mode", CACHE_ASIDE),
+        (int) number("extra.origin-kind", NO_ORIGIN_KIND),
+        choice("report.how", REPORTS),
         list("report.names"),
-        oneOf("value-by", "request", "work") == 1,
-        number("over-share-worth", 1),
+        choice("value-by", VALUE_BY_WORK),
+        number("over-share-worth", DEFAULT_OVER_SHARE_WORTH),
         flag("caps.may-cancel"),
         flag("caps.may-probe"),
         flag("caps.peers"),
@@ -71,34 +120,41 @@
   }
 
   private List<ServiceClass> classes() {
-    List<ServiceClass> result = new ArrayList<>();
-    for (int i = 0; i < integer("classes.count"); i++) {
-      String p = "classes." + i + ".";
-      Effect effect = Effect.values()[oneOf(p + "idempotency", "retryable", "dedup", "fragile")];
-      boolean keyed = effect == Effect.KEYED;
-      result.add(
-          new ServiceClass(
-              text(p + "name"),
-              effect,
-              keyed ? Group.values()[oneOf(p + "group", "all", "zone", "cell")] : Group.ALL,
-              keyed ? number(p + "window") : 0,
-              number(p + "promise"),
-              number(p + "deadline"),
-              number(p + "gain", 1),
-              number(p + "late-share", 0),
-              flag(p + "stream")));
+    int count = integer("classes.count");
+    List<ServiceClass> classes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      classes.add(serviceClass("classes." + i + "."));
     }
-    return result;
+    return classes;
+  }
+
+  private ServiceClass serviceClass(String prefix) {
+    Effect effect = choice(prefix + "idempotency", EFFECTS);
+    boolean keyed = effect == Effect.KEYED; // group and window say something of these alone
+    return new ServiceClass(
+        text(prefix + "name"),
+        effect,
+        keyed ? choice(prefix + "group", GROUPS) : Group.ALL,
+        keyed ? number(prefix + "window") : 0,
+        number(prefix + "promise"),
+        number(prefix + "deadline"),
+        number(prefix + "gain", DEFAULT_CLASS_WORTH),
+        number(prefix + "late-share", 0),
+        flag(prefix + "stream"));
   }
 
   private List<Tenant> tenants() {
-    List<Tenant> result = new ArrayList<>();
-    for (int i = 0; i < (int) number("tenants.count", 0); i++) {
-      String p = "tenants." + i + ".";
-      result.add(
-          new Tenant(text(p + "name"), number(p + "fraction", 0), number(p + "quota-per-s", 0)));
+    int count = (int) number("tenants.count", 0);
+    List<Tenant> tenants = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String prefix = "tenants." + i + ".";
+      tenants.add(
+          new Tenant(
+              text(prefix + "name"),
+              number(prefix + "fraction", 0),
+              number(prefix + "quota-per-s", 0)));
     }
-    return result;
+    return tenants;
   }
 
   private String text(String key) {
@@ -110,20 +166,31 @@
   }
 
   private double number(String key) {
+    String text = text(key);
+    double value;
     try {
-      double value = Double.parseDouble(text(key));
-      if (Double.isFinite(value)) {
-        return value;
-      }
+      value = Double.parseDouble(text);
     } catch (NumberFormatException e) {
-      // told below, with the key
+      throw new WireException(notANumber(key, text), e);
     }
-    throw new WireException("setting '" + key + "' is not a number: " + values.get(key));
+    if (!Double.isFinite(value)) {
+      throw new WireException(notANumber(key, text));
+    }
+    return value;
   }
 
-  /** A number, or this one where the key is absent. */
-  public double number(String key, double absent) {
-    return values.containsKey(key) ? number(key) : absent;
+  private static String notANumber(String key, String text) {
+    return "setting '" + key + "' is not a number: " + text;
+  }
+
+  /**
+   * A finite number.
+   *
+   * @return the default where the path is absent
+   * @throws WireException if the value is not a finite number
+   */
+  public double number(String key, double defaultValue) {
+    return values.containsKey(key) ? number(key) : defaultValue;
   }
 
   private int integer(String key) {
@@ -131,21 +198,23 @@
   }
 
   private boolean flag(String key) {
-    return oneOf(key, "false", "true") == 1;
+    return choice(key, FLAGS);
   }
 
-  /** A list of plain values; empty where the key is absent. */
+  /** A list of plain values; empty where the path is absent. */
   public List<String> list(String key) {
     String value = values.getOrDefault(key, "");
     return value.isEmpty() ? List.of() : List.of(value.split(","));
   }
 
-  private int oneOf(String key, String... words) {
-    int i = List.of(words).indexOf(text(key));
-    if (i < 0) {
-      throw new WireException(
-          "setting '" + key + "' is none of " + String.join(", ", words) + ": " + text(key));
+  private <T> T choice(String key, List<Choice<T>> choices) {
+    String text = text(key);
+    for (Choice<T> choice : choices) {
+      if (choice.word().equals(text)) {
+        return choice.value();
+      }
     }
-    return i;
+    String words = choices.stream().map(Choice::word).collect(Collectors.joining(", "));
+    throw new WireException("setting '" + key + "' is none of " + words + ": " + text);
   }
 }
--- a/src/test/java/cacheproxy/simulator/SimulatorAdapterTest.java
+++ b/src/test/java/cacheproxy/simulator/SimulatorAdapterTest.java
@@ -171,11 +171,12 @@
   @Test
   void missingAndUnreadableSettingsAreNamed() {
     assertThatThrownBy(
-            () -> SettingsParser.ofLines(SETTINGS.replace("caps.max-attempts=3", "")).settings())
+            () -> SettingsParser.fromLines(SETTINGS.replace("caps.max-attempts=3", "")).settings())
         .hasMessageContaining("caps.max-attempts");
-    assertThatThrownBy(() -> SettingsParser.ofLines(SETTINGS.replace("=250.0", "=soon")).settings())
+    assertThatThrownBy(
+            () -> SettingsParser.fromLines(SETTINGS.replace("=250.0", "=soon")).settings())
         .hasMessageContaining("classes.0.promise")
         .hasMessageContaining("soon");
-    assertThat(SettingsParser.ofLines(SETTINGS).settings().classes()).hasSize(1);
+    assertThat(SettingsParser.fromLines(SETTINGS).settings().classes()).hasSize(1);
   }
 }
--- a/src/test/java/cacheproxy/simulator/WireBytesTest.java
+++ b/src/test/java/cacheproxy/simulator/WireBytesTest.java
@@ -89,8 +89,8 @@
   @Test
   void eachActionHasItsRecord() throws IOException {
     ReplyFrame reply = new ReplyFrame();
-    reply.begin();
-    reply.actAs(0xABCD);
+    reply.clear();
+    reply.setInstance(0xABCD);
     reply.place(1, 2, 250.5);
     reply.deny(3, 40);
     reply.fail(4);
