--- a/src/main/java/cacheproxy/Main.java
+++ b/src/main/java/cacheproxy/Main.java
@@ -8,31 +8,39 @@
 import java.util.Arrays;
 
 /**
- * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's
+ * Command line: {@code serve} is one real proxy on sockets, {@code simulate} speaks the simulator's
  * wire on standard input and output, {@code load} is a load generator, {@code demo} and {@code
  * fleet} a site, proxies, load and faults in one, {@code check} looks at an operator's file. What a
  * command needs is loaded with it alone.
  */
 public final class Main {
+  /**
+   * The name of {@code simulate} in the deploy files of earlier versions, which must still start.
+   */
+  private static final String FORMER_SIMULATE = "drill";
+
   private Main() {}
 
-  /** Runs until the input ends ({@code drill}) or the process is told to end ({@code serve}). */
+  /** Runs until the input ends ({@code simulate}) or the process is told to end ({@code serve}). */
   public static void main(String[] args) {
     if (args.length == 3 && args[0].equals("serve") && args[1].equals("--settings")) {
       Proxy.main(args[2]);
       return;
     }
     String[] rest = args.length > 0 ? Arrays.copyOfRange(args, 1, args.length) : args;
-    switch (args.length == 1 || args.length > 1 && !args[0].matches("serve|drill") ? args[0] : "") {
+    switch (args.length == 1
+            || args.length > 1 && !args[0].matches("serve|simulate|" + FORMER_SIMULATE)
+        ? args[0]
+        : "") {
       case "serve" -> Proxy.main(null);
-      case "drill" -> System.exit(SimulateCommand.run());
+      case "simulate", FORMER_SIMULATE -> System.exit(SimulateCommand.run());
       case "load" -> System.exit(LoadCommand.run(rest));
       case "demo" -> System.exit(FleetCommand.run(true, rest));
       case "fleet" -> System.exit(FleetCommand.run(false, rest));
       case "check" -> System.exit(CheckCommand.run(rest));
       default -> {
         System.err.println(
-            "usage: java -jar cacheproxy.jar serve [--settings FILE] | drill | load ... | demo ... | fleet ... | check FILE");
+            "usage: java -jar cacheproxy.jar serve [--settings FILE] | simulate | load ... | demo ... | fleet ... | check FILE");
         System.exit(2);
       }
     }
