--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -164,6 +164,23 @@
         .check(ALL);
   }
 
+  @Test
+  void theSimulatorDependsOnTheRoutingPolicyOnly() {
+    noClasses()
+        .that()
+        .resideInAPackage("cacheproxy.simulator..")
+        .should()
+        .dependOnClassesThat(
+            DescribedPredicate.describe(
+                "neither its own, nor of routing, nor the JDK's",
+                c ->
+                    !c.getName().startsWith("java.")
+                        && !c.getPackageName().matches("cacheproxy\\.(simulator|routing)")
+                        && !c.isPrimitive()
+                        && !c.isArray()))
+        .check(ALL);
+  }
+
   /**
    * The program as the platform starts it, up to its first error: nothing of a command's own is
    * loaded.
--- a/src/test/java/cacheproxy/simulator/WireBytesTest.java
+++ b/src/test/java/cacheproxy/simulator/WireBytesTest.java
@@ -11,7 +11,8 @@
 
 /** The bytes on the wire, written out: a whole small session, and each action of a reply. */
 class WireBytesTest {
-  private static final String SETTINGS =
+  /** Settings with one class of requests, for the other tests of the package too. */
+  static final String SETTINGS =
       """
       me=1
       balancers=2
@@ -67,7 +68,7 @@
           + "000000000000000000000000000000000000000000000000";
 
   @Test
-  void aSessionIsAnsweredByteForByte() throws IOException {
+  void answersASessionByteForByte() throws IOException {
     ByteArrayOutputStream input = new ByteArrayOutputStream();
     input.writeBytes(HexFormat.of().parseHex(START_AND_REQUEST));
     input.writeBytes(SETTINGS.getBytes(StandardCharsets.UTF_8));
@@ -87,7 +88,7 @@
   }
 
   @Test
-  void eachActionHasItsRecord() throws IOException {
+  void writesARecordForEachAction() throws IOException {
     ReplyFrame reply = new ReplyFrame();
     reply.clear();
     reply.setInstance(0xABCD);
