Discovery client split into package proxy.discovery: parser, connection, gossip, watch

DiscoveryClient was one file of 556 lines with a nested call class of over 100, and knew the dispatcher and the whole configuration.

It is a package now: EndpointListParser (JSON to typed endpoints), DiscoveryConnection (one HTTP call at a time), VersionGossipLink (versions exchanged with peers) and DiscoveryClient (watch, poll, backoff). It reaches the proxy through DiscoveryContext, EndpointListener and EndpointResolver, which DiscoveryAdapter implements beside Proxy. A list or answer that can't be used is an InvalidEndpointListException; an answer is an Optional in place of null. Paths, constants' values, log lines and the one random sequence are the same.

A rule in ArchitectureTest holds that the package depends on proxy.peers, gossip and routing alone.

--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.limits.Limits;
 import cacheproxy.membership.Timing;
+import cacheproxy.proxy.discovery.DiscoverySettings;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.Settings;
 import cacheproxy.shared.SharedState;
@@ -9,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The configuration of a proxy, from the platform's file and the operator's. Immutable.
@@ -128,6 +130,17 @@
     return options.sharedState().orElse(null);
   }
 
+  /** Where the endpoint list comes from, and how it is kept up to date. */
+  DiscoverySettings discoverySettings() {
+    return new DiscoverySettings(
+        discovery,
+        Optional.ofNullable(known),
+        settings.askForList(),
+        peers.size(),
+        settings.me(),
+        seed);
+  }
+
   /** Where messages between the proxies go, as far as the settings allow any. */
   PeerSocket.Addresses peerAddresses() {
     return new PeerSocket.Addresses(
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/DiscoveryAdapter.java
@@ -0,0 +1,56 @@
+package cacheproxy.proxy;
+
+import cacheproxy.proxy.discovery.DiscoveryContext;
+import cacheproxy.proxy.discovery.Endpoint;
+import cacheproxy.proxy.discovery.EndpointListener;
+import cacheproxy.proxy.discovery.EndpointResolver;
+import cacheproxy.routing.RoutingApi.ListKind;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * What the discovery client needs of the rest of the proxy: the dispatcher and configured names.
+ */
+record DiscoveryAdapter(Dispatcher dispatcher, Config config)
+    implements DiscoveryContext, EndpointListener, EndpointResolver {
+  @Override
+  public double now() {
+    return dispatcher.now();
+  }
+
+  @Override
+  public Timer after(double delayMs, Runnable task) {
+    return dispatcher.after(delayMs, task)::stop;
+  }
+
+  @Override
+  public void log(String line) {
+    dispatcher.log(line);
+  }
+
+  @Override
+  public void listed(ListKind kind, List<Endpoint> endpoints) {
+    dispatcher.listed(kind, endpoints);
+  }
+
+  @Override
+  public OptionalInt zone(String site) {
+    return indexOf(config.zones(), site);
+  }
+
+  @Override
+  public OptionalInt kind(String hostClass) {
+    return indexOf(config.kinds(), hostClass);
+  }
+
+  @Override
+  public InetSocketAddress address(String text) {
+    return ConfigParser.address(text);
+  }
+
+  private static OptionalInt indexOf(List<String> names, String name) {
+    int index = names.indexOf(ConfigParser.word(name));
+    return index < 0 ? OptionalInt.empty() : OptionalInt.of(index);
+  }
+}
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -9,6 +9,8 @@
 import cacheproxy.overload.CpuLoadShedder;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
+import cacheproxy.proxy.discovery.DiscoveryClient;
+import cacheproxy.proxy.discovery.Endpoint;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.Policy;
 import cacheproxy.routing.RoutingApi;
@@ -196,7 +198,7 @@
     peers = socket;
     listener = clients;
     module = new Policy(settings, config.seed());
-    byHand.forEach(node -> module.onHand(now(), DiscoveryClient.id(node), true, this));
+    byHand.forEach(node -> module.onHand(now(), Endpoint.memberId(node), true, this));
     sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -392,13 +394,13 @@
     for (String node : byHand) {
       if (!before.contains(node)) {
         log("taken out by hand: " + node);
-        tell(() -> module.onHand(now(), DiscoveryClient.id(node), true, this));
+        tell(() -> module.onHand(now(), Endpoint.memberId(node), true, this));
       }
     }
     for (String node : before) {
       if (!byHand.contains(node)) {
         log("back in use by hand: " + node);
-        tell(() -> module.onHand(now(), DiscoveryClient.id(node), false, this));
+        tell(() -> module.onHand(now(), Endpoint.memberId(node), false, this));
       }
     }
   }
@@ -507,9 +509,9 @@
     }
   }
 
-  void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
+  void listed(ListKind kind, List<Endpoint> hosts) {
     List<Upstream> turned = new ArrayList<>();
-    for (DiscoveryClient.Host h : hosts) {
+    for (Endpoint h : hosts) {
       int id = h.member().id();
       Upstream u = upstreams.get(id);
       if (u != null && h.member().state() != State.READY) {
@@ -533,11 +535,11 @@
                 origin ? 1 : config.streamsPerConnection());
         upstreams.put(id, u);
       }
-      if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
+      if (!h.address().equals(u.dial) || u.bornMs != h.member().bornMs()) {
         u.retire(); // what its connections lead to is not the server that is listed now
         turned.add(u);
       }
-      u.dial = h.dial();
+      u.dial = h.address();
       u.bornMs = h.member().bornMs();
     }
     if (kind == ListKind.FULL || kind == ListKind.CACHED) {
@@ -550,10 +552,7 @@
         }
       }
     }
-    tell(
-        () ->
-            module.onList(
-                now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
+    tell(() -> module.onList(now(), kind, hosts.stream().map(Endpoint::member).toList(), this));
     turned.forEach(
         Upstream::turnBack); // only now, as the module looks for other servers by the new list
   }
@@ -988,7 +987,7 @@
 
   @Override
   public void fetchList() {
-    discovery.fetch();
+    discovery.poll();
   }
 
   @Override
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -5,6 +5,7 @@
 import cacheproxy.proxy.admin.KnownNodeNames;
 import cacheproxy.proxy.admin.OperatorServer;
 import cacheproxy.proxy.admin.ProxyOperations;
+import cacheproxy.proxy.discovery.DiscoveryClient;
 import cacheproxy.proxy.peers.MemberLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedLink;
@@ -106,10 +107,18 @@
     dispatcher = new Dispatcher(loop, config, allocator);
     peers = new PeerSocket(loop, config.peerAddresses(), dispatcher);
     door = new ConnectionAdmission(loop, dispatcher);
-    discovery = new DiscoveryClient(loop, config, dispatcher, knownNodeNames);
+    DiscoveryAdapter adapter = new DiscoveryAdapter(dispatcher, config);
+    discovery =
+        new DiscoveryClient(
+            loop,
+            config.discoverySettings(),
+            adapter,
+            adapter,
+            adapter,
+            knownNodeNames == null ? name -> {} : knownNodeNames::add);
     operatorServer = config.control() == null ? null : startOperatorServer(config);
     if (operatorServer != null) {
-      discovery.nameKnown();
+      discovery.publishConfiguredHostNames();
       otherProcess = operatorServer.otherProcessAtStart();
       operatorServer.startPolling();
     }
@@ -127,7 +136,6 @@
                             config.seed(),
                             dispatcher::log))
             .syncUninterruptibly();
-        discovery.tierBy(members);
         boolean another = !otherProcess.isAbsent();
         loop.execute(() -> members.beside(another));
       } else {
@@ -151,7 +159,7 @@
                 dispatcher.share(sharing.tier());
                 sharing.beside(!otherProcess.isAbsent());
               }
-              discovery.listenTo(peers);
+              discovery.gossipWith(peers, Optional.ofNullable(members));
               discovery.start();
               if (operatorServer != null) {
                 updateOwnStatus();
@@ -398,7 +406,7 @@
   void reload(String path) {
     try {
       Config next = Config.read(path);
-      loop.execute(() -> discovery.move(next.discovery()));
+      loop.execute(() -> discovery.moveTo(next.discovery()));
       configsRead++;
       System.err.println("configuration read again: discovery at " + next.discovery());
     } catch (IllegalArgumentException e) {
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -3,6 +3,7 @@
 import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.limits.WarmUpBudget;
 import cacheproxy.limits.WarmUpConvergence;
+import cacheproxy.proxy.discovery.Endpoint;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.routing.RoutingApi.ListKind;
 import cacheproxy.routing.RoutingApi.Member;
@@ -151,14 +152,13 @@
             : "not settled");
   }
 
-  private List<DiscoveryClient.Host> hosts() {
+  private List<Endpoint> hosts() {
     Settings settings = config.settings();
     int cacheKind = settings.originKind() == 0 && settings.kinds() > 1 ? 1 : 0;
-    List<DiscoveryClient.Host> hosts = new ArrayList<>();
+    List<Endpoint> hosts = new ArrayList<>();
     for (int id = 1; id <= (settings.aside() ? ORIGIN : CACHES); id++) {
       int kind = id == ORIGIN ? settings.originKind() : cacheKind;
-      hosts.add(
-          new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), config.listen()));
+      hosts.add(new Endpoint(new Member(id, 0, kind, 0, State.READY, 1, 0), config.listen()));
     }
     return hosts;
   }
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/discovery/DiscoveryContext.java
@@ -0,0 +1,19 @@
+package cacheproxy.proxy.discovery;
+
+/** The proxy's clock, timers and log. Called on the event loop. */
+public interface DiscoveryContext {
+  /** A task that has been scheduled. */
+  interface Timer {
+    /** Keeps the task from running; without effect once it has run. */
+    void stop();
+  }
+
+  /** Unix time in milliseconds, monotonic. */
+  double now();
+
+  /** Runs a task on the event loop after this many milliseconds. */
+  Timer after(double delayMs, Runnable task);
+
+  /** Writes a line to the log. */
+  void log(String line);
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/discovery/EndpointListParser.java
@@ -0,0 +1,114 @@
+package cacheproxy.proxy.discovery;
+
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.State;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Parses endpoint lists from the discovery service's JSON form. Stateless. */
+final class EndpointListParser {
+  private static final float DEFAULT_WEIGHT = 1;
+
+  private final EndpointResolver resolver;
+  private final Consumer<String> hostNames;
+
+  /**
+   * @param hostNames is given each host's name once its entry has been parsed, also where a later
+   *     entry makes the list unusable
+   */
+  EndpointListParser(EndpointResolver resolver, Consumer<String> hostNames) {
+    this.resolver = resolver;
+    this.hostNames = hostNames;
+  }
+
+  /**
+   * Parses an answer of the service.
+   *
+   * @throws InvalidEndpointListException if a field is missing, unknown or of the wrong type
+   */
+  EndpointList parse(JsonObject json) {
+    List<Endpoint> endpoints = endpoints(json);
+    try {
+      boolean complete = json.get("whole").getAsBoolean();
+      return new EndpointList(version(json), complete, endpoints);
+    } catch (RuntimeException e) { // whatever the JSON library throws for a field of another type
+      throw invalid(e);
+    }
+  }
+
+  /**
+   * Parses the version alone.
+   *
+   * @throws InvalidEndpointListException if there is none
+   */
+  long version(JsonObject json) {
+    try {
+      return json.get("seq").getAsLong();
+    } catch (RuntimeException e) { // whatever the JSON library throws for a field of another type
+      throw invalid(e);
+    }
+  }
+
+  /**
+   * Parses the endpoints alone.
+   *
+   * @throws InvalidEndpointListException if one of them can't be used, or a host is listed twice
+   */
+  List<Endpoint> endpoints(JsonObject json) {
+    try {
+      List<Endpoint> endpoints = new ArrayList<>();
+      Set<Integer> ids = new HashSet<>();
+      for (JsonElement element : json.getAsJsonArray("hosts")) {
+        JsonObject host = element.getAsJsonObject();
+        Endpoint endpoint = endpoint(host);
+        if (!ids.add(endpoint.member().id())) {
+          throw new InvalidEndpointListException("a host is listed twice");
+        }
+        hostNames.accept(host.get("host").getAsString());
+        endpoints.add(endpoint);
+      }
+      return endpoints;
+    } catch (RuntimeException e) { // whatever the JSON library throws for a field of another type
+      throw invalid(e);
+    }
+  }
+
+  private static InvalidEndpointListException invalid(RuntimeException cause) {
+    return cause instanceof InvalidEndpointListException invalid
+        ? invalid
+        : new InvalidEndpointListException(cause);
+  }
+
+  private Endpoint endpoint(JsonObject host) {
+    String name = host.get("host").getAsString();
+    State state = state(name, host.get("health").getAsString());
+    OptionalInt zone = resolver.zone(host.get("site").getAsString());
+    OptionalInt kind = resolver.kind(host.get("class").getAsString());
+    float weight = host.has("share") ? host.get("share").getAsFloat() : DEFAULT_WEIGHT;
+    if (zone.isEmpty() || kind.isEmpty() || !(weight >= 0) || Float.isInfinite(weight)) {
+      throw new InvalidEndpointListException(
+          "host " + name + ": unknown site or class, or bad share");
+    }
+    double bornMs = host.has("born_ms") ? host.get("born_ms").getAsDouble() : 0;
+    int cell = host.has("block") ? host.get("block").getAsInt() : 0;
+    int id = Endpoint.memberId(name);
+    return new Endpoint(
+        new Member(id, zone.getAsInt(), kind.getAsInt(), cell, state, weight, bornMs),
+        resolver.address(host.get("dial").getAsString()));
+  }
+
+  private static State state(String hostName, String health) {
+    return switch (health) {
+      case "up" -> State.READY;
+      case "draining" -> State.DRAINING;
+      case "removed" -> State.GONE;
+      default -> throw new InvalidEndpointListException("host " + hostName + ": unknown health");
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/proxy/discovery/VersionGossipLink.java
@@ -0,0 +1,96 @@
+package cacheproxy.proxy.discovery;
+
+import cacheproxy.gossip.EndpointVersionGossip;
+import cacheproxy.proxy.peers.MemberLink;
+import cacheproxy.proxy.peers.PeerSocket;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Runs the {@link EndpointVersionGossip} of one proxy: exchanges versions of the endpoint list with
+ * peers by datagrams, and reports when the own watch has fallen behind. Used on the event loop
+ * only.
+ */
+final class VersionGossipLink {
+  private final EndpointVersionGossip gossip;
+  private final DiscoveryContext context;
+  private final PeerSocket peers;
+
+  /** Empty: how many proxies are alive is not known, but for the configuration's number. */
+  private final Optional<MemberLink> members;
+
+  private final SplittableRandom random;
+  private final Runnable whenBehind;
+
+  /** For the one time at which there is next something to do. */
+  private DiscoveryContext.Timer timer = () -> {};
+
+  /**
+   * @param random draws the delays of messages and calls, from 0 to 1
+   * @param whenBehind runs when peers know of a newer version that the own watch has not brought
+   */
+  VersionGossipLink(
+      EndpointVersionGossip gossip,
+      DiscoveryContext context,
+      PeerSocket peers,
+      Optional<MemberLink> members,
+      SplittableRandom random,
+      Runnable whenBehind) {
+    this.gossip = gossip;
+    this.context = context;
+    this.peers = peers;
+    this.members = members;
+    this.random = random;
+    this.whenBehind = whenBehind;
+    peers.onVersions(this::peerVersion);
+  }
+
+  /** The discovery service has sent this version to this proxy, whether or not it is a new one. */
+  void ownVersion(long version) {
+    gossip.own(context.now(), version, random.nextDouble());
+    schedule();
+  }
+
+  /**
+   * Notes how long a call took, where it can only have waited for its turn: it was rejected, or
+   * there was a change to send. A rejection, however quick, says that the service's queue is full.
+   */
+  void responded(double elapsedMs, boolean answered) {
+    if (!answered) {
+      gossip.queued(context.now(), EndpointVersionGossip.MOST_QUEUE_MS);
+    } else if (elapsedMs <= EndpointVersionGossip.MOST_QUEUE_MS) {
+      gossip.queued(context.now(), elapsedMs);
+    }
+  }
+
+  /** How long a call may wait in the service's queue, in milliseconds, by its latest calls. */
+  double queueMs() {
+    return gossip.queueMs(context.now());
+  }
+
+  private void peerVersion(int peer, long version) {
+    gossip.heard(context.now(), peer, version, random.nextDouble());
+    schedule();
+  }
+
+  private void schedule() {
+    members.ifPresent(link -> gossip.tier(link.alive(), link.delayMs()));
+    timer.stop();
+    double delayMs = gossip.dueMs() - context.now();
+    timer =
+        delayMs == Double.POSITIVE_INFINITY
+            ? () -> {}
+            : context.after(Math.max(0, delayMs), this::tick);
+  }
+
+  private void tick() {
+    long version = gossip.tells(context.now());
+    if (version > 0) {
+      peers.tellVersion(version);
+    }
+    if (gossip.asks(context.now())) {
+      whenBehind.run();
+    }
+    schedule();
+  }
+}
--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -134,6 +134,27 @@
         .check(ALL);
   }
 
+  /**
+   * It reaches the proxy through its own interfaces alone, and depends neither on {@code Proxy} nor
+   * on {@code Dispatcher}.
+   */
+  @Test
+  void theDiscoveryClientDependsOnGossipPeersAndRoutingOnly() {
+    assertThat(ALL.contain("cacheproxy.proxy.discovery.DiscoveryClient")).isTrue();
+    noClasses()
+        .that()
+        .resideInAPackage("cacheproxy.proxy.discovery..")
+        .should()
+        .dependOnClassesThat(
+            DescribedPredicate.describe(
+                "the program's, but for proxy.discovery, proxy.peers, gossip and routing",
+                c ->
+                    c.getPackageName().startsWith("cacheproxy")
+                        && !c.getPackageName()
+                            .matches("cacheproxy\\.(proxy\\.(discovery|peers)|gossip|routing)")))
+        .check(ALL);
+  }
+
   @Test
   void theLoadGeneratorAndTheStandInsKnowNothingOfTheProxy() {
     noClasses()
