--- a/src/main/java/cacheproxy/model/LoopModel.java
+++ b/src/main/java/cacheproxy/model/LoopModel.java
@@ -161,9 +161,9 @@
       List<ServiceClass> classes =
           List.of(
               new ServiceClass(
-                  "usual", Effect.SAFE, Group.ALL, 0, aimMs, patienceMs, 1, 0.2, false),
+                  "usual", Effect.IDEMPOTENT, Group.ALL, 0, aimMs, patienceMs, 1, 0.2, false),
               new ServiceClass(
-                  "rare", Effect.SAFE, Group.ALL, 0, aimMs, patienceMs, 8, 0.2, false));
+                  "rare", Effect.IDEMPOTENT, Group.ALL, 0, aimMs, patienceMs, 8, 0.2, false));
       Policy policy =
           new Policy(
               new Settings(
@@ -200,7 +200,7 @@
                   List.of()),
               seed);
       return (now, ask, waited, excess) ->
-          policy.turnAway(
+          policy.rejectForOverload(
               now, new RequestSummary(ask.kind, 0, ask.tries > 0, waited, patienceMs), excess);
     }
   }
--- a/src/main/java/cacheproxy/model/PlacesModel.java
+++ b/src/main/java/cacheproxy/model/PlacesModel.java
@@ -186,18 +186,18 @@
         me % s.zones(),
         s.zones(),
         s.kinds(),
-        s.askForList(),
-        s.aside(),
+        s.pollsEndpointList(),
+        s.cacheAside(),
         s.originKind(),
         s.reports(),
         s.reportNames(),
-        s.worthByWork(),
-        s.overShareWorth(),
+        s.weightByWork(),
+        s.overQuotaWeight(),
         s.mayCancel(),
-        s.mayProbe(),
+        s.mayHealthCheck(),
         s.peers(),
-        s.secondCopies(),
-        s.retryAdvice(),
+        s.mayHedge(),
+        s.mayAdviseRetryAfter(),
         s.maxAttempts(),
         s.maxRetryAfterMs(),
         s.connectTimeoutMs(),
@@ -205,11 +205,11 @@
         s.answerGraceMs(),
         s.startCapacity(),
         s.warmUpMs(),
-        s.tipMultiple(),
-        s.fallMs(),
-        s.askWithinMs(),
-        s.originFallMultiple(),
-        s.originFallMs(),
+        s.overloadMultiple(),
+        s.overloadMs(),
+        s.pollWithinMs(),
+        s.originOverloadMultiple(),
+        s.originOverloadMs(),
         s.classes(),
         s.tenants());
   }
@@ -323,7 +323,7 @@
                     attempt,
                     server,
                     told ? Outcome.CONNECT_FAILED : Outcome.FULL,
-                    told ? RoutingApi.NOTE_NO_PLACE : 0,
+                    told ? RoutingApi.NOTE_NO_CONNECTION_SLOT : 0,
                     REFUSE_MS));
         return;
       }
@@ -355,7 +355,7 @@
       if (outcome == Outcome.OK && !ask.over) {
         boolean lossTime = ask.bornMs >= lostFrom && ask.bornMs < lostUntil;
         counts.inTimeDuringLoss +=
-            lossTime && now - ask.bornMs <= settings.classes().get(0).aimMs() ? 1 : 0;
+            lossTime && now - ask.bornMs <= settings.classes().get(0).latencyObjectiveMs() ? 1 : 0;
         answered(ask);
       }
       module.onAttemptEnd(
--- a/src/main/java/cacheproxy/model/SharedModel.java
+++ b/src/main/java/cacheproxy/model/SharedModel.java
@@ -1,7 +1,7 @@
 package cacheproxy.model;
 
 import cacheproxy.fleet.LinkFaults;
-import cacheproxy.routing.RoutingApi.Cold;
+import cacheproxy.routing.RoutingApi.QuotaResult;
 import cacheproxy.shared.HealthVerdicts;
 import cacheproxy.shared.SharedState;
 import java.util.ArrayDeque;
@@ -383,7 +383,7 @@
     if (now < shunned[p][node]) {
       return;
     }
-    if (states[p] != null && states[p].passOver(now, node, true)) {
+    if (states[p] != null && states[p].isEjected(now, node, true)) {
       passedOver++;
       wrongly += down[node] || noPlace[node] || cutFromNodes[p] ? 0 : 1;
       return;
@@ -392,7 +392,8 @@
       double capacity = START_CAPACITY + (1 - START_CAPACITY) * (now - bornMs[node]) / WARM_UP_MS;
       int warm = (int) IntStream.range(0, plan.nodes()).filter(n -> !cold(n)).count();
       coldMayBe += 1;
-      if (states[p] != null && states[p].spendCold(now, node, 0, capacity, warm) != Cold.SPENT) {
+      if (states[p] != null
+          && states[p].spendSlowStartQuota(now, node, 0, capacity, warm) != QuotaResult.SPENT) {
         return;
       }
     }
@@ -461,7 +462,7 @@
       if (noPlace[which]) {
         shunned[p][which] = now + 2000;
         if (states[p] != null) {
-          states[p].noPlace(now, which, 2000);
+          states[p].noConnectionSlot(now, which, 2000);
         }
         return;
       }
--- a/src/main/java/cacheproxy/proxy/DiscoveryClient.java
+++ b/src/main/java/cacheproxy/proxy/DiscoveryClient.java
@@ -138,7 +138,7 @@
 
   /** From now on what peers say of the list's version tells whether the own watch still lives. */
   void listenTo(PeerSocket socket) {
-    if (config.settings().askForList() && socket.hasPeers()) {
+    if (config.settings().pollsEndpointList() && socket.hasPeers()) {
       peers = socket;
       versions = new EndpointVersionGossip(config.peers().size(), config.settings().me());
       socket.onVersions(
@@ -220,7 +220,7 @@
       }
     }
     dispatcher.listed(ListKind.CACHED, known);
-    if (!config.settings().askForList()) {
+    if (!config.settings().pollsEndpointList()) {
       watch(true);
     }
   }
@@ -254,7 +254,7 @@
     if (!on) {
       watchLine.close();
     } else if (watchLine.waiting == null) {
-      int most = config.settings().askForList() ? WAIT_MS : PUSHED_WAIT_MS;
+      int most = config.settings().pollsEndpointList() ? WAIT_MS : PUSHED_WAIT_MS;
       int wait = most / 2 + lots.nextInt(most / 2);
       watchLine.call(
           "/discovery/hosts?since=" + version + "&timeout_ms=" + wait,
@@ -299,7 +299,7 @@
       }
       boolean again = haste || dispatcher.now() - movedMs <= MOVING_MS;
       haste = false;
-      if (config.settings().askForList() && !again) {
+      if (config.settings().pollsEndpointList() && !again) {
         watching = false;
         failed(e);
       } else {
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -181,7 +181,7 @@
                     ? config.waitMs()
                     : CpuLoadShedder.targetMs(
                         settings.classes().stream()
-                            .mapToDouble(ServiceClass::aimMs)
+                            .mapToDouble(ServiceClass::latencyObjectiveMs)
                             .min()
                             .orElseThrow()));
   }
@@ -195,18 +195,18 @@
     peers = socket;
     listener = clients;
     module = new Policy(settings, config.seed());
-    byHand.forEach(node -> module.onHand(now(), DiscoveryClient.id(node), true, this));
+    byHand.forEach(node -> module.onManualEjection(now(), DiscoveryClient.id(node), true, this));
     sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   /** From now on the module asks and tells what its tier shares. */
   void share(RoutingApi.Tier tier) {
-    tell(() -> module.share(tier));
+    tell(() -> module.useTier(tier));
   }
 
   /** Others' word on a server, once the module has returned from its present call. */
   void word(int server, boolean out) {
-    tell(() -> module.onWord(now(), server, out, this));
+    tell(() -> module.onGossipedHealth(now(), server, out, this));
   }
 
   /** Nothing more is done for anyone; for one that was only a rehearsal. */
@@ -278,7 +278,7 @@
       return null; // it will hear what is wrong with it
     }
     double advice =
-        module.turnAway(
+        module.rejectForOverload(
             now,
             new RequestSummary(
                 kind,
@@ -287,7 +287,7 @@
                 budget.waitedMs(now),
                 patience),
             excess);
-    if (advice == RoutingApi.TAKEN) {
+    if (advice == RoutingApi.ADMITTED) {
       return null;
     }
     figures.ended(kind, Metrics.End.DEFERRED);
@@ -305,7 +305,7 @@
 
   /** The line of a refusal, with advice where the settings have it. */
   private String busy(double retryAfterMs) {
-    boolean advice = retryAfterMs >= 1 && settings.retryAdvice();
+    boolean advice = retryAfterMs >= 1 && settings.mayAdviseRetryAfter();
     return advice ? MetaCodec.BUSY + " " + Math.round(retryAfterMs) : MetaCodec.BUSY;
   }
 
@@ -376,8 +376,9 @@
 
   /** The figures for operators, as JSON. */
   String figures(int read, int refused) {
-    RoutingApi.Census census = module == null ? new RoutingApi.Census(0, 0) : module.census(now());
-    return figures.json(openIds.size(), census.listed(), census.avoided(), read, refused);
+    RoutingApi.EndpointCounts counts =
+        module == null ? new RoutingApi.EndpointCounts(0, 0) : module.endpointCounts(now());
+    return figures.json(openIds.size(), counts.listed(), counts.unavailable(), read, refused);
   }
 
   /** From now on just these nodes are out by hand. */
@@ -390,13 +391,13 @@
     for (String node : byHand) {
       if (!before.contains(node)) {
         log("taken out by hand: " + node);
-        tell(() -> module.onHand(now(), DiscoveryClient.id(node), true, this));
+        tell(() -> module.onManualEjection(now(), DiscoveryClient.id(node), true, this));
       }
     }
     for (String node : before) {
       if (!byHand.contains(node)) {
         log("back in use by hand: " + node);
-        tell(() -> module.onHand(now(), DiscoveryClient.id(node), false, this));
+        tell(() -> module.onManualEjection(now(), DiscoveryClient.id(node), false, this));
       }
     }
   }
@@ -518,7 +519,7 @@
         continue;
       }
       if (u == null) {
-        boolean origin = settings.aside() && h.member().kind() == settings.originKind();
+        boolean origin = settings.cacheAside() && h.member().kind() == settings.originKind();
         int connections = origin ? originConnections() : cacheConnections();
         u =
             new Upstream(
@@ -531,12 +532,12 @@
                 origin ? 1 : config.streamsPerConnection());
         upstreams.put(id, u);
       }
-      if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
+      if (!h.dial().equals(u.dial) || u.bornMs != h.member().startedMs()) {
         u.retire(); // what its connections lead to is not the server that is listed now
         turned.add(u);
       }
       u.dial = h.dial();
-      u.bornMs = h.member().bornMs();
+      u.bornMs = h.member().startedMs();
     }
     if (kind == ListKind.FULL || kind == ListKind.CACHED) {
       Set<Integer> named = new HashSet<>();
@@ -611,7 +612,7 @@
       return "bad figure";
     }
     if (c.write
-        && settings.classes().get(kind).effect() == Effect.KEYED
+        && settings.classes().get(kind).effect() == Effect.IDEMPOTENCY_KEY
         && MetaCodec.named(c.extras, "k") == null) {
       return "no idempotency key";
     }
@@ -667,8 +668,8 @@
     wait = Math.max(1, Math.min(wait, answerByMs - now));
     x.id = nextId++;
     Effect effect = settings.classes().get(kind).effect();
-    x.unsafe = effect == Effect.UNSAFE;
-    x.safe = effect == Effect.SAFE;
+    x.unsafe = effect == Effect.NOT_IDEMPOTENT;
+    x.safe = effect == Effect.IDEMPOTENT;
     x.dueMs = now + wait;
     exchanges.put(x.id, x);
     double hint = figure(c, "h", Double.NaN);
@@ -754,7 +755,7 @@
         a.connection.giveUp(a);
         tell(() -> end(a, Outcome.CANCELLED, 0, null, null));
       }
-      tell(() -> module.onGone(now(), x.id, this));
+      tell(() -> module.onClientGone(now(), x.id, this));
       free(x);
     }
   }
@@ -799,7 +800,7 @@
     boolean passed = x != null && x.passage != null && x.passage.attempt == a;
     double elapsed = Math.max(0, (passed ? x.passage.beganMs : now() - unread(outcome)) - a.sentMs);
     if (x == null) {
-      tell(() -> module.onProbed(now(), a.server, outcome, elapsed, report, this));
+      tell(() -> module.onHealthCheck(now(), a.server, outcome, elapsed, report, this));
       return;
     }
     x.out--;
@@ -935,7 +936,7 @@
     }
     if (a.connection != null) {
       a.connection.giveUp(a);
-      if (!settings.secondCopies() && !x.over && a.connection.isOut(a)) {
+      if (!settings.mayHedge() && !x.over && a.connection.isOut(a)) {
         return; // others hold its connection open: until that ends or it is answered, the next
         // would be a second copy
       }
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -60,8 +60,8 @@
             config.peers().size(),
             me,
             config.settings().zone(),
-            config.settings().tipMultiple(),
-            config.settings().fallMs(),
+            config.settings().overloadMultiple(),
+            config.settings().overloadMs(),
             t.number("bytes_per_s", (long) SharedState.Terms.USUAL_BYTES_PER_S),
             t.flag("judgements", true),
             t.flag("cold_rights", true));
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -538,7 +538,8 @@
     if (refused != null) {
       boolean alone = upstream.refused();
       endRefused(
-          alone ? Outcome.CONNECT_FAILED : Outcome.FULL, alone ? RoutingApi.NOTE_NO_PLACE : 0);
+          alone ? Outcome.CONNECT_FAILED : Outcome.FULL,
+          alone ? RoutingApi.NOTE_NO_CONNECTION_SLOT : 0);
     }
     for (Attempt a; (a = attempts.poll()) != null; ) {
       Outcome outcome =
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -155,7 +155,7 @@
     Settings settings = config.settings();
     int cacheKind = settings.originKind() == 0 && settings.kinds() > 1 ? 1 : 0;
     List<DiscoveryClient.Host> hosts = new ArrayList<>();
-    for (int id = 1; id <= (settings.aside() ? ORIGIN : CACHES); id++) {
+    for (int id = 1; id <= (settings.cacheAside() ? ORIGIN : CACHES); id++) {
       int kind = id == ORIGIN ? settings.originKind() : cacheKind;
       hosts.add(
           new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), config.listen()));
--- a/src/main/java/cacheproxy/routing/AdaptiveThrottle.java
+++ b/src/main/java/cacheproxy/routing/AdaptiveThrottle.java
@@ -44,12 +44,12 @@
    * part of its aim. Should also guard against clients that never wait. Harm: whose first try was
    * refused by chance is refused again, where a fair draw would have let some in late.
    */
-  double refuse(double now, boolean repeat, double excess) {
+  double refuse(double now, boolean retry, double excess) {
     fade(now);
     wanted++;
-    again += repeat ? 1 : 0;
+    again += retry ? 1 : 0;
     double part = again / wanted;
-    return repeat ? Math.min(1, excess / part) : Math.max(0, (excess - part) / (1 - part + 1e-9));
+    return retry ? Math.min(1, excess / part) : Math.max(0, (excess - part) / (1 - part + 1e-9));
   }
 
   /** How many times too much is asked, 1 when all is well. */
--- a/src/main/java/cacheproxy/routing/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -229,7 +229,7 @@
       this.request = request;
       arrivedMs = now - request.waitedMs();
       kind = cfg.classes().get(request.serviceClass());
-      safe = kind.effect() == Effect.SAFE;
+      safe = kind.effect() == Effect.IDEMPOTENT;
       keyHash =
           Carp.keyHash(request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id()));
     }
@@ -242,8 +242,8 @@
 
   /** Whether to refuse this one where a part of all must be refused. */
   private boolean refused(
-      double now, boolean repeat, int tenant, AdaptiveThrottle by, double excess) {
-    double part = by.refuse(now, repeat, excess);
+      double now, boolean retry, int tenant, AdaptiveThrottle by, double excess) {
+    double part = by.refuse(now, retry, excess);
     if (excess <= 0) {
       return false;
     }
@@ -251,23 +251,23 @@
   }
 
   private boolean refused(double now, InFlightRequest f, AdaptiveThrottle by, double excess) {
-    return refused(now, f.request.repeat(), f.request.tenant(), by, excess);
+    return refused(now, f.request.retry(), f.request.tenant(), by, excess);
   }
 
   @Override
-  public double turnAway(double now, RequestSummary g, double excess) {
+  public double rejectForOverload(double now, RequestSummary g, double excess) {
     int rank = ranks.of(g, pace);
     ranks.asked(now, rank);
     // Who has no time left for a server's usual answer only takes the time of others.
-    boolean hopeless = g.waitedMs() + pace > g.patienceMs();
+    boolean hopeless = g.waitedMs() + pace > g.timeBudgetMs();
     double part = excess > 0 ? ranks.refuse(rank, excess) : 0;
-    if (!hopeless && !refused(now, g.repeat(), g.tenant(), door, part)) {
-      return TAKEN;
+    if (!hopeless && !refused(now, g.retry(), g.tenant(), door, part)) {
+      return ADMITTED;
     }
     if (shares != null) {
       shares.asked(now, g.tenant()); // who is taken is counted with its request
     }
-    if (!cfg.retryAdvice()) {
+    if (!cfg.mayAdviseRetryAfter()) {
       return 0;
     }
     return cfg.maxRetryAfterMs() * Math.min(1, 2 * excess) * (0.5 + random.nextDouble() / 2);
@@ -280,11 +280,11 @@
     zones = new Zone[settings.zones()];
     Arrays.setAll(zones, z -> new Zone());
     ranks = new PriorityLevels(settings.classes());
-    boolean shared = settings.overShareWorth() < 1 && settings.tenants().size() > 1;
+    boolean shared = settings.overQuotaWeight() < 1 && settings.tenants().size() > 1;
     shares = shared ? new TenantQuotas(settings.tenants()) : null;
     double shortestAim =
         settings.classes().stream()
-            .mapToDouble(ServiceClass::aimMs)
+            .mapToDouble(ServiceClass::latencyObjectiveMs)
             .min()
             .orElseThrow(() -> new IllegalArgumentException("settings name no class"));
     fetchMs = shortestAim / 4;
@@ -305,9 +305,9 @@
       askAgain(out);
       return;
     }
-    if (kind == ListKind.CACHED && cfg.askForList()) {
+    if (kind == ListKind.CACHED && cfg.pollsEndpointList()) {
       // The list service is small: all instances starting together must not call at once.
-      double span = Math.min(cfg.askWithinMs() / 2, cfg.instances() * cfg.connectTimeoutMs() / 2);
+      double span = Math.min(cfg.pollWithinMs() / 2, cfg.instances() * cfg.connectTimeoutMs() / 2);
       timer(random.nextDouble() * span, WATCH, null, out);
     } else if (asking) {
       asking = false;
@@ -326,12 +326,12 @@
         continue;
       }
       Server s = servers.computeIfAbsent(m.id(), Server::new);
-      if (s.member != null && s.member.bornMs() != m.bornMs()) {
+      if (s.member != null && s.member.startedMs() != m.startedMs()) {
         s.failures = s.breaks = 0;
         s.shunnedUntil = 0;
       }
       s.member = m;
-      s.ofOrigin = cfg.aside() && m.kind() == cfg.originKind();
+      s.ofOrigin = cfg.cacheAside() && m.kind() == cfg.originKind();
     }
     rank();
   }
@@ -387,18 +387,18 @@
   }
 
   @Override
-  public void share(Tier with) {
+  public void useTier(Tier with) {
     tier = with;
     rank();
   }
 
   @Override
-  public void onWord(double now, int server, boolean isOut, Actions orders) {
+  public void onGossipedHealth(double now, int server, boolean isOut, Actions orders) {
     Server s = servers.get(server);
     if (s != null && !isOut) {
       s.failures = s.breaks = s.doubts = 0;
       s.shunnedUntil = 0;
-    } else if (s != null && cfg.secondCopies()) {
+    } else if (s != null && cfg.mayHedge()) {
       elsewhere(now, at -> at == s, orders);
     }
   }
@@ -417,7 +417,7 @@
   }
 
   @Override
-  public void onHand(double now, int server, boolean out, Actions orders) {
+  public void onManualEjection(double now, int server, boolean out, Actions orders) {
     Server s = servers.get(server);
     Double since = byHand.get(server);
     if (out && since == null) {
@@ -436,22 +436,22 @@
   }
 
   @Override
-  public Census census(double now) {
+  public EndpointCounts endpointCounts(double now) {
     int listed = 0;
-    int avoided = 0;
+    int unavailable = 0;
     for (Server s : servers.values()) {
       if (!s.ofOrigin) {
         listed++;
         boolean out = s.member.state() != State.READY || byHand.containsKey(s.id);
-        avoided += out || now < s.shunnedUntil ? 1 : 0;
+        unavailable += out || now < s.shunnedUntil ? 1 : 0;
       }
     }
-    return new Census(listed, avoided);
+    return new EndpointCounts(listed, unavailable);
   }
 
   private void askAgain(Actions out) {
     watchFailures++;
-    double wait = cfg.askWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
+    double wait = cfg.pollWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
     timer(wait * (0.5 + random.nextDouble() / 2), WATCH, null, out);
   }
 
@@ -475,8 +475,8 @@
     trials = Math.min(1, trials + DOUBT_SHARE);
     InFlightRequest f = new InFlightRequest(request, now);
     flights.put(request.id(), f);
-    timer(Math.max(0, request.dueMs() - now), DUE, f, out);
-    f.toOrigin = cfg.aside() && request.write();
+    timer(Math.max(0, request.deadlineMs() - now), DUE, f, out);
+    f.toOrigin = cfg.cacheAside() && request.write();
     if (!f.toOrigin && request.key() != 0) {
       f.seen = hot.seen(request.key(), now);
       f.spread = spread(f.seen);
@@ -495,7 +495,10 @@
 
   private void advance(double now, InFlightRequest f, Actions out) {
     f.waiting = false;
-    boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
+    boolean worthless =
+        f.safe
+            && f.kind.lateWeightFraction() == 0
+            && now > f.arrivedMs + f.kind.latencyObjectiveMs();
     if (f.done || f.streaming) {
       return;
     }
@@ -513,12 +516,13 @@
       return;
     }
     Server s = null;
-    if (f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
+    if (f.attempts < cfg.maxAttempts() && now < f.request.deadlineMs()) {
       s =
-          f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
+          f.toOrigin
+                  || cfg.cacheAside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
               ? origin
               : choose(now, f, out);
-      if (s == null && cfg.aside() && f.safe) {
+      if (s == null && cfg.cacheAside() && f.safe) {
         s = origin;
       }
     }
@@ -533,7 +537,7 @@
         return;
       }
       double excess = throttle.excess(now);
-      boolean tooLate = excess > 0 && now + fetchMs > f.arrivedMs + f.kind.aimMs();
+      boolean tooLate = excess > 0 && now + fetchMs > f.arrivedMs + f.kind.latencyObjectiveMs();
       if (!tooLate) { // who is turned away as too late does not count, or the throttle stays shut
         throttle.asked(now);
       }
@@ -555,9 +559,11 @@
     f.at[a] = s;
     f.sentAt[a] = now;
     f.out++;
-    boolean worthlessLate = s != origin && f.safe && f.kind.lateShare() == 0;
+    boolean worthlessLate = s != origin && f.safe && f.kind.lateWeightFraction() == 0;
     out.place(
-        f.request.id(), s.id, worthlessLate ? Math.max(1, f.arrivedMs + f.kind.aimMs() - now) : 0);
+        f.request.id(),
+        s.id,
+        worthlessLate ? Math.max(1, f.arrivedMs + f.kind.latencyObjectiveMs() - now) : 0);
     if (s != origin && f.safe && f.attempts < cfg.maxAttempts() && f.attempts <= CACHE_TRIES) {
       timer(patience(now, f), PATIENCE, f, out);
     }
@@ -569,7 +575,7 @@
    */
   private double patience(double now, InFlightRequest f) {
     double usual = (pace + 3 * paceDeviation) * f.work();
-    double left = Math.min(f.kind.aimMs(), f.request.dueMs() - now);
+    double left = Math.min(f.kind.latencyObjectiveMs(), f.request.deadlineMs() - now);
     return Math.max(left / 4, Math.min(usual, left - 2 * fetchMs));
   }
 
@@ -587,20 +593,20 @@
     if (f.done || f.streaming || f.ended[a] || s.ofOrigin) {
       return;
     }
-    if (cfg.secondCopies() || ++s.doubts > 1) {
-      suspect(now, s, cfg.secondCopies() ? f.kind.aimMs() : shunMs(), f.sentAt[a]);
+    if (cfg.mayHedge() || ++s.doubts > 1) {
+      suspect(now, s, cfg.mayHedge() ? f.kind.latencyObjectiveMs() : shunMs(), f.sentAt[a]);
     }
     if (silent(now, s.member.zone(), s.id, 1, out)) {
       return;
     }
     if (doubts < 1
-        || f.request.dueMs() - now < fetchMs
-        || !cfg.secondCopies() && !cfg.mayCancel()) {
+        || f.request.deadlineMs() - now < fetchMs
+        || !cfg.mayHedge() && !cfg.mayCancel()) {
       return;
     }
     doubts--;
     f.doubted = true;
-    if (cfg.secondCopies()) {
+    if (cfg.mayHedge()) {
       advance(now, f, out);
     } else {
       out.cancel(f.request.id(), a);
@@ -610,7 +616,7 @@
   /** A sign that a zone is silent. True: it is out of reach by that from now on. */
   private boolean silent(double now, int zone, int server, int weight, Actions out) {
     Zone z = zones[zone];
-    if (cfg.zones() < 2 || !cfg.secondCopies() || now < z.outUntil) {
+    if (cfg.zones() < 2 || !cfg.mayHedge() || now < z.outUntil) {
       return false;
     }
     if (z.signs == 0 || now - z.signAt > SIGNS_CONNECTS * cfg.connectTimeoutMs()) {
@@ -660,14 +666,14 @@
   }
 
   private boolean maySend(double now, InFlightRequest f, Server s) {
-    if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
+    if (f.out > 0 && !(cfg.mayHedge() && f.safe)) {
       return false;
     }
     if (Double.isNaN(f.maybeRanSince) || f.safe) {
       return true;
     }
     // A send counts when its last byte has come, which may be as late as its connection comes up.
-    return f.kind.effect() == Effect.KEYED
+    return f.kind.effect() == Effect.IDEMPOTENCY_KEY
         && now + cfg.connectTimeoutMs() < f.maybeRanSince + f.kind.windowMs()
         && sameGroup(f.kind.group(), f.maybeRanAt.member, s.member);
   }
@@ -702,7 +708,7 @@
    * is answered, the later the client is told to come back, each by chance a little different.
    */
   private double comeBackMs(double now) {
-    if (!cfg.retryAdvice()) {
+    if (!cfg.mayAdviseRetryAfter()) {
       return 0;
     }
     double over = Math.max(crowd.pressure(now), throttle.pressure(now)) - AdaptiveThrottle.HEADROOM;
@@ -785,11 +791,11 @@
     }
     boolean clear = s.failures == 0 || s.probed && !s.trial;
     boolean mayTry = f.attempts == 0 && (f.safe || now - safeReadMs > shunMs());
-    boolean probes = f.attempts == 0 && cfg.mayProbe();
+    boolean probes = f.attempts == 0 && cfg.mayHealthCheck();
     if (!clear && (now < s.shunnedUntil || s.trial || !mayTry && !probes || trials < 1)) {
       return false;
     }
-    if (tier != null && tier.passOver(now, s.id, mayTry)) {
+    if (tier != null && tier.isEjected(now, s.id, mayTry)) {
       return false; // as others of the tier have found
     }
     if (clear) {
@@ -797,7 +803,7 @@
     }
     trials--;
     s.trial = true;
-    if (cfg.mayProbe()) {
+    if (cfg.mayHealthCheck()) {
       out.probe(s.id);
       return false;
     }
@@ -817,7 +823,7 @@
     if (f.attempts > 0 || f.spread > 1) {
       return false;
     }
-    double age = now - bornMs(s);
+    double age = now - startedMs(s);
     double capacity =
         cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
     double warm = warmRate(now, s);
@@ -827,13 +833,14 @@
       return false;
     }
     if (tier != null) {
-      Cold word = tier.spendCold(now, s.id, s.member.kind(), capacity, warmOnes);
-      if (word != Cold.UNKNOWN) {
-        return word == Cold.SPENT;
+      QuotaResult word = tier.spendSlowStartQuota(now, s.id, s.member.kind(), capacity, warmOnes);
+      if (word != QuotaResult.UNKNOWN) {
+        return word == QuotaResult.SPENT;
       }
     }
     if (warm > 0) {
-      double more = capacity * warm * Math.max(0, now - Math.max(s.allowedAt, s.member.bornMs()));
+      double more =
+          capacity * warm * Math.max(0, now - Math.max(s.allowedAt, s.member.startedMs()));
       s.allowed = Math.min(COLD_SAVED, s.allowed + more);
       s.allowedAt = now;
       if (s.allowed < 1) {
@@ -859,7 +866,7 @@
   }
 
   private boolean cold(double now, Server s) {
-    double born = bornMs(s);
+    double born = startedMs(s);
     return born != 0 && now - born < cfg.warmUpMs();
   }
 
@@ -867,8 +874,8 @@
    * When the server started. One that was out by hand has most likely been restarted meanwhile:
    * until the list tells a start within that time, it counts as started when it came back.
    */
-  private static double bornMs(Server s) {
-    double born = s.member.bornMs();
+  private static double startedMs(Server s) {
+    double born = s.member.startedMs();
     return born > s.outMs ? born : Math.max(born, s.backMs);
   }
 
@@ -910,13 +917,13 @@
       f.maybeRanAt = s;
     }
     boolean wasDone = f.done;
-    if (end.over() || f.done) {
+    if (end.finalAnswer() || f.done) {
       finish(f);
     }
     if (f.followers != null && end.attempt() == f.fetch) {
       fetchEnded(now, f, end.outcome() == Outcome.OK, out);
     }
-    if (!wasDone && end.over()) {
+    if (!wasDone && end.finalAnswer()) {
       cancelRest(f, out);
     } else if (!f.done) {
       next(now, f, s, end, out);
@@ -954,7 +961,7 @@
     // A fetch that broke is asked for once more; one that was refused or too slow makes a jam.
     if (s.ofOrigin && !f.request.write() && !(broke && f.safe)) {
       giveUp(now, f, out);
-    } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
+    } else if (f.out == 0 || f.safe && cfg.mayHedge()) {
       advance(now, f, out);
     }
   }
@@ -1006,14 +1013,15 @@
         // Answering only after the aim is no better than silence and does not clear a server,
         // unless all are slow together: a shared slowdown must not become mass ejection.
         boolean timely =
-            end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > AdaptiveThrottle.HEADROOM;
+            end.elapsedMs() <= f.kind.latencyObjectiveMs()
+                || crowd.pressure(now) > AdaptiveThrottle.HEADROOM;
         if (s.ofOrigin || timely) {
           s.failures = s.doubts = 0;
         }
         s.trial = false;
         if (!s.ofOrigin && end.outcome() == Outcome.OK) {
           crowd.asked(now);
-          if (end.elapsedMs() <= f.kind.aimMs() - fetchMs) {
+          if (end.elapsedMs() <= f.kind.latencyObjectiveMs() - fetchMs) {
             crowd.answered(now);
           }
           double x = end.elapsedMs() / f.work();
@@ -1022,20 +1030,21 @@
           doubts = Math.min(DOUBT_SAVED, doubts + DOUBT_SHARE);
         }
         if (s.ofOrigin && end.outcome() == Outcome.OK) {
-          if (f.sentAt[end.attempt()] + end.elapsedMs() <= f.arrivedMs + f.kind.aimMs()) {
+          if (f.sentAt[end.attempt()] + end.elapsedMs()
+              <= f.arrivedMs + f.kind.latencyObjectiveMs()) {
             throttle.answered(now);
           }
           fetchMs += (end.elapsedMs() - fetchMs) / 8;
         }
       }
       case CONNECT_FAILED, RESET, TIMEOUT -> {
-        if (end.outcome() == Outcome.CONNECT_FAILED && end.note() == NOTE_NO_PLACE) {
+        if (end.outcome() == Outcome.CONNECT_FAILED && end.note() == NOTE_NO_CONNECTION_SLOT) {
           s.trial = false;
           heard(now, s);
           double wait = NO_PLACE_MS * (1 << Math.min(s.noPlace++, 2));
           s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
           if (tier != null) {
-            tier.noPlace(now, s.id, s.noPlaceUntil - now);
+            tier.noConnectionSlot(now, s.id, s.noPlaceUntil - now);
           }
         } else if (!s.ofOrigin) {
           // One already doubted is likely hung: no sign of crowding unless others are late too.
@@ -1078,7 +1087,7 @@
   }
 
   @Override
-  public void onGone(double now, int request, Actions out) {
+  public void onClientGone(double now, int request, Actions out) {
     InFlightRequest f = flights.get(request);
     if (f != null && !f.done) {
       leave(f, out);
@@ -1137,7 +1146,7 @@
   }
 
   @Override
-  public void onProbed(
+  public void onHealthCheck(
       double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out) {
     Server s = servers.get(server);
     if (s == null || s.failures == 0) {
--- a/src/main/java/cacheproxy/routing/PriorityLevels.java
+++ b/src/main/java/cacheproxy/routing/PriorityLevels.java
@@ -23,12 +23,12 @@
     asked = new double[worth.length];
     for (int i = 0; i < worth.length; i++) {
       ServiceClass c = classes.get(i / 2);
-      worth[i] = c.worth() * (i % 2 == 0 ? 1 : c.lateShare());
+      worth[i] = c.priorityWeight() * (i % 2 == 0 ? 1 : c.lateWeightFraction());
     }
   }
 
   int of(RequestSummary g, double pace) {
-    boolean late = g.waitedMs() + pace > classes.get(g.serviceClass()).aimMs();
+    boolean late = g.waitedMs() + pace > classes.get(g.serviceClass()).latencyObjectiveMs();
     return 2 * g.serviceClass() + (late ? 1 : 0);
   }
 
--- a/src/main/java/cacheproxy/routing/RoutingApi.java
+++ b/src/main/java/cacheproxy/routing/RoutingApi.java
@@ -7,9 +7,9 @@
 
   /** How often a request may take effect. */
   enum Effect {
-    SAFE,
-    KEYED,
-    UNSAFE
+    IDEMPOTENT,
+    IDEMPOTENCY_KEY,
+    NOT_IDEMPOTENT
   }
 
   /**
@@ -74,17 +74,18 @@
       Effect effect,
       Group group,
       double windowMs,
-      double aimMs,
+      double latencyObjectiveMs,
       double deadlineMs,
-      double worth,
-      double lateShare,
+      double priorityWeight,
+      double lateWeightFraction,
       boolean stream) {}
 
   /** A tenant and the rate, over all instances, that is within its share. */
   record Tenant(String name, double share, double quotaPerSecond) {}
 
-  /** One server of the list. {@code bornMs}: when it last started, 0 if long ago. */
-  record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) {}
+  /** One server of the list. {@code startedMs}: when it last started, 0 if long ago. */
+  record Member(
+      int id, int zone, int kind, int cell, State state, float weight, double startedMs) {}
 
   /**
    * What an instance is told at its start; times in milliseconds. Negative {@code originKind}:
@@ -96,18 +97,18 @@
       int zone,
       int zones,
       int kinds,
-      boolean askForList,
-      boolean aside,
+      boolean pollsEndpointList,
+      boolean cacheAside,
       int originKind,
       Reports reports,
       List<String> reportNames,
-      boolean worthByWork,
-      double overShareWorth,
+      boolean weightByWork,
+      double overQuotaWeight,
       boolean mayCancel,
-      boolean mayProbe,
+      boolean mayHealthCheck,
       boolean peers,
-      boolean secondCopies,
-      boolean retryAdvice,
+      boolean mayHedge,
+      boolean mayAdviseRetryAfter,
       int maxAttempts,
       double maxRetryAfterMs,
       double connectTimeoutMs,
@@ -115,11 +116,11 @@
       double answerGraceMs,
       double startCapacity,
       double warmUpMs,
-      double tipMultiple,
-      double fallMs,
-      double askWithinMs,
-      double originFallMultiple,
-      double originFallMs,
+      double overloadMultiple,
+      double overloadMs,
+      double pollWithinMs,
+      double originOverloadMultiple,
+      double originOverloadMs,
       List<ServiceClass> classes,
       List<Tenant> tenants) {}
 
@@ -132,11 +133,11 @@
       int serviceClass,
       int tenant,
       long key,
-      double dueMs,
+      double deadlineMs,
       double costMs,
       float bytes,
       boolean write,
-      boolean repeat,
+      boolean retry,
       double waitedMs) {
 
     /** One that has only just come. */
@@ -145,12 +146,12 @@
         int serviceClass,
         int tenant,
         long key,
-        double dueMs,
+        double deadlineMs,
         double costMs,
         float bytes,
         boolean write,
-        boolean repeat) {
-      this(id, serviceClass, tenant, key, dueMs, costMs, bytes, write, repeat, 0);
+        boolean retry) {
+      this(id, serviceClass, tenant, key, deadlineMs, costMs, bytes, write, retry, 0);
     }
   }
 
@@ -159,10 +160,10 @@
    * patience: how long its client waits from then on; both in milliseconds.
    */
   record RequestSummary(
-      int serviceClass, int tenant, boolean repeat, double waitedMs, double patienceMs) {}
+      int serviceClass, int tenant, boolean retry, double waitedMs, double timeBudgetMs) {}
 
-  /** What {@link #turnAway} says of a request that is to be taken. */
-  double TAKEN = -1;
+  /** What {@link #rejectForOverload} says of a request that is to be taken. */
+  double ADMITTED = -1;
 
   /**
    * The end of an attempt. {@code over}: the request has had its final answer; report: null if
@@ -174,7 +175,7 @@
       int server,
       Outcome outcome,
       double elapsedMs,
-      boolean over,
+      boolean finalAnswer,
       int note,
       float[] report) {}
 
@@ -185,7 +186,7 @@
    * Note on {@link Outcome#CONNECT_FAILED}: the server is well and holds as many connections as it
    * takes.
    */
-  int NOTE_NO_PLACE = 4;
+  int NOTE_NO_CONNECTION_SLOT = 4;
 
   /** Where the module's orders go. They are carried out in order, at the time of the event. */
   interface Actions {
@@ -228,11 +229,11 @@
 
   /**
    * Whether a request is turned away unseen, as the instance's own processor can't serve them all.
-   * Excess: the part of what comes that it can't, from 0. {@link #TAKEN}, or after how many
+   * Excess: the part of what comes that it can't, from 0. {@link #ADMITTED}, or after how many
    * milliseconds the client is to come back; 0: no advice. Nothing is sent for one that is turned
    * away, so that trying it again is harmless.
    */
-  double turnAway(double now, RequestSummary request, double excess);
+  double rejectForOverload(double now, RequestSummary request, double excess);
 
   /** A client's request; the instance now owes exactly one final answer. */
   void onRequest(double now, Request request, Actions out);
@@ -244,31 +245,31 @@
   void onAttemptEnd(double now, AttemptEnd end, Actions out);
 
   /** The client has left; no answer is owed. */
-  void onGone(double now, int request, Actions out);
+  void onClientGone(double now, int request, Actions out);
 
   /** A timer has come due. */
   void onTimer(double now, int token, Actions out);
 
   /** The result of a probe. */
-  void onProbed(
+  void onHealthCheck(
       double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out);
 
   /**
    * An operator takes this server out, until the call back, whatever the list says of it meanwhile.
    */
-  void onHand(double now, int server, boolean out, Actions orders);
+  void onManualEjection(double now, int server, boolean out, Actions orders);
 
   /** Servers on the list, and how many of them get nothing new; the origin is not among them. */
-  record Census(int listed, int avoided) {}
+  record EndpointCounts(int listed, int unavailable) {}
 
   /** How the servers stand. */
-  Census census(double now);
+  EndpointCounts endpointCounts(double now);
 
   /** A message of another instance. */
   void onPeer(double now, int peer, byte[] message, Actions out);
 
-  /** What {@link Tier#spendCold} says. */
-  enum Cold {
+  /** What {@link Tier#spendSlowStartQuota} says. */
+  enum QuotaResult {
     SPENT,
     REFUSED,
     UNKNOWN
@@ -296,7 +297,7 @@
     /**
      * It had no place for a connection of this instance's, which does not ask again for so long.
      */
-    void noPlace(double now, int server, double forMs);
+    void noConnectionSlot(double now, int server, double forMs);
 
     /**
      * It has answered an attempt that began then. Kind: of a warm one, whose answers the tier
@@ -310,7 +311,7 @@
      * @param mayTry this request may be the one by which an instance tries a server that is out of
      *     reach
      */
-    boolean passOver(double now, int server, boolean mayTry);
+    boolean isEjected(double now, int server, boolean mayTry);
 
     /**
      * Spends this instance's right to send a cold server one more request.
@@ -320,12 +321,12 @@
      * @return {@code UNKNOWN}: nothing is shared of this, the instance decides by what it sees
      *     itself
      */
-    Cold spendCold(double now, int server, int kind, double capacity, int warm);
+    QuotaResult spendSlowStartQuota(double now, int server, int kind, double capacity, int warm);
   }
 
   /** From now on this is asked and told. */
-  void share(Tier tier);
+  void useTier(Tier tier);
 
   /** By others' word a server is out of reach, or has answered one of them since. */
-  void onWord(double now, int server, boolean out, Actions orders);
+  void onGossipedHealth(double now, int server, boolean out, Actions orders);
 }
--- a/src/main/java/cacheproxy/shared/SharedState.java
+++ b/src/main/java/cacheproxy/shared/SharedState.java
@@ -40,7 +40,9 @@
     /** {@link SharedState#tick} is wanted by then, sooner than it said. */
     void due(double atMs);
 
-    /** The module is to be told, not from within its own call: {@link RoutingApi#onWord}. */
+    /**
+     * The module is to be told, not from within its own call: {@link RoutingApi#onGossipedHealth}.
+     */
     void word(int node, boolean out);
 
     /** What is held of a node by others' word is another; for the log. */
@@ -253,7 +255,7 @@
   }
 
   @Override
-  public void noPlace(double now, int server, double forMs) {
+  public void noConnectionSlot(double now, int server, double forMs) {
     if (terms.judgements() && judgements.noPlace(now, server, forMs) != null) {
       nudgeBy(now + PLACES_TOGETHER_MS);
     }
@@ -285,23 +287,24 @@
   }
 
   @Override
-  public boolean passOver(double now, int server, boolean mayTry) {
+  public boolean isEjected(double now, int server, boolean mayTry) {
     return judgements.passOver(now, server, mayTry);
   }
 
   @Override
-  public RoutingApi.Cold spendCold(double now, int server, int kind, double capacity, int warm) {
+  public RoutingApi.QuotaResult spendSlowStartQuota(
+      double now, int server, int kind, double capacity, int warm) {
     if (!sharesCold() || kind < 0 || kind >= KINDS || warm == 0) {
-      return RoutingApi.Cold.UNKNOWN;
+      return RoutingApi.QuotaResult.UNKNOWN;
     }
     double perMs = answers[kind].perMs(now, WINDOW_MS) / warm * capacity;
     if (perMs
         <= 0) { // no warm one of its kind has answered anybody lately, or this one has not heard of
       // it yet
-      return now - startedMs < WINDOW_MS ? refuse() : RoutingApi.Cold.UNKNOWN;
+      return now - startedMs < WINDOW_MS ? refuse() : RoutingApi.QuotaResult.UNKNOWN;
     }
     if (!on(Part.RIGHTS)) {
-      return RoutingApi.Cold.SPENT;
+      return RoutingApi.QuotaResult.SPENT;
     }
     ColdNode node = coldNode(now, server);
     if (node == null || node.rights == null) {
@@ -312,7 +315,7 @@
       return refuse();
     }
     spent++;
-    return RoutingApi.Cold.SPENT;
+    return RoutingApi.QuotaResult.SPENT;
   }
 
   /** Its budget, begun now if it is not there yet; null: there are too many. */
@@ -339,9 +342,9 @@
     return terms.coldRights() && terms.tier() <= MOST_TIER_OF_RIGHTS;
   }
 
-  private RoutingApi.Cold refuse() {
+  private RoutingApi.QuotaResult refuse() {
     refused++;
-    return RoutingApi.Cold.REFUSED;
+    return RoutingApi.QuotaResult.REFUSED;
   }
 
   private SlowStartQuota.Terms rightsOf() {
--- a/src/main/java/cacheproxy/simulator/SettingsParser.java
+++ b/src/main/java/cacheproxy/simulator/SettingsParser.java
@@ -75,7 +75,7 @@
     for (int i = 0; i < integer("classes.count"); i++) {
       String p = "classes." + i + ".";
       Effect effect = Effect.values()[oneOf(p + "idempotency", "retryable", "dedup", "fragile")];
-      boolean keyed = effect == Effect.KEYED;
+      boolean keyed = effect == Effect.IDEMPOTENCY_KEY;
       result.add(
           new ServiceClass(
               text(p + "name"),
--- a/src/main/java/cacheproxy/simulator/SimulatorAdapter.java
+++ b/src/main/java/cacheproxy/simulator/SimulatorAdapter.java
@@ -161,10 +161,10 @@
                   frame.getInt(at + 23),
                   report(at + 27)),
               reply);
-      case 60 -> target.onGone(now, frame.getInt(at + 3), reply);
+      case 60 -> target.onClientGone(now, frame.getInt(at + 3), reply);
       case 70 -> target.onTimer(now, frame.getInt(at + 3), reply);
       case 80 ->
-          target.onProbed(
+          target.onHealthCheck(
               now,
               frame.getInt(at + 3),
               outcome(at + 7),
--- a/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
@@ -54,7 +54,7 @@
               assertThat(t.tier()).isEqualTo(8);
               assertThat(t.judgements() && t.coldRights()).isTrue();
               assertThat(t.bytesPerS()).isEqualTo(2000);
-              assertThat(t.tipMultiple()).isEqualTo(usual.settings().tipMultiple());
+              assertThat(t.tipMultiple()).isEqualTo(usual.settings().overloadMultiple());
             });
     assertThat(
             read(
--- a/src/test/java/cacheproxy/routing/PolicyTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTest.java
@@ -143,14 +143,14 @@
   @Test
   void writesGoToTheOriginAside() {
     Rig rig = Rig.aside().fleet(5);
-    rig.write(1, Rig.UNSAFE);
+    rig.write(1, Rig.NOT_IDEMPOTENT);
     assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
   }
 
   @Test
   void throughModeSendsWritesByRank() {
     Rig rig = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(5);
-    rig.write(1, Rig.UNSAFE);
+    rig.write(1, Rig.NOT_IDEMPOTENT);
     assertThat(rig.last().server()).isEqualTo(topRank(7, 5));
   }
 
@@ -168,13 +168,21 @@
   // ---- rule 1: one final answer in time
 
   @ParameterizedTest
-  @ValueSource(ints = {Rig.SAFE, Rig.KEYED, Rig.UNSAFE})
+  @ValueSource(ints = {Rig.IDEMPOTENT, Rig.IDEMPOTENCY_KEY, Rig.NOT_IDEMPOTENT})
   void aSilentServerStillLeavesOneAnswerAtTheDeadline(int serviceClass) {
     Rig rig = Rig.aside().fleet(5);
     rig.policy.onRequest(
         rig.now,
         new Request(
-            1, serviceClass, 0, 7, rig.now + 1000, Double.NaN, 0, serviceClass != Rig.SAFE, false),
+            1,
+            serviceClass,
+            0,
+            7,
+            rig.now + 1000,
+            Double.NaN,
+            0,
+            serviceClass != Rig.IDEMPOTENT,
+            false),
         rig);
     rig.pass(999);
     assertThat(rig.answers()).isZero();
@@ -191,9 +199,9 @@
     Rig rig = Rig.aside().fleet(5);
     rig.read(1, 7);
     Rig.Placed first = rig.last();
-    rig.policy.onGone(rig.now, 1, rig);
+    rig.policy.onClientGone(rig.now, 1, rig);
     int orders = rig.orders.size();
-    rig.policy.onGone(rig.now, 1, rig);
+    rig.policy.onClientGone(rig.now, 1, rig);
     rig.end(first, Outcome.TIMEOUT, true, 0);
     rig.end(first, Outcome.TIMEOUT, true, 0);
     rig.policy.onTimer(rig.now, 123456, rig);
@@ -206,7 +214,7 @@
     Rig rig = Rig.aside();
     rig.policy.onList(rig.now, ListKind.CACHED, List.of(), rig);
     rig.read(1, 7);
-    rig.write(2, Rig.UNSAFE);
+    rig.write(2, Rig.NOT_IDEMPOTENT);
     assertThat(rig.denied).containsExactly(1, 2);
   }
 
@@ -235,7 +243,7 @@
       names = {"ERROR", "TIMEOUT", "RESET", "CANCELLED"})
   void anUnsafeRequestThatMayHaveRunIsFailedNotRepeated(Outcome outcome) {
     Rig rig = Rig.aside().fleet(5);
-    rig.write(1, Rig.UNSAFE);
+    rig.write(1, Rig.NOT_IDEMPOTENT);
     rig.end(rig.last(), outcome);
     rig.pass(2000);
     assertThat(rig.placed).hasSize(1);
@@ -249,7 +257,7 @@
       names = {"FULL", "CONNECT_FAILED"})
   void anUnsafeRequestKnownNotToHaveRunMayGoAgain(Outcome outcome) {
     Rig rig = Rig.aside().fleet(5);
-    rig.write(1, Rig.UNSAFE);
+    rig.write(1, Rig.NOT_IDEMPOTENT);
     rig.end(rig.last(), outcome);
     rig.pass(500);
     assertThat(rig.placed).hasSize(2);
@@ -262,12 +270,12 @@
   @Test
   void aKeyedRequestIsRepeatedOnlyInsideItsWindow() {
     Rig inside = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(12);
-    inside.write(1, Rig.KEYED);
+    inside.write(1, Rig.IDEMPOTENCY_KEY);
     inside.now += 299;
     inside.end(inside.last(), Outcome.RESET);
     assertThat(inside.placed).hasSize(2);
     Rig late = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(12);
-    late.write(1, Rig.KEYED);
+    late.write(1, Rig.IDEMPOTENCY_KEY);
     late.now += 300;
     late.end(late.last(), Outcome.RESET);
     assertThat(late.placed).hasSize(1);
@@ -323,25 +331,25 @@
       rig.end(fetch, Outcome.CANCELLED);
       assertThat(rig.denied.contains(1))
           .as("refused, or failed as it may have run")
-          .isEqualTo(leads == Rig.SAFE);
-      assertThat(rig.failed.contains(1)).isEqualTo(leads != Rig.SAFE);
+          .isEqualTo(leads == Rig.IDEMPOTENT);
+      assertThat(rig.failed.contains(1)).isEqualTo(leads != Rig.IDEMPOTENT);
     } else {
       rig.end(fetch, Outcome.RESET);
       assertThat(rig.failed.contains(1))
           .as("it may have run and nothing may repeat it")
-          .isEqualTo(leads != Rig.SAFE);
+          .isEqualTo(leads != Rig.IDEMPOTENT);
     }
     assertThat(rig.denied.contains(2) || rig.failed.contains(2))
         .as("nothing of the second has run")
         .isFalse();
     List<Rig.Placed> second = rig.placed.subList(before, rig.placed.size());
-    boolean safeLeads = leads == Rig.SAFE && leaderWaits == 1000;
+    boolean safeLeads = leads == Rig.IDEMPOTENT && leaderWaits == 1000;
     assertThat(second).as("the fetch is asked for once, by one of them").hasSize(1);
     Rig.Placed again = second.get(0);
     assertThat(again.server()).isEqualTo(Rig.ORIGIN);
     if (again.request() == 2) { // it may run now, and its own class says what follows
       rig.end(again, Outcome.RESET);
-      assertThat(rig.failed.contains(2)).isEqualTo(follows != Rig.SAFE);
+      assertThat(rig.failed.contains(2)).isEqualTo(follows != Rig.IDEMPOTENT);
       assertThat(rig.denied.contains(2)).isFalse();
     } else {
       assertThat(safeLeads).isTrue();
@@ -357,7 +365,7 @@
       Rig rig = new Rig(Rig.settings(false, false, false, group)).fleet(12);
       rig.policy.onRequest(
           rig.now,
-          new Request(1, Rig.KEYED, 0, key, rig.now + 1000, Double.NaN, 0, true, false),
+          new Request(1, Rig.IDEMPOTENCY_KEY, 0, key, rig.now + 1000, Double.NaN, 0, true, false),
           rig);
       int first = rig.last().server();
       rig.end(rig.last(), Outcome.RESET);
@@ -493,17 +501,17 @@
   void aServerThatIsOutByHandGetsNothingUntilTheCallBack() {
     Rig rig = Rig.aside().fleet(3);
     rig.now = 100000;
-    rig.policy.onHand(rig.now, 2, true, rig);
+    rig.policy.onManualEjection(rig.now, 2, true, rig);
     rig.change(Rig.member(2, State.GONE, 0));
     rig.change(Rig.member(2, State.READY, rig.now));
-    assertThat(rig.policy.census(rig.now)).isEqualTo(new RoutingApi.Census(3, 1));
+    assertThat(rig.policy.endpointCounts(rig.now)).isEqualTo(new RoutingApi.EndpointCounts(3, 1));
     for (int key = 1; key <= 300; key++) {
       rig.read(key, key);
       assertThat(rig.last().server()).isNotEqualTo(2);
       rig.end(rig.last(), Outcome.OK);
     }
     rig.now += 20000;
-    rig.policy.onHand(rig.now, 2, false, rig);
+    rig.policy.onManualEjection(rig.now, 2, false, rig);
     int got = 0;
     for (int key = 301; key <= 900; key++) {
       rig.read(key, key);
@@ -678,7 +686,7 @@
       int before = rig.denied.size();
       rig.policy.onRequest(
           rig.now,
-          new Request(id, Rig.SAFE, tenant, id, rig.now + 1000, Double.NaN, 0, false, false),
+          new Request(id, Rig.IDEMPOTENT, tenant, id, rig.now + 1000, Double.NaN, 0, false, false),
           rig);
       if (rig.denied.size() > before) {
         refused[tenant]++;
@@ -760,12 +768,12 @@
   @Test
   void aShunnedServerIsProbedBeforeItGetsRequests() {
     Rig rig = Rig.aside().fleet(3);
-    long key = outOfReach(rig, 3, Rig.SAFE);
+    long key = outOfReach(rig, 3, Rig.IDEMPOTENT);
     rig.now += 1100;
     rig.read(2, key);
     assertThat(rig.last().server()).isNotEqualTo(2);
     assertThat(rig.probed).containsExactly(2);
-    rig.policy.onProbed(rig.now, 2, Outcome.OK, 3, null, rig);
+    rig.policy.onHealthCheck(rig.now, 2, Outcome.OK, 3, null, rig);
     rig.read(3, key);
     assertThat(rig.last().server()).isEqualTo(2);
   }
@@ -802,7 +810,7 @@
       rig.read(id + 1, serviceClass, key);
       rig.end(rig.last(), Outcome.OK);
       if (!rig.probed.isEmpty()) {
-        rig.policy.onProbed(rig.now, 2, Outcome.OK, 3, null, rig);
+        rig.policy.onHealthCheck(rig.now, 2, Outcome.OK, 3, null, rig);
       }
     }
     assertThat(rig.probed.size()).isEqualTo(probes ? 1 : 0);
@@ -816,7 +824,7 @@
   @Test
   void crowdingDoesNotUseUpTrials() {
     Rig rig = Rig.unprobed(false).fleet(12);
-    outOfReach(rig, 12, Rig.SAFE);
+    outOfReach(rig, 12, Rig.IDEMPOTENT);
     for (int id = 1001; id <= 1400; id++) { // all answers come late, and more and more is refused
       rig.now += 10;
       int sent = rig.placed.size();
@@ -866,7 +874,7 @@
       int sent = rig.placed.size();
       rig.policy.onRequest(
           rig.now,
-          new Request(id, Rig.SAFE, 0, id, rig.now + 1000, Double.NaN, 0, false, id % 2 == 0),
+          new Request(id, Rig.IDEMPOTENT, 0, id, rig.now + 1000, Double.NaN, 0, false, id % 2 == 0),
           rig);
       if (rig.placed.size() > sent) {
         rig.endAfter(rig.last(), Outcome.OK, id % 4 < 3 ? 20 : 290); // a quarter comes too late
@@ -963,26 +971,33 @@
     "a tenant over its quota, 1, false, 150, 290"
   })
   void whoIsTurnedAwayWhereTheProcessorIsNotEnough(
-      String what, int tenant, boolean repeat, int least, int most) {
+      String what, int tenant, boolean retry, int least, int most) {
     Rig rig =
-        repeat
-            ? Rig.aside()
-            : new Rig(Rig.tenants(1000, 10)); // between tenants repeats say nothing
+        retry ? Rig.aside() : new Rig(Rig.tenants(1000, 10)); // between tenants repeats say nothing
     int[] away = new int[2];
     for (int i = 0; i < 3000; i++) {
       rig.now += 1;
       boolean of = i % 3 == 0;
       double waited = of && what.startsWith("late") ? 400 : 0;
       double advice =
-          rig.policy.turnAway(
+          rig.policy.rejectForOverload(
               rig.now,
-              new RoutingApi.RequestSummary(Rig.SAFE, of ? tenant : 0, of && repeat, waited, 1000),
+              new RoutingApi.RequestSummary(
+                  Rig.IDEMPOTENT, of ? tenant : 0, of && retry, waited, 1000),
               0.3);
-      if (advice == RoutingApi.TAKEN) {
+      if (advice == RoutingApi.ADMITTED) {
         rig.policy.onRequest(
             rig.now,
             new Request(
-                i, Rig.SAFE, of ? tenant : 0, i + 1, rig.now + 1000, Double.NaN, 0, false, false),
+                i,
+                Rig.IDEMPOTENT,
+                of ? tenant : 0,
+                i + 1,
+                rig.now + 1000,
+                Double.NaN,
+                0,
+                false,
+                false),
             rig);
       } else {
         assertThat(advice).isBetween(0.0, 500.0);
@@ -992,10 +1007,10 @@
     assertThat(away[1]).isBetween(least, Math.max(most, 333));
     assertThat(away[0]).isLessThan(away[1] / 2);
     assertThat(
-            rig.policy.turnAway(
+            rig.policy.rejectForOverload(
                 rig.now,
-                new RoutingApi.RequestSummary(Rig.SAFE, 0, false, 990, 1000),
+                new RoutingApi.RequestSummary(Rig.IDEMPOTENT, 0, false, 990, 1000),
                 Double.MIN_VALUE))
-        .isNotEqualTo(RoutingApi.TAKEN);
+        .isNotEqualTo(RoutingApi.ADMITTED);
   }
 }
--- a/src/test/java/cacheproxy/routing/PolicyTierTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyTierTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cacheproxy.routing.RoutingApi.Cold;
 import cacheproxy.routing.RoutingApi.Group;
 import cacheproxy.routing.RoutingApi.Outcome;
+import cacheproxy.routing.RoutingApi.QuotaResult;
 import cacheproxy.routing.RoutingApi.State;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -24,7 +24,7 @@
     final Set<Integer> out = new HashSet<>();
     final List<String> heard = new ArrayList<>();
     final List<Boolean> mayTry = new ArrayList<>();
-    Cold cold = Cold.UNKNOWN;
+    QuotaResult cold = QuotaResult.UNKNOWN;
     int asked;
 
     @Override
@@ -39,7 +39,7 @@
     }
 
     @Override
-    public void noPlace(double now, int server, double forMs) {
+    public void noConnectionSlot(double now, int server, double forMs) {
       heard.add("no place " + server);
     }
 
@@ -49,13 +49,14 @@
     }
 
     @Override
-    public boolean passOver(double now, int server, boolean may) {
+    public boolean isEjected(double now, int server, boolean may) {
       mayTry.add(may);
       return out.contains(server);
     }
 
     @Override
-    public Cold spendCold(double now, int server, int kind, double capacity, int warm) {
+    public QuotaResult spendSlowStartQuota(
+        double now, int server, int kind, double capacity, int warm) {
       asked++;
       return cold;
     }
@@ -74,7 +75,7 @@
     int runnerUp = alone.last().server();
     Rig rig = Rig.aside().fleet(12);
     Word word = new Word();
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     word.out.add(top);
     rig.read(1, 77);
     assertThat(rig.last().server()).isEqualTo(runnerUp);
@@ -92,7 +93,7 @@
   void withAllOutTheTopScoreIsTriedAllTheSame() {
     Rig rig = Rig.aside().fleet(12);
     Word word = new Word();
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     rig.read(1, 77);
     int top = rig.last().server();
     rig.end(rig.last(), Outcome.OK);
@@ -108,11 +109,11 @@
   void onlyASafeFirstAttemptMayBeATrial() {
     Rig rig = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(12);
     Word word = new Word();
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     rig.read(1, 77);
     assertThat(word.mayTry).containsOnly(true);
     word.mayTry.clear();
-    rig.write(2, Rig.UNSAFE);
+    rig.write(2, Rig.NOT_IDEMPOTENT);
     assertThat(word.mayTry).isNotEmpty().containsOnly(false);
     word.mayTry.clear();
     rig.end(rig.placed.get(0), Outcome.CONNECT_FAILED);
@@ -123,14 +124,14 @@
   void itTellsWhatItsOwnAttemptsHaveShown() {
     Rig rig = Rig.aside().fleet(12);
     Word word = new Word();
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     assertThat(word.heard).containsExactly("listed 12");
     rig.read(1, 77);
     int top = rig.last().server();
     rig.end(rig.last(), Outcome.OK);
     assertThat(word.heard).contains("answered " + top + " kind 0");
     rig.read(2, 77);
-    rig.end(rig.last(), Outcome.CONNECT_FAILED, false, RoutingApi.NOTE_NO_PLACE);
+    rig.end(rig.last(), Outcome.CONNECT_FAILED, false, RoutingApi.NOTE_NO_CONNECTION_SLOT);
     assertThat(word.heard).contains("no place " + top);
     rig.now += 10_000;
     rig.read(3, 77);
@@ -150,18 +151,18 @@
   void whatWaitsAtOneThatOthersFindOutOfReachGetsItsCopyAndAnAnswerElsewhereEndsTheOwnDoubt() {
     Rig rig = copies();
     Word word = new Word();
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     rig.read(1, 77);
     int top = rig.last().server();
     word.out.add(top);
-    rig.policy.onWord(rig.now, top, true, rig);
+    rig.policy.onGossipedHealth(rig.now, top, true, rig);
     assertThat(rig.placed).hasSize(2);
     assertThat(rig.last().server()).isNotEqualTo(top);
-    rig.policy.onWord(rig.now, top, true, rig);
+    rig.policy.onGossipedHealth(rig.now, top, true, rig);
     assertThat(rig.placed.stream().filter(p -> p.server() != Rig.ORIGIN)).as("once").hasSize(2);
 
     Rig shunning = Rig.aside().fleet(12);
-    shunning.policy.share(new Word());
+    shunning.policy.useTier(new Word());
     shunning.read(1, 77);
     shunning.policy.onAttemptEnd(
         shunning.now += 100,
@@ -169,7 +170,7 @@
         shunning);
     shunning.read(2, 77);
     assertThat(shunning.last().server()).isNotEqualTo(top);
-    shunning.policy.onWord(shunning.now, top, false, shunning);
+    shunning.policy.onGossipedHealth(shunning.now, top, false, shunning);
     shunning.read(3, 77);
     assertThat(shunning.last().server()).isEqualTo(top);
   }
@@ -180,13 +181,13 @@
   @Test
   void hearsayCopiesNothingUnsafeAndUndoesNoDrain() {
     Rig rig = new Rig(Rig.settings(false, false, true, Group.ALL)).fleet(12);
-    rig.policy.share(new Word());
-    rig.write(1, Rig.UNSAFE);
+    rig.policy.useTier(new Word());
+    rig.write(1, Rig.NOT_IDEMPOTENT);
     int at = rig.last().server();
-    rig.policy.onWord(rig.now, at, true, rig);
+    rig.policy.onGossipedHealth(rig.now, at, true, rig);
     assertThat(rig.placed).hasSize(1);
     rig.change(Rig.member(at, State.DRAINING, 0));
-    rig.policy.onWord(rig.now, at, false, rig);
+    rig.policy.onGossipedHealth(rig.now, at, false, rig);
     for (int id = 2; id < 200; id++) {
       rig.read(id, id);
       assertThat(rig.last().server()).isNotEqualTo(at);
@@ -194,12 +195,12 @@
   }
 
   @ParameterizedTest
-  @EnumSource(Cold.class)
-  void aColdServerIsSentWhatTheTiersRightAllows(Cold says) {
+  @EnumSource(QuotaResult.class)
+  void aColdServerIsSentWhatTheTiersRightAllows(QuotaResult says) {
     Rig rig = Rig.aside().fleet(12);
     Word word = new Word();
     word.cold = says;
-    rig.policy.share(word);
+    rig.policy.useTier(word);
     rig.now = 100_000;
     int sent = 0;
     for (int i = 1; i <= 4000; i++) {
@@ -224,7 +225,7 @@
   void withNothingHeardItDecidesAsItDoesAlone() {
     Rig alone = new Rig(Rig.zoned(2, true)).fleet(12);
     Rig shared = new Rig(Rig.zoned(2, true)).fleet(12);
-    shared.policy.share(new Word());
+    shared.policy.useTier(new Word());
     for (Rig rig : List.of(alone, shared)) {
       rig.now = 50_000;
       for (int i = 1; i <= 3000; i++) {
--- a/src/test/java/cacheproxy/routing/RandomRulesTest.java
+++ b/src/test/java/cacheproxy/routing/RandomRulesTest.java
@@ -100,7 +100,7 @@
       for (int id = 1; id <= 10; id++) {
         first.add(Rig.member(id, State.READY, 0));
       }
-      if (cfg.aside()) {
+      if (cfg.cacheAside()) {
         first.add(Rig.member(Rig.ORIGIN, State.READY, 0));
       }
       send(ListKind.CACHED, first);
@@ -135,7 +135,7 @@
             }
           }
           case 5 ->
-              policy.onProbed(
+              policy.onHealthCheck(
                   now,
                   1 + random.nextInt(12),
                   random.nextBoolean() ? Outcome.OK : Outcome.TIMEOUT,
@@ -161,7 +161,7 @@
       }
       live.removeIf(h -> h.over && h.out() == 0);
       for (Held h : live) {
-        assertThat(h.over || now <= h.request.dueMs() + cfg.answerGraceMs())
+        assertThat(h.over || now <= h.request.deadlineMs() + cfg.answerGraceMs())
             .as("request %d answered by its due time", h.request.id())
             .isTrue();
       }
@@ -179,7 +179,7 @@
               now + 300 + random.nextInt(700),
               random.nextBoolean() ? Double.NaN : 10 + random.nextInt(90),
               0,
-              c != Rig.SAFE,
+              c != Rig.IDEMPOTENT,
               false);
       h.kind = cfg.classes().get(c);
       held.put(h.request.id(), h);
@@ -190,7 +190,7 @@
     private void listNews() {
       int id = 1 + random.nextInt(12);
       int roll = random.nextInt(6);
-      if (roll == 0 && cfg.askForList()) {
+      if (roll == 0 && cfg.pollsEndpointList()) {
         policy.onList(now, ListKind.FAILED, List.of(), this);
       } else if (roll == 1) {
         send(
@@ -201,7 +201,7 @@
             ListKind.CHANGES,
             List.of(
                 Rig.member(
-                    cfg.aside() && roll == 2 ? Rig.ORIGIN : id,
+                    cfg.cacheAside() && roll == 2 ? Rig.ORIGIN : id,
                     State.values()[random.nextInt(3)],
                     random.nextBoolean() ? 0 : now)));
       }
@@ -211,7 +211,7 @@
       if (!live.isEmpty()) {
         Held h = live.get(random.nextInt(live.size()));
         h.over = true;
-        policy.onGone(now, h.request.id(), this);
+        policy.onClientGone(now, h.request.id(), this);
       }
     }
 
@@ -254,11 +254,11 @@
       assertThat(list.get(server).state()).as(what).isEqualTo(State.READY);
       assertThat(h.servers.size()).as(what + ": attempts").isLessThan(cfg.maxAttempts());
       assertThat(timeoutMs).as(what).isNotNegative();
-      assertThat(h.out() == 0 || cfg.secondCopies()).as(what + " together with another").isTrue();
+      assertThat(h.out() == 0 || cfg.mayHedge()).as(what + " together with another").isTrue();
       int maybe = h.maybeRan();
       if (maybe >= 0) {
-        assertThat(h.kind.effect()).as(what + " again").isNotEqualTo(Effect.UNSAFE);
-        if (h.kind.effect() == Effect.KEYED) {
+        assertThat(h.kind.effect()).as(what + " again").isNotEqualTo(Effect.NOT_IDEMPOTENT);
+        if (h.kind.effect() == Effect.IDEMPOTENCY_KEY) {
           assertThat(now + cfg.connectTimeoutMs())
               .as(what + " comes in its window")
               .isLessThan(h.sentAt.get(maybe) + h.kind.windowMs());
@@ -290,7 +290,7 @@
     public void deny(int request, double retryAfterMs) {
       Held h = held.get(request);
       if (h.maybeRan() >= 0) {
-        assertThat(h.kind.effect()).as("refusal of %d", request).isEqualTo(Effect.SAFE);
+        assertThat(h.kind.effect()).as("refusal of %d", request).isEqualTo(Effect.IDEMPOTENT);
       }
       answer(request);
       orders.add("deny " + request);
@@ -316,7 +316,7 @@
 
     @Override
     public void probe(int server) {
-      assertThat(cfg.mayProbe()).isTrue();
+      assertThat(cfg.mayHealthCheck()).isTrue();
       assertThat(everListed).contains(server);
       orders.add("probe " + server);
     }
--- a/src/test/java/cacheproxy/routing/Rig.java
+++ b/src/test/java/cacheproxy/routing/Rig.java
@@ -20,9 +20,9 @@
 /** One instance with its orders written down; time is a field the tests move. */
 public final class Rig implements RoutingApi.Actions {
   static final int ORIGIN = 9000;
-  static final int SAFE = 0;
-  static final int KEYED = 1;
-  static final int UNSAFE = 2;
+  static final int IDEMPOTENT = 0;
+  static final int IDEMPOTENCY_KEY = 1;
+  static final int NOT_IDEMPOTENT = 2;
 
   /** A place order. */
   record Placed(int request, int attempt, int server, double timeoutMs) {}
@@ -68,18 +68,18 @@
         s.zone(),
         zones,
         s.kinds(),
-        s.askForList(),
-        s.aside(),
+        s.pollsEndpointList(),
+        s.cacheAside(),
         s.originKind(),
         s.reports(),
         s.reportNames(),
-        s.worthByWork(),
-        s.overShareWorth(),
+        s.weightByWork(),
+        s.overQuotaWeight(),
         s.mayCancel(),
-        s.mayProbe(),
+        s.mayHealthCheck(),
         peers,
-        s.secondCopies(),
-        s.retryAdvice(),
+        s.mayHedge(),
+        s.mayAdviseRetryAfter(),
         s.maxAttempts(),
         s.maxRetryAfterMs(),
         s.connectTimeoutMs(),
@@ -87,11 +87,11 @@
         s.answerGraceMs(),
         s.startCapacity(),
         s.warmUpMs(),
-        s.tipMultiple(),
-        s.fallMs(),
-        s.askWithinMs(),
-        s.originFallMultiple(),
-        s.originFallMs(),
+        s.overloadMultiple(),
+        s.overloadMs(),
+        s.pollWithinMs(),
+        s.originOverloadMultiple(),
+        s.originOverloadMs(),
         classes,
         s.tenants());
   }
@@ -122,9 +122,9 @@
       List<Tenant> tenants) {
     List<ServiceClass> classes =
         List.of(
-            new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false),
-            new ServiceClass("save", Effect.KEYED, group, 400, 300, 1000, 1, 0.2, false),
-            new ServiceClass("pay", Effect.UNSAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false));
+            new ServiceClass("read", Effect.IDEMPOTENT, Group.ALL, 0, 300, 1000, 1, 0.2, false),
+            new ServiceClass("save", Effect.IDEMPOTENCY_KEY, group, 400, 300, 1000, 1, 0.2, false),
+            new ServiceClass("pay", Effect.NOT_IDEMPOTENT, Group.ALL, 0, 300, 1000, 1, 0.2, false));
     return new Settings(
         0,
         4,
@@ -181,9 +181,9 @@
                             c.effect(),
                             c.group(),
                             c.windowMs(),
-                            c.aimMs(),
+                            c.latencyObjectiveMs(),
                             c.deadlineMs(),
-                            c.worth(),
+                            c.priorityWeight(),
                             0,
                             c.stream()))
                 .toList()));
@@ -209,7 +209,7 @@
   }
 
   void read(int id, long key) {
-    read(id, SAFE, key);
+    read(id, IDEMPOTENT, key);
   }
 
   void read(int id, int serviceClass, long key) {
@@ -230,10 +230,10 @@
     end(p, outcome, outcome == Outcome.OK, 0);
   }
 
-  void end(Placed p, Outcome outcome, boolean over, int note) {
+  void end(Placed p, Outcome outcome, boolean finalAnswer, int note) {
     policy.onAttemptEnd(
         now,
-        new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, 10, over, note, null),
+        new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, 10, finalAnswer, note, null),
         this);
   }
 
