Policy is split into files with one job each; plain tables stand beside it

Policy was one file of 1,165 lines with nested state classes. It is now ten files that the deploy file's 'policy' names: the request's way (Policy), CARP's hashes, endpoint list, slow start, candidate ranking, outlier ejection, zone outages, hedged requests, retries, and rejection with its Retry-After advice.

Beside it, in 'node', stand tables and moving averages that decide nothing: node state, in-flight requests, estimates, top ranks, a token bucket, a zone's signs, the message of a silent zone and the check of input. RetryPolicy, HedgedRequests, OutlierEjection and CandidateRanking are records, as they hold their parts and no state of their own.

ArchitectureTest's rule on the module covers the whole package.

--- a/src/main/java/cacheproxy/routing/AdaptiveThrottle.java
+++ b/src/main/java/cacheproxy/routing/AdaptiveThrottle.java
@@ -44,7 +44,7 @@
    * part of its aim. Should also guard against clients that never wait. Harm: whose first try was
    * refused by chance is refused again, where a fair draw would have let some in late.
    */
-  double refuse(double now, boolean retry, double excess) {
+  double partToReject(double now, boolean retry, double excess) {
     fade(now);
     wanted++;
     again += retry ? 1 : 0;
--- /dev/null
+++ b/src/main/java/cacheproxy/routing/EndpointList.java
@@ -0,0 +1,178 @@
+package cacheproxy.routing;
+
+import cacheproxy.routing.InFlightRequests.TimerKind;
+import cacheproxy.routing.RoutingApi.Actions;
+import cacheproxy.routing.RoutingApi.EndpointCounts;
+import cacheproxy.routing.RoutingApi.ListKind;
+import cacheproxy.routing.RoutingApi.Member;
+import cacheproxy.routing.RoutingApi.Settings;
+import cacheproxy.routing.RoutingApi.State;
+import cacheproxy.routing.RoutingApi.Tier;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+
+/**
+ * The endpoint list: who may be sent to, with which CARP weights, and when the list service is
+ * polled. Draining and manually ejected endpoints leave the ranking.
+ */
+final class EndpointList {
+  private final Settings settings;
+  private final SplittableRandom random;
+  private final InFlightRequests requests;
+  private final Map<Integer, Node> byId = new HashMap<>();
+
+  /** Endpoints that an operator has ejected, by id, with the time. */
+  private final Map<Integer, Double> manuallyEjected = new HashMap<>();
+
+  /** The cache nodes that may be sent to, by unsigned id. */
+  Node[] ranked = new Node[0];
+
+  /** The origin in use, and what the tier shares; null: none, as both are read for each request. */
+  Node origin;
+
+  Tier tier;
+  private boolean watching;
+  private boolean polling;
+  private int pollFailures;
+
+  EndpointList(Settings settings, SplittableRandom random, InFlightRequests requests) {
+    this.settings = settings;
+    this.random = random;
+    this.requests = requests;
+  }
+
+  /** Null: not on the list. */
+  Node find(int id) {
+    return byId.get(id);
+  }
+
+  /** Whether this very node is on the list and may be sent to. */
+  boolean isUsable(Node node) {
+    return byId.get(node.id) == node && isReady(node);
+  }
+
+  private boolean isReady(Node node) {
+    return node.member.state() == State.READY && !manuallyEjected.containsKey(node.id);
+  }
+
+  void useTier(Tier newTier) {
+    tier = newTier;
+    rebuildRanking();
+  }
+
+  void onList(ListKind kind, List<Member> members, Actions out) {
+    if (kind == ListKind.FAILED) {
+      watching = false;
+      polling = false;
+      pollAgainLater(out);
+      return;
+    }
+    if (kind == ListKind.CACHED && settings.pollsEndpointList()) {
+      // The list service is small: instances that start together must not all call at once.
+      double spreadMs = settings.instances() * settings.connectTimeoutMs() / 2;
+      double spanMs = Math.min(settings.pollWithinMs() / 2, spreadMs);
+      setPollTimer(random.nextDouble() * spanMs, out);
+    } else if (polling) {
+      polling = false;
+      watching = true;
+      pollFailures = 0;
+    }
+    InputValidator.check(members, settings);
+    if (kind != ListKind.CHANGES) {
+      byId.keySet().retainAll(members.stream().map(Member::id).collect(Collectors.toSet()));
+    }
+    members.forEach(this::update);
+    rebuildRanking();
+  }
+
+  private void update(Member member) {
+    if (member.state() == State.GONE) {
+      byId.remove(member.id());
+      return;
+    }
+    Node node = byId.computeIfAbsent(member.id(), id -> new Node(id, SlowStart.MAX_TOKENS));
+    if (node.member != null && node.member.startedMs() != member.startedMs()) {
+      node.resetFailures();
+    }
+    node.member = member;
+    node.isOrigin = settings.cacheAside() && member.kind() == settings.originKind();
+  }
+
+  private void rebuildRanking() {
+    origin = null;
+    List<Node> ready = new ArrayList<>();
+    for (Node node : byId.values()) {
+      if (isReady(node) && node.isOrigin) {
+        origin = node;
+      } else if (isReady(node)) {
+        ready.add(node);
+      }
+    }
+    ready.sort((a, b) -> Integer.compareUnsigned(a.id, b.id));
+    ranked = ready.toArray(new Node[0]);
+    float[] weights = new float[ranked.length];
+    double sum = 0;
+    for (int i = 0; i < ranked.length; i++) {
+      weights[i] = ranked[i].member.weight();
+      sum += weights[i];
+    }
+    float[] multipliers = Carp.multipliers(weights);
+    for (int i = 0; i < ranked.length; i++) {
+      ranked[i].multiplier = multipliers[i];
+      ranked[i].weightShare = sum > 0 ? weights[i] / sum : 1.0 / ranked.length;
+    }
+    if (tier != null) {
+      int[] ids = ready.stream().mapToInt(node -> node.id).toArray();
+      tier.listed(ids, ready.stream().mapToInt(node -> node.member.zone()).toArray());
+    }
+  }
+
+  private void setPollTimer(double delayMs, Actions out) {
+    out.setTimer(delayMs, requests.newTimer(TimerKind.POLL_ENDPOINTS, null));
+  }
+
+  void onPollTimer(Actions out) {
+    if (!watching && !polling) {
+      polling = true;
+      out.watch(true);
+    }
+  }
+
+  private void pollAgainLater(Actions out) {
+    pollFailures++;
+    double backoffMs = settings.pollWithinMs() / 16 * (1 << Math.min(pollFailures, 3));
+    setPollTimer(backoffMs * (0.5 + random.nextDouble() / 2), out);
+  }
+
+  void onManualEjection(double now, int id, boolean eject, Actions out) {
+    Double since = manuallyEjected.get(id);
+    if (eject && since == null) {
+      manuallyEjected.put(id, now);
+      out.closeIdle(id);
+    } else if (!eject && since != null) {
+      manuallyEjected.remove(id);
+      Node node = byId.get(id);
+      if (node != null) {
+        node.manuallyEjectedMs = since;
+        node.readmittedMs = now;
+        node.resetAllFailures();
+      }
+    }
+    rebuildRanking();
+  }
+
+  EndpointCounts counts(double now) {
+    int listed = 0;
+    int unavailable = 0;
+    for (Node node : byId.values()) {
+      boolean available = isReady(node) && now >= node.ejectedUntilMs;
+      listed += node.isOrigin ? 0 : 1;
+      unavailable += node.isOrigin || available ? 0 : 1;
+    }
+    return new EndpointCounts(listed, unavailable);
+  }
+}
--- /dev/null
+++ b/src/main/java/cacheproxy/routing/OverloadRejection.java
@@ -0,0 +1,98 @@
+package cacheproxy.routing;
+
+import cacheproxy.routing.RoutingApi.RequestSummary;
+import cacheproxy.routing.RoutingApi.Settings;
+import java.util.SplittableRandom;
+
+/**
+ * Load shedding: what is rejected because this instance's processor, the cache nodes or the origin
+ * cannot serve all, and the Retry-After advice.
+ */
+final class OverloadRejection {
+  private final Settings settings;
+  private final SplittableRandom random;
+  private final TrafficEstimates estimates;
+
+  /** What arrives at this instance. */
+  private final AdaptiveThrottle arrivals = new AdaptiveThrottle();
+
+  private final PriorityLevels priorities;
+
+  /** Null where tenants do not matter; read on the request path. */
+  private final TenantQuotas quotas;
+
+  OverloadRejection(Settings settings, SplittableRandom random, TrafficEstimates estimates) {
+    this.settings = settings;
+    this.random = random;
+    this.estimates = estimates;
+    priorities = new PriorityLevels(settings.classes());
+    boolean limited = settings.overQuotaWeight() < 1 && settings.tenants().size() > 1;
+    quotas = limited ? new TenantQuotas(settings.tenants()) : null;
+  }
+
+  /** {@link RoutingApi#rejectForOverload}. */
+  double rejectUnseen(double now, RequestSummary request, double excess) {
+    int level = priorities.of(request, estimates.answerMs());
+    priorities.asked(now, level);
+    // One that has no time left for a usual answer would only delay others.
+    boolean hopeless = request.waitedMs() + estimates.answerMs() > request.timeBudgetMs();
+    double part = excess > 0 ? priorities.partToReject(level, excess) : 0;
+    if (!hopeless && !rejects(now, request.retry(), request.tenant(), arrivals, part)) {
+      return RoutingApi.ADMITTED;
+    }
+    onRequest(now, request.tenant()); // an admitted one is counted when its request comes
+    return settings.mayAdviseRetryAfter() ? adviceMs(2 * excess) : 0;
+  }
+
+  void onRequest(double now, int tenant) {
+    if (quotas != null) {
+      quotas.asked(now, tenant);
+    }
+  }
+
+  /** Whether to reject a read because the cache nodes answer too few in time. */
+  boolean rejectsRead(double now, InFlightRequest pending) {
+    return rejects(now, pending, estimates.crowding, estimates.crowding.excess(now));
+  }
+
+  /** Whether to reject a read because the origin answers too few fetches in time. */
+  boolean rejectsFetch(double now, InFlightRequest pending) {
+    double excess = estimates.origin.excess(now);
+    if (excess > 0 && now + estimates.fetchMs() > pending.objectiveEndMs()) {
+      return true; // not counted as asked for, or the throttle would stay shut
+    }
+    estimates.origin.asked(now);
+    return rejects(now, pending, estimates.origin, excess);
+  }
+
+  private boolean rejects(
+      double now, InFlightRequest pending, AdaptiveThrottle throttle, double excess) {
+    return rejects(now, pending.request.retry(), pending.request.tenant(), throttle, excess);
+  }
+
+  /** Whether to reject this request where the part {@code excess} of all must be rejected. */
+  private boolean rejects(
+      double now, boolean retry, int tenant, AdaptiveThrottle throttle, double excess) {
+    double part = throttle.partToReject(now, retry, excess);
+    if (excess <= 0) {
+      return false;
+    }
+    return random.nextDouble() < (quotas == null ? part : quotas.partToReject(tenant, excess));
+  }
+
+  /** Retry-After of a rejection, longer with more overload, as that lasts; 0: no advice. */
+  double retryAfterMs(double now) {
+    if (!settings.mayAdviseRetryAfter()) {
+      return 0;
+    }
+    double pressure = Math.max(estimates.crowding.pressure(now), estimates.origin.pressure(now));
+    double overload = pressure - AdaptiveThrottle.HEADROOM;
+    return overload <= 0 ? 0 : adviceMs(overload);
+  }
+
+  /** Jitter keeps rejected clients from coming back all at once. */
+  private double adviceMs(double overload) {
+    double jitter = 0.5 + random.nextDouble() / 2;
+    return settings.maxRetryAfterMs() * Math.min(1, overload) * jitter;
+  }
+}
--- a/src/main/java/cacheproxy/routing/PriorityLevels.java
+++ b/src/main/java/cacheproxy/routing/PriorityLevels.java
@@ -42,7 +42,7 @@
   }
 
   /** The part of this rank to turn away so that in all the part {@code excess} is. */
-  double refuse(int rank, double excess) {
+  double partToReject(int rank, double excess) {
     double all = 0;
     double less = 0;
     double alike = 0;
--- a/src/main/java/cacheproxy/routing/TenantQuotas.java
+++ b/src/main/java/cacheproxy/routing/TenantQuotas.java
@@ -33,7 +33,7 @@
   /**
    * The part of this tenant's requests to refuse so that in all the part {@code excess} is refused.
    */
-  double refuse(int tenant, double excess) {
+  double partToReject(int tenant, double excess) {
     if (asked[tenant] <= 0) {
       return excess;
     }
--- a/src/test/java/cacheproxy/ArchitectureTest.java
+++ b/src/test/java/cacheproxy/ArchitectureTest.java
@@ -97,22 +97,19 @@
     }
   }
 
+  /** Which classes the module has is fixed by {@link ModuleSizeTest}. */
   @Test
   void theModuleKnowsNothingOfTheRest() {
     classes()
         .that()
-        .haveFullyQualifiedName("cacheproxy.routing.Policy")
-        .or()
-        .haveFullyQualifiedName("cacheproxy.routing.Carp")
+        .resideInAPackage("cacheproxy.routing..")
         .should()
         .onlyDependOnClassesThat(
             DescribedPredicate.describe(
                 "its own and the JDK's",
                 c ->
                     c.getName().startsWith("java.")
-                        || c.getName()
-                            .matches(
-                                "cacheproxy\\.routing\\.(Policy|Carp|RoutingApi|HotKeys|AdaptiveThrottle|TenantQuotas|PriorityLevels).*")
+                        || c.getPackageName().equals("cacheproxy.routing")
                         || c.isPrimitive()
                         || c.isArray()))
         .check(ALL);
