Routing interface and its tables have Javadoc in ordinary terms; suppressions removed

The interface spoke of hearsay, words and turning away; parameters, units and errors now stand in Javadoc, and the four older tables have whole names.

--- a/src/main/java/cacheproxy/routing/HotKeys.java
+++ b/src/main/java/cacheproxy/routing/HotKeys.java
@@ -3,30 +3,31 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Local counts of keys, halved every span, to tell a key hotter than a server's fair part. */
+/** Counts of keys at this instance, halved in intervals, by which hot keys are recognised. */
 final class HotKeys {
-  /** Halving span: long enough for a hot key to show at a proxy with a few requests a second. */
-  static final double SPAN_MS = 4000;
+  /** Long enough for a hot key to show at a proxy with a few requests a second. */
+  private static final double HALVING_INTERVAL_MS = 4000;
 
-  /** Fewer sightings than this in two spans are chance. */
+  /** Fewer requests than this in two intervals are chance. */
   static final int MIN_COUNT = 6;
 
   private final Map<Long, int[]> counts = new HashMap<>();
   private double total;
-  private double halvedAt;
+  private double halvedMs;
 
-  /** Sightings of all keys, fading. */
+  /** The decaying count of requests with a key. */
   double total() {
     return total;
   }
 
+  /** Counts a request and returns the decaying count of its key. */
   int seen(long key, double now) {
-    while (now - halvedAt > SPAN_MS) {
-      halvedAt = counts.isEmpty() ? now : halvedAt + SPAN_MS;
+    while (now - halvedMs > HALVING_INTERVAL_MS) {
+      halvedMs = counts.isEmpty() ? now : halvedMs + HALVING_INTERVAL_MS;
       total /= 2;
-      counts.values().removeIf(c -> (c[0] /= 2) == 0);
+      counts.values().removeIf(count -> (count[0] /= 2) == 0);
     }
     total++;
-    return ++counts.computeIfAbsent(key, k -> new int[1])[0];
+    return ++counts.computeIfAbsent(key, unseen -> new int[1])[0];
   }
 }
--- a/src/main/java/cacheproxy/routing/PriorityLevels.java
+++ b/src/main/java/cacheproxy/routing/PriorityLevels.java
@@ -5,51 +5,56 @@
 import java.util.List;
 
 /**
- * What comes, by what it is worth if it is served now, fading. What is too much for the processor
- * comes off what is worth least; a request that is late already counts as such.
+ * Decaying counts of what arrives, by its priority weight if it is served now; each class has one
+ * level for requests in time and one for late ones. What is too much for the processor is taken
+ * from the levels of least weight.
  */
 final class PriorityLevels {
-  /** Halves in this time: the mix of classes changes slowly, that of late ones within a round. */
-  static final double HALF_MS = 500;
+  /** Half-life: the mix of classes changes slowly, that of late requests quickly. */
+  private static final double HALF_LIFE_MS = 500;
 
   private final List<ServiceClass> classes;
-  private final double[] worth;
+  private final double[] weight;
   private final double[] asked;
-  private double at;
+  private double updatedMs;
 
   PriorityLevels(List<ServiceClass> classes) {
     this.classes = classes;
-    worth = new double[2 * classes.size()];
-    asked = new double[worth.length];
-    for (int i = 0; i < worth.length; i++) {
-      ServiceClass c = classes.get(i / 2);
-      worth[i] = c.priorityWeight() * (i % 2 == 0 ? 1 : c.lateWeightFraction());
+    weight = new double[2 * classes.size()];
+    asked = new double[weight.length];
+    for (int i = 0; i < weight.length; i++) {
+      ServiceClass serviceClass = classes.get(i / 2);
+      weight[i] =
+          serviceClass.priorityWeight() * (i % 2 == 0 ? 1 : serviceClass.lateWeightFraction());
     }
   }
 
-  int of(RequestSummary g, double pace) {
-    boolean late = g.waitedMs() + pace > classes.get(g.serviceClass()).latencyObjectiveMs();
-    return 2 * g.serviceClass() + (late ? 1 : 0);
+  /** The level of a request that is answered after {@code answerMs}. */
+  int of(RequestSummary request, double answerMs) {
+    double objectiveMs = classes.get(request.serviceClass()).latencyObjectiveMs();
+    boolean late = request.waitedMs() + answerMs > objectiveMs;
+    return 2 * request.serviceClass() + (late ? 1 : 0);
   }
 
-  void asked(double now, int rank) {
-    double f = Math.pow(0.5, (now - at) / HALF_MS);
-    at = now;
+  /** Counts a request of this level. */
+  void asked(double now, int level) {
+    double factor = Math.pow(0.5, (now - updatedMs) / HALF_LIFE_MS);
+    updatedMs = now;
     for (int i = 0; i < asked.length; i++) {
-      asked[i] *= f;
+      asked[i] *= factor;
     }
-    asked[rank]++;
+    asked[level]++;
   }
 
-  /** The part of this rank to turn away so that in all the part {@code excess} is. */
-  double partToReject(int rank, double excess) {
+  /** The part of the level to reject so that the part {@code excess} of all is rejected. */
+  double partToReject(int level, double excess) {
     double all = 0;
     double less = 0;
     double alike = 0;
     for (int i = 0; i < asked.length; i++) {
       all += asked[i];
-      less += worth[i] < worth[rank] ? asked[i] : 0;
-      alike += worth[i] == worth[rank] ? asked[i] : 0;
+      less += weight[i] < weight[level] ? asked[i] : 0;
+      alike += weight[i] == weight[level] ? asked[i] : 0;
     }
     return Math.max(0, Math.min(1, (all * excess - less) / alike));
   }
--- a/src/main/java/cacheproxy/routing/RoutingApi.java
+++ b/src/main/java/cacheproxy/routing/RoutingApi.java
@@ -2,20 +2,21 @@
 
 import java.util.List;
 
-/** What the decision module is told and what it can order: its settings, events and actions. */
+/**
+ * The routing policy's interface: its settings, the events that it is told and the actions that it
+ * orders. Times are in milliseconds; {@code now} is the time of the event on a clock that never
+ * goes back. An implementation belongs to one thread, and actions are carried out within the call.
+ */
 public interface RoutingApi {
 
-  /** How often a request may take effect. */
+  /** Whether a request may be repeated: freely, under its idempotency key, or not at all. */
   enum Effect {
     IDEMPOTENT,
     IDEMPOTENCY_KEY,
     NOT_IDEMPOTENT
   }
 
-  /**
-   * The servers that drop a repeat of a keyed request: all, those of one zone, or those of one
-   * cell.
-   */
+  /** The servers that recognise an idempotency key: all, those of one zone or of one cell. */
   enum Group {
     ALL,
     ZONE,
@@ -68,7 +69,16 @@
     }
   }
 
-  /** A class of requests; times in milliseconds. */
+  /**
+   * A class of requests.
+   *
+   * @param group who recognises its idempotency keys, within {@code windowMs} of the first attempt
+   * @param latencyObjectiveMs an answer within this time of the arrival has the full weight
+   * @param deadlineMs clients give up after this time
+   * @param priorityWeight what an answer in time counts for
+   * @param lateWeightFraction the part of that weight that a later answer has, 0 to 1
+   * @param stream answers may begin before they are complete
+   */
   record ServiceClass(
       String name,
       Effect effect,
@@ -80,16 +90,25 @@
       double lateWeightFraction,
       boolean stream) {}
 
-  /** A tenant and the rate, over all instances, that is within its share. */
+  /** A tenant, its share of the traffic and its quota over all instances. */
   record Tenant(String name, double share, double quotaPerSecond) {}
 
-  /** One server of the list. {@code startedMs}: when it last started, 0 if long ago. */
+  /** One entry of the endpoint list. {@code startedMs}: when it last started, 0 if long ago. */
   record Member(
       int id, int zone, int kind, int cell, State state, float weight, double startedMs) {}
 
   /**
-   * What an instance is told at its start; times in milliseconds. Negative {@code originKind}:
-   * none.
+   * What an instance is told at its start.
+   *
+   * @param me the number of this instance among {@code instances}
+   * @param cacheAside misses are fetched from the origin by the proxy, not by the cache nodes
+   * @param originKind the kind of endpoints that are the origin; negative: there is none
+   * @param overQuotaWeight the part of its weight that a request over its tenant's quota has
+   * @param startCapacity the part of its capacity that an endpoint has at its start; it has all of
+   *     it after {@code warmUpMs}
+   * @param overloadMultiple an endpoint that warms up fails if it is sent this multiple of its
+   *     capacity for {@code overloadMs}
+   * @param pollWithinMs the time within which the list service can serve one call of each instance
    */
   record Settings(
       int me,
@@ -125,8 +144,13 @@
       List<Tenant> tenants) {}
 
   /**
-   * A request taken from a client; key 0: none; cost hint NaN: none; due: when the client gives up;
-   * waited: how long ago it came, in milliseconds.
+   * A request of a client. "None" is 0 or NaN, as one is made for each request.
+   *
+   * @param key 0: none
+   * @param deadlineMs the time at which the client gives up
+   * @param costMs the hinted cost; NaN: none
+   * @param retry the client says that it has sent this before
+   * @param waitedMs how long ago it arrived
    */
   record Request(
       int id,
@@ -140,7 +164,7 @@
       boolean retry,
       double waitedMs) {
 
-    /** One that has only just come. */
+    /** A request that has just arrived. */
     public Request(
         int id,
         int serviceClass,
@@ -156,18 +180,23 @@
   }
 
   /**
-   * What is seen of a request before anything is spent on it. Waited: how long ago it came;
-   * patience: how long its client waits from then on; both in milliseconds.
+   * What is known of a request before anything is spent on it.
+   *
+   * @param waitedMs how long ago it arrived
+   * @param timeBudgetMs how long its client waits from its arrival on
    */
   record RequestSummary(
       int serviceClass, int tenant, boolean retry, double waitedMs, double timeBudgetMs) {}
 
-  /** What {@link #rejectForOverload} says of a request that is to be taken. */
+  /** What {@link #rejectForOverload} returns for a request that is admitted. */
   double ADMITTED = -1;
 
   /**
-   * The end of an attempt. {@code over}: the request has had its final answer; report: null if
-   * none.
+   * The end of an attempt.
+   *
+   * @param finalAnswer by this the request has had its final answer
+   * @param note {@link #NOTE_FETCH_OUT}, {@link #NOTE_NO_CONNECTION_SLOT} or another number
+   * @param report the load report that came with it; null: none
    */
   record AttemptEnd(
       int request,
@@ -179,24 +208,21 @@
       int note,
       float[] report) {}
 
-  /** Note on an outcome: a miss while another request has been told to fetch the same key. */
+  /** Note on a miss: another request has already been told to fetch the same key. */
   int NOTE_FETCH_OUT = 3;
 
-  /**
-   * Note on {@link Outcome#CONNECT_FAILED}: the server is well and holds as many connections as it
-   * takes.
-   */
+  /** Note on {@link Outcome#CONNECT_FAILED}: the server is healthy, its connection slots full. */
   int NOTE_NO_CONNECTION_SLOT = 4;
 
-  /** Where the module's orders go. They are carried out in order, at the time of the event. */
+  /** What the module orders. Orders are carried out in sequence, at the time of the event. */
   interface Actions {
-    /** Sends an attempt; time-out 0: until the client gives up. */
+    /** Sends an attempt; timeout 0: until the client gives up. */
     void place(int request, int server, double timeoutMs);
 
-    /** Final answer: turned away, a retry is harmless. Advice 0: none. */
+    /** Final answer: rejected, a retry is harmless. Retry-After 0: no advice. */
     void deny(int request, double retryAfterMs);
 
-    /** Final answer: failed, nothing promised. */
+    /** Final answer: failed, and it may have taken effect. */
     void fail(int request);
 
     /** Stops waiting for an attempt. */
@@ -205,7 +231,7 @@
     /** Asks for {@link RoutingApi#onTimer} after this time. */
     void setTimer(double afterMs, int token);
 
-    /** Tests a server. */
+    /** Starts a health check of a server. */
     void probe(int server);
 
     /** Closes idle connections to a server. */
@@ -214,31 +240,40 @@
     /** Sends bytes to another instance; -1: to all. */
     void tell(int peer, byte[] message);
 
-    /** Subscribes to changes of the list, or ends that. */
+    /** Begins to watch the endpoint list, or ends that. */
     void watch(boolean on);
 
-    /** Asks for the whole list once. */
+    /** Asks for the complete list once. */
     void fetchList();
 
     /** A line for the operators. */
     void log(String line);
   }
 
-  /** News of the list of servers. */
+  /**
+   * The endpoint list, or changes of it.
+   *
+   * @throws IllegalArgumentException if an entry is impossible or listed twice
+   */
   void onList(double now, ListKind kind, List<Member> members, Actions out);
 
   /**
-   * Whether a request is turned away unseen, as the instance's own processor can't serve them all.
-   * Excess: the part of what comes that it can't, from 0. {@link #ADMITTED}, or after how many
-   * milliseconds the client is to come back; 0: no advice. Nothing is sent for one that is turned
-   * away, so that trying it again is harmless.
+   * Whether a request is rejected unread because the instance's own processor cannot serve all.
+   * Nothing is sent for one that is rejected, so that a retry is harmless.
+   *
+   * @param excess the part of the arriving requests that cannot be served, from 0
+   * @return {@link #ADMITTED}, or the Retry-After advice in milliseconds; 0: no advice
    */
   double rejectForOverload(double now, RequestSummary request, double excess);
 
-  /** A client's request; the instance now owes exactly one final answer. */
+  /**
+   * A client's request; the instance now owes exactly one final answer.
+   *
+   * @throws IllegalArgumentException if its class or tenant is not in the settings
+   */
   void onRequest(double now, Request request, Actions out);
 
-  /** A streamed answer has begun. */
+  /** A streamed answer has begun; it is the answer that the client gets. */
   void onFirstByte(double now, int request, int attempt, int server, Actions out);
 
   /** An attempt has ended. */
@@ -250,19 +285,17 @@
   /** A timer has come due. */
   void onTimer(double now, int token, Actions out);
 
-  /** The result of a probe. */
+  /** The result of a health check. */
   void onHealthCheck(
       double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out);
 
-  /**
-   * An operator takes this server out, until the call back, whatever the list says of it meanwhile.
-   */
+  /** An operator ejects this server, or readmits it; the list does not override either. */
   void onManualEjection(double now, int server, boolean out, Actions orders);
 
-  /** Servers on the list, and how many of them get nothing new; the origin is not among them. */
+  /** Listed cache nodes, and how many of them are sent nothing new. */
   record EndpointCounts(int listed, int unavailable) {}
 
-  /** How the servers stand. */
+  /** The cache nodes as they are now. */
   EndpointCounts endpointCounts(double now);
 
   /** A message of another instance. */
@@ -276,57 +309,48 @@
   }
 
   /**
-   * What the instances of a tier share about servers. A subsystem of its own decides it; the module
-   * tells it what its own attempts have shown and asks it before it sends. Hearsay only ever keeps
-   * this instance from a server: it never says that an attempt did not run, makes no server known
-   * and undoes no drain.
+   * What the instances of a tier share about servers. The policy notifies it of what its own
+   * attempts have shown and asks it before it sends. Gossip can only keep this instance from a
+   * server: it never proves that an attempt did not run, adds no server and ends no drain.
    */
   interface Tier {
-    /**
-     * The servers of the list that may be sent to, with their zones; what is not among them is
-     * nobody's matter.
-     */
+    /** The servers that may be sent to, with their zones; verdicts on others are void. */
     void listed(int[] servers, int[] zones);
 
-    /**
-     * By an attempt begun at {@code sinceMs} the server is out of reach, and would be passed over
-     * for {@code forMs} by this instance alone.
-     */
+    /** An attempt begun at {@code sinceMs} has led this instance to eject it for so long. */
     void failed(double now, int server, double sinceMs, double forMs);
 
-    /**
-     * It had no place for a connection of this instance's, which does not ask again for so long.
-     */
+    /** It had no connection slot for this instance, which does not connect again for so long. */
     void noConnectionSlot(double now, int server, double forMs);
 
     /**
-     * It has answered an attempt that began then. Kind: of a warm one, whose answers the tier
-     * counts; negative: it is cold.
+     * It has answered an attempt begun at {@code sinceMs}.
+     *
+     * @param kind its kind if the tier is to count the answer; negative: it is not, as the server
+     *     warms up or was full
      */
     void answered(double now, int server, double sinceMs, int kind);
 
     /**
-     * Whether others' word keeps this instance from it now.
+     * Whether it is ejected by gossip.
      *
-     * @param mayTry this request may be the one by which an instance tries a server that is out of
-     *     reach
+     * @param mayTry this request may be the trial of an ejected server
      */
     boolean isEjected(double now, int server, boolean mayTry);
 
     /**
-     * Spends this instance's right to send a cold server one more request.
+     * Spends this instance's quota of requests to a server in slow start.
      *
-     * @param capacity the part of a warm one's load that it may have now
-     * @param warm how many warm ones of its kind this instance knows
-     * @return {@code UNKNOWN}: nothing is shared of this, the instance decides by what it sees
-     *     itself
+     * @param capacity the part of a warm server's load that it may have now
+     * @param warm how many warm servers of its kind this instance knows
+     * @return {@code UNKNOWN}: no quota is shared, the instance decides by its own observations
      */
     QuotaResult spendSlowStartQuota(double now, int server, int kind, double capacity, int warm);
   }
 
-  /** From now on this is asked and told. */
+  /** Shares with this tier from now on. */
   void useTier(Tier tier);
 
-  /** By others' word a server is out of reach, or has answered one of them since. */
+  /** By gossip a server is ejected, or has answered another instance since. */
   void onGossipedHealth(double now, int server, boolean out, Actions orders);
 }
--- a/src/main/java/cacheproxy/routing/TenantQuotas.java
+++ b/src/main/java/cacheproxy/routing/TenantQuotas.java
@@ -4,51 +4,57 @@
 import java.util.List;
 
 /**
- * What each tenant asks of this instance, fading. What must be refused comes off those that ask
- * most over their quotas (max-min fair), as that is worth little. Clients' repeats swell all alike.
+ * Decaying counts of what each tenant asks of this instance. What must be rejected is taken from
+ * those that ask most over their quotas (max-min fairness), as that has little weight.
  */
 final class TenantQuotas {
+  /** Keeps a quotient finite where a tenant has no quota. */
+  private static final double MIN_QUOTA = 1e-9;
+
+  /** Steps of the search for the multiple of their quotas that all may have. */
+  private static final int BISECTIONS = 24;
+
   private final List<Tenant> tenants;
   private final double[] asked;
-  private double at;
+  private double updatedMs;
 
   TenantQuotas(List<Tenant> tenants) {
     this.tenants = tenants;
     asked = new double[tenants.size()];
   }
 
+  /** Counts a request of this tenant. */
   void asked(double now, int tenant) {
-    double f = AdaptiveThrottle.left(now - at);
-    at = now;
-    for (int t = 0; t < asked.length; t++) {
-      asked[t] *= f;
+    double factor = AdaptiveThrottle.decay(now - updatedMs);
+    updatedMs = now;
+    for (int i = 0; i < asked.length; i++) {
+      asked[i] *= factor;
     }
     asked[tenant]++;
   }
 
+  /** What a tenant gets where each gets at most this multiple of its quota. */
   private double granted(int tenant, double multiple) {
     return Math.min(asked[tenant], multiple * tenants.get(tenant).quotaPerSecond());
   }
 
-  /**
-   * The part of this tenant's requests to refuse so that in all the part {@code excess} is refused.
-   */
+  /** The part of the tenant's requests to reject so that the part {@code excess} of all is. */
   double partToReject(int tenant, double excess) {
     if (asked[tenant] <= 0) {
       return excess;
     }
     double goal = 0;
     double high = 0;
-    for (int t = 0; t < asked.length; t++) {
-      goal += asked[t] * (1 - excess);
-      high = Math.max(high, asked[t] / Math.max(1e-9, tenants.get(t).quotaPerSecond()));
+    for (int i = 0; i < asked.length; i++) {
+      goal += asked[i] * (1 - excess);
+      high = Math.max(high, asked[i] / Math.max(MIN_QUOTA, tenants.get(i).quotaPerSecond()));
     }
     double low = 0;
-    for (int step = 0; step < 24; step++) {
+    for (int step = 0; step < BISECTIONS; step++) {
       double middle = (low + high) / 2;
       double sum = 0;
-      for (int t = 0; t < asked.length; t++) {
-        sum += granted(t, middle);
+      for (int i = 0; i < asked.length; i++) {
+        sum += granted(i, middle);
       }
       if (sum < goal) {
         low = middle;
