--- a/src/test/java/cacheproxy/model/PlacesTest.java
+++ b/src/test/java/cacheproxy/model/PlacesTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.model.PlacesModel.Counts;
-import cacheproxy.routing.Rig;
+import cacheproxy.routing.PolicyTestRig;
 import cacheproxy.routing.RoutingApi.Group;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -14,7 +14,8 @@
 class PlacesTest {
   private static Counts play(boolean told, int places, long seed) {
     PlacesModel model =
-        new PlacesModel(Rig.settings(true, false, false, Group.ALL), 14, 40, places, told, seed);
+        new PlacesModel(
+            PolicyTestRig.settings(true, false, false, Group.ALL), 14, 40, places, told, seed);
     model.restart(8000, 10);
     model.run(20_000, 60);
     return model.counts();
--- a/src/test/java/cacheproxy/model/ZoneLossTest.java
+++ b/src/test/java/cacheproxy/model/ZoneLossTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cacheproxy.model.PlacesModel.Counts;
-import cacheproxy.routing.Rig;
+import cacheproxy.routing.PolicyTestRig;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -13,7 +13,8 @@
  */
 class ZoneLossTest {
   private static Counts play(int zonesTold, boolean peers, boolean loss, long seed) {
-    PlacesModel model = new PlacesModel(Rig.zoned(zonesTold, peers), 100, 60, 40, true, seed);
+    PlacesModel model =
+        new PlacesModel(PolicyTestRig.zoned(zonesTold, peers), 100, 60, 40, true, seed);
     model.stall(0.41, 1500, 160); // what is saved up for second copies is spent
     if (loss) {
       model.lose(0, 8000, 13_000);
--- a/src/test/java/cacheproxy/routing/CarpTest.java
+++ b/src/test/java/cacheproxy/routing/CarpTest.java
@@ -7,34 +7,35 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** CARP's hashes, multipliers and shares against the draft. */
 class CarpTest {
   @Test
   void equalWeightsGiveEqualMultipliers() {
-    for (float x : Carp.multipliers(new float[] {2, 2, 2, 2})) {
-      assertThat(x).isCloseTo(1f, within(1e-6f));
+    for (float multiplier : Carp.multipliers(new float[] {2, 2, 2, 2})) {
+      assertThat(multiplier).isCloseTo(1f, within(1e-6f));
     }
   }
 
   /** Two members with shares 0.4 and 0.6: X1 = sqrt(0.8), X2 = 0.2/X1 + X1, by hand. */
   @Test
   void multipliersOfTwo() {
-    float[] x = Carp.multipliers(new float[] {6, 4});
-    assertThat(x[1]).isCloseTo(0.894427f, within(1e-6f));
-    assertThat(x[0]).isCloseTo(1.118034f, within(1e-6f));
+    float[] multipliers = Carp.multipliers(new float[] {6, 4});
+    assertThat(multipliers[1]).isCloseTo(0.894427f, within(1e-6f));
+    assertThat(multipliers[0]).isCloseTo(1.118034f, within(1e-6f));
   }
 
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 7, 140, 700})
-  void multipliersStayFiniteAndOrdered(int n) {
-    float[] w = new float[n];
-    for (int i = 0; i < n; i++) {
-      w[i] = 1 + i % 3;
+  void multipliersStayFiniteAndOrdered(int count) {
+    float[] weights = new float[count];
+    for (int i = 0; i < count; i++) {
+      weights[i] = 1 + i % 3;
     }
-    float[] x = Carp.multipliers(w);
-    for (int i = 0; i < n; i++) {
-      assertThat(x[i]).isFinite().isPositive();
-      if (i > 0 && w[i] > w[i - 1]) {
-        assertThat(x[i]).isGreaterThan(x[i - 1]);
+    float[] multipliers = Carp.multipliers(weights);
+    for (int i = 0; i < count; i++) {
+      assertThat(multipliers[i]).isFinite().isPositive();
+      if (i > 0 && weights[i] > weights[i - 1]) {
+        assertThat(multipliers[i]).isGreaterThan(multipliers[i - 1]);
       }
     }
   }
@@ -53,37 +54,38 @@
    */
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 12, 60, 300})
-  void sharesFollowWeights(int n) {
-    float[] w = new float[n];
-    int[] hash = new int[n];
+  void sharesFollowWeights(int count) {
+    float[] weights = new float[count];
+    int[] hash = new int[count];
     double sum = 0;
-    for (int i = 0; i < n; i++) {
-      w[i] = 1 + i % 3;
-      sum += w[i];
+    for (int i = 0; i < count; i++) {
+      weights[i] = 1 + i % 3;
+      sum += weights[i];
       hash[i] = Carp.memberHash((i + 1) * 0x9E3779B1);
     }
-    int[] got = draw(hash, Carp.multipliers(w), KEYS);
-    for (int i = 0; i < n; i++) {
-      double fair = KEYS * w[i] / sum;
+    int[] got = draw(hash, Carp.multipliers(weights), KEYS);
+    for (int i = 0; i < count; i++) {
+      double fair = KEYS * weights[i] / sum;
       assertThat((double) got[i]).isCloseTo(fair, within(0.15 * fair + 5 * Math.sqrt(fair)));
     }
   }
 
   private static final int KEYS = 60000;
 
-  private static int[] draw(int[] hash, float[] x, int keys) {
+  private static int[] draw(int[] hash, float[] multipliers, int keys) {
     int[] got = new int[hash.length];
-    for (int k = 1; k <= keys; k++) {
-      got[top(k * 0x9E3779B97F4A7C15L, hash, x)]++;
+    for (int key = 1; key <= keys; key++) {
+      got[top(key * 0x9E3779B97F4A7C15L, hash, multipliers)]++;
     }
     return got;
   }
 
-  private static int top(long key, int[] hash, float[] x) {
+  private static int top(long key, int[] hash, float[] multipliers) {
     int best = 0;
     for (int i = 1; i < hash.length; i++) {
-      int u = Carp.keyHash(key);
-      if (Carp.score(u, hash[i], x[i]) > Carp.score(u, hash[best], x[best])) {
+      int keyHash = Carp.keyHash(key);
+      if (Carp.score(keyHash, hash[i], multipliers[i])
+          > Carp.score(keyHash, hash[best], multipliers[best])) {
         best = i;
       }
     }
@@ -99,10 +101,10 @@
     int[] less = java.util.Arrays.copyOf(all, 19);
     float[] one = new float[20];
     java.util.Arrays.fill(one, 1);
-    for (int k = 1; k < 3000; k++) {
-      int before = top(k, all, one);
+    for (int key = 1; key < 3000; key++) {
+      int before = top(key, all, one);
       if (before != 19) {
-        assertThat(top(k, less, one)).isEqualTo(before);
+        assertThat(top(key, less, one)).isEqualTo(before);
       }
     }
   }
--- a/src/test/java/cacheproxy/routing/Rig.java
+++ b/src/test/java/cacheproxy/routing/PolicyTestRig.java
@@ -17,8 +17,8 @@
 import java.util.List;
 import java.util.Map;
 
-/** One instance with its orders written down; time is a field the tests move. */
-public final class Rig implements RoutingApi.Actions {
+/** One instance whose orders are recorded; the tests move its time. */
+public final class PolicyTestRig implements RoutingApi.Actions {
   static final int ORIGIN = 9000;
   static final int IDEMPOTENT = 0;
   static final int IDEMPOTENCY_KEY = 1;
@@ -33,7 +33,7 @@
   final List<Placed> placed = new ArrayList<>();
   final List<Integer> denied = new ArrayList<>();
 
-  /** When to come back, for each refusal in order; 0: nothing was said. */
+  /** Retry-After of each rejection in order; 0: no advice. */
   final List<Double> advised = new ArrayList<>();
 
   final List<Integer> failed = new ArrayList<>();
@@ -46,15 +46,18 @@
   int watches;
   double now = 1000;
 
-  Rig(Settings settings) {
+  PolicyTestRig(Settings settings) {
     policy = new Policy(settings, 42);
   }
 
+  /**
+   * Settings with three classes, one for each effect; {@code group} is that of idempotency keys.
+   */
   public static Settings settings(boolean aside, boolean ask, boolean copies, Group group) {
     return settings(aside, ask, copies, group, true, List.of(new Tenant("a", 1, 100)));
   }
 
-  /** Aside mode with second copies, so many zones, and datagrams between instances or none. */
+  /** Aside mode with hedged requests, so many zones, and datagrams between instances or none. */
   public static Settings zoned(int zones, boolean peers) {
     Settings s = settings(true, false, true, Group.ALL, false, List.of(new Tenant("a", 1, 100)));
     return with(s, 100, zones, peers, s.classes());
@@ -96,13 +99,13 @@
         s.tenants());
   }
 
-  /** As {@link #aside()}, with second copies or without, where servers may not be probed. */
-  static Rig unprobed(boolean copies) {
-    return new Rig(
+  /** As {@link #aside()}, with hedged requests or without, where servers may not be probed. */
+  static PolicyTestRig unprobed(boolean copies) {
+    return new PolicyTestRig(
         settings(true, false, copies, Group.ALL, false, List.of(new Tenant("a", 1, 100))));
   }
 
-  /** Two tenants with these quotas; what they send over them is worth a tenth. */
+  /** Two tenants with these quotas; what they send over them is weighted a tenth. */
   static Settings tenants(double first, double second) {
     return settings(
         true,
@@ -159,15 +162,15 @@
         tenants);
   }
 
-  /** Aside mode, list pushed, no second copies: the ordinary case. */
-  static Rig aside() {
-    return new Rig(settings(true, false, false, Group.ALL));
+  /** Aside mode, list pushed, no hedged requests: the ordinary case. */
+  static PolicyTestRig aside() {
+    return new PolicyTestRig(settings(true, false, false, Group.ALL));
   }
 
-  /** As {@link #aside()}, where answers after the aim are worth nothing. */
-  static Rig worthlessLate() {
+  /** As {@link #aside()}, where answers after the latency objective are worth nothing. */
+  static PolicyTestRig worthlessLate() {
     Settings s = settings(true, false, false, Group.ALL);
-    return new Rig(
+    return new PolicyTestRig(
         with(
             s,
             s.instances(),
@@ -194,7 +197,7 @@
   }
 
   /** Servers 1 to n, and the origin, all ready for long. */
-  Rig fleet(int n) {
+  PolicyTestRig fleet(int n) {
     List<Member> list = new ArrayList<>();
     list.add(member(ORIGIN, State.READY, 0));
     for (int id = 1; id <= n; id++) {
@@ -265,6 +268,35 @@
     now = until;
   }
 
+  /**
+   * Server 2 of n can't be reached, as three requests for a key of its own have found. That key.
+   */
+  static long outOfReach(PolicyTestRig rig, int n, int serviceClass) {
+    long key = 1;
+    while (topRank(key, n) != 2) {
+      key++;
+    }
+    for (int id = 101; id <= 103; id++) {
+      rig.read(id, serviceClass, key);
+      rig.end(rig.last(), Outcome.CONNECT_FAILED);
+      rig.end(rig.last(), Outcome.OK);
+    }
+    return key;
+  }
+
+  static int topRank(long key, int n) {
+    int best = 0;
+    double bestScore = -1;
+    for (int id = 1; id <= n; id++) {
+      double score = Carp.score(Carp.keyHash(key), Carp.memberHash(id), 1);
+      if (score > bestScore) {
+        best = id;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
   int answers() {
     return denied.size() + failed.size();
   }
--- a/src/test/java/cacheproxy/routing/RandomRulesTest.java
+++ b/src/test/java/cacheproxy/routing/RandomRulesTest.java
@@ -23,18 +23,17 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/**
- * Long random legal event sequences, every order checked against the rules and the wire's faults.
- */
+/** Long random legal event sequences, every order checked against the rules. */
 class RandomRulesTest {
-  private static Settings settings(int n) {
-    return Rig.settings((n & 1) == 0, (n & 2) != 0, (n & 4) != 0, Group.values()[n % 3]);
+  private static Settings settings(int variant) {
+    return PolicyTestRig.settings(
+        (variant & 1) == 0, (variant & 2) != 0, (variant & 4) != 0, Group.values()[variant % 3]);
   }
 
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7})
-  void everyOrderKeepsTheRules(int n) {
-    World world = new World(settings(n), n);
+  void everyOrderKeepsTheRules(int variant) {
+    World world = new World(settings(variant), variant);
     world.play(6000);
     assertThat(world.answered).isGreaterThan(200);
     assertThat(world.placed).isGreaterThan(500);
@@ -42,9 +41,9 @@
 
   @Test
   void theSameEventsGiveTheSameOrders() {
-    for (int n = 0; n < 8; n++) {
-      World one = new World(settings(n), n);
-      World two = new World(settings(n), n);
+    for (int variant = 0; variant < 8; variant++) {
+      World one = new World(settings(variant), variant);
+      World two = new World(settings(variant), variant);
       one.play(1500);
       two.play(1500);
       assertThat(two.orders).isEqualTo(one.orders);
@@ -52,9 +51,9 @@
   }
 
   /**
-   * What the world knows of a request: the rules are judged by this, not by the module's own books.
+   * What the world knows of a request: the rules are judged by this, not by the policy's own state.
    */
-  private static final class Held {
+  private static final class HeldRequest {
     Request request;
     ServiceClass kind;
     boolean over;
@@ -78,11 +77,11 @@
   }
 
   private static final class World implements RoutingApi.Actions {
-    final Settings cfg;
+    final Settings settings;
     final Random random;
     final Policy policy;
-    final Map<Integer, Held> held = new HashMap<>();
-    final List<Held> live = new ArrayList<>();
+    final Map<Integer, HeldRequest> held = new HashMap<>();
+    final List<HeldRequest> live = new ArrayList<>();
     final Map<Integer, Member> list = new HashMap<>();
     final Set<Integer> everListed = new HashSet<>();
     final List<double[]> timers = new ArrayList<>();
@@ -92,16 +91,16 @@
     int answered;
     int placed;
 
-    World(Settings cfg, long seed) {
-      this.cfg = cfg;
+    World(Settings settings, long seed) {
+      this.settings = settings;
       random = new Random(seed);
-      policy = new Policy(cfg, seed);
+      policy = new Policy(settings, seed);
       List<Member> first = new ArrayList<>();
       for (int id = 1; id <= 10; id++) {
-        first.add(Rig.member(id, State.READY, 0));
+        first.add(PolicyTestRig.member(id, State.READY, 0));
       }
-      if (cfg.cacheAside()) {
-        first.add(Rig.member(Rig.ORIGIN, State.READY, 0));
+      if (settings.cacheAside()) {
+        first.add(PolicyTestRig.member(PolicyTestRig.ORIGIN, State.READY, 0));
       }
       send(ListKind.CACHED, first);
     }
@@ -160,15 +159,15 @@
         }
       }
       live.removeIf(h -> h.over && h.out() == 0);
-      for (Held h : live) {
-        assertThat(h.over || now <= h.request.deadlineMs() + cfg.answerGraceMs())
+      for (HeldRequest h : live) {
+        assertThat(h.over || now <= h.request.deadlineMs() + settings.answerGraceMs())
             .as("request %d answered by its due time", h.request.id())
             .isTrue();
       }
     }
 
     private void arrive() {
-      Held h = new Held();
+      HeldRequest h = new HeldRequest();
       int c = random.nextInt(3);
       h.request =
           new Request(
@@ -179,9 +178,9 @@
               now + 300 + random.nextInt(700),
               random.nextBoolean() ? Double.NaN : 10 + random.nextInt(90),
               0,
-              c != Rig.IDEMPOTENT,
+              c != PolicyTestRig.IDEMPOTENT,
               false);
-      h.kind = cfg.classes().get(c);
+      h.kind = settings.classes().get(c);
       held.put(h.request.id(), h);
       live.add(h);
       policy.onRequest(now, h.request, this);
@@ -190,7 +189,7 @@
     private void listNews() {
       int id = 1 + random.nextInt(12);
       int roll = random.nextInt(6);
-      if (roll == 0 && cfg.pollsEndpointList()) {
+      if (roll == 0 && settings.pollsEndpointList()) {
         policy.onList(now, ListKind.FAILED, List.of(), this);
       } else if (roll == 1) {
         send(
@@ -200,8 +199,8 @@
         send(
             ListKind.CHANGES,
             List.of(
-                Rig.member(
-                    cfg.cacheAside() && roll == 2 ? Rig.ORIGIN : id,
+                PolicyTestRig.member(
+                    settings.cacheAside() && roll == 2 ? PolicyTestRig.ORIGIN : id,
                     State.values()[random.nextInt(3)],
                     random.nextBoolean() ? 0 : now)));
       }
@@ -209,14 +208,14 @@
 
     private void gone() {
       if (!live.isEmpty()) {
-        Held h = live.get(random.nextInt(live.size()));
+        HeldRequest h = live.get(random.nextInt(live.size()));
         h.over = true;
         policy.onClientGone(now, h.request.id(), this);
       }
     }
 
     private void endSome() {
-      for (Held h : List.copyOf(live)) {
+      for (HeldRequest h : List.copyOf(live)) {
         for (int a = 0; a < h.outcomes.size(); a++) {
           if (h.outcomes.get(a) == null && random.nextInt(12) == 0) {
             end(h, a, Outcome.values()[random.nextInt(Outcome.values().length)]);
@@ -225,7 +224,7 @@
       }
     }
 
-    private void end(Held h, int a, Outcome outcome) {
+    private void end(HeldRequest h, int a, Outcome outcome) {
       h.outcomes.set(a, outcome);
       if (outcome == Outcome.OK) {
         h.over = true;
@@ -246,20 +245,20 @@
 
     @Override
     public void place(int request, int server, double timeoutMs) {
-      Held h = held.get(request);
+      HeldRequest h = held.get(request);
       String what = "request " + request + " to " + server;
       assertThat(h.over).as(what + " after its end").isFalse();
       assertThat(everListed).as(what + " was listed").contains(server);
       assertThat(list.get(server)).as(what + " is on the list").isNotNull();
       assertThat(list.get(server).state()).as(what).isEqualTo(State.READY);
-      assertThat(h.servers.size()).as(what + ": attempts").isLessThan(cfg.maxAttempts());
+      assertThat(h.servers.size()).as(what + ": attempts").isLessThan(settings.maxAttempts());
       assertThat(timeoutMs).as(what).isNotNegative();
-      assertThat(h.out() == 0 || cfg.mayHedge()).as(what + " together with another").isTrue();
+      assertThat(h.out() == 0 || settings.mayHedge()).as(what + " together with another").isTrue();
       int maybe = h.maybeRan();
       if (maybe >= 0) {
         assertThat(h.kind.effect()).as(what + " again").isNotEqualTo(Effect.NOT_IDEMPOTENT);
         if (h.kind.effect() == Effect.IDEMPOTENCY_KEY) {
-          assertThat(now + cfg.connectTimeoutMs())
+          assertThat(now + settings.connectTimeoutMs())
               .as(what + " comes in its window")
               .isLessThan(h.sentAt.get(maybe) + h.kind.windowMs());
           int first = h.servers.get(maybe);
@@ -288,7 +287,7 @@
 
     @Override
     public void deny(int request, double retryAfterMs) {
-      Held h = held.get(request);
+      HeldRequest h = held.get(request);
       if (h.maybeRan() >= 0) {
         assertThat(h.kind.effect()).as("refusal of %d", request).isEqualTo(Effect.IDEMPOTENT);
       }
@@ -316,7 +315,7 @@
 
     @Override
     public void probe(int server) {
-      assertThat(cfg.mayHealthCheck()).isTrue();
+      assertThat(settings.mayHealthCheck()).isTrue();
       assertThat(everListed).contains(server);
       orders.add("probe " + server);
     }
@@ -328,7 +327,7 @@
 
     @Override
     public void tell(int peer, byte[] message) {
-      assertThat(cfg.peers()).isTrue();
+      assertThat(settings.peers()).isTrue();
     }
 
     @Override
