A zone's signs by a node with a negative id count as before the split

The split compared the silent node with -1; before, any negative id counted as several nodes, and half of all ids are negative as signed numbers. So one such node alone needs fewer signs to eject its zone. That is a fault of old standing, kept here as decisions must not change; it wants its own issue.

--- a/src/main/java/cacheproxy/routing/ZoneOutages.java
+++ b/src/main/java/cacheproxy/routing/ZoneOutages.java
@@ -46,7 +46,7 @@
       return false;
     }
     zone.add(now, node, weight, SIGN_CONNECT_TIMEOUTS * settings.connectTimeoutMs());
-    boolean several = zone.silentNode == ZoneSigns.SEVERAL_NODES;
+    boolean several = zone.silentNode < 0; // true of one node with a negative id, too
     // After an outage without an answer since, one sign is enough.
     boolean outage = zone.outages > 0 || zone.weight >= OUTAGE_WEIGHT && several;
     if (!outage || !othersAnswered(zone)) {
