--- a/src/main/java/cacheproxy/proxy/Config.java
+++ b/src/main/java/cacheproxy/proxy/Config.java
@@ -135,7 +135,7 @@
     return new DiscoverySettings(
         discovery,
         Optional.ofNullable(known),
-        settings.askForList(),
+        settings.pollsEndpointList(),
         peers.size(),
         settings.me(),
         seed);
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -93,8 +93,8 @@
             tierSize,
             self,
             config.settings().zone(),
-            config.settings().tipMultiple(),
-            config.settings().fallMs(),
+            config.settings().overloadMultiple(),
+            config.settings().overloadMs(),
             table.number(
                 SharedStateKeys.BYTES_PER_SECOND,
                 (long) SharedStateSettings.DEFAULT_BYTES_PER_SECOND),
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -156,7 +156,7 @@
     Settings settings = config.settings();
     int cacheKind = settings.originKind() == 0 && settings.kinds() > 1 ? 1 : 0;
     List<Endpoint> hosts = new ArrayList<>();
-    for (int id = 1; id <= (settings.aside() ? ORIGIN : CACHES); id++) {
+    for (int id = 1; id <= (settings.cacheAside() ? ORIGIN : CACHES); id++) {
       int kind = id == ORIGIN ? settings.originKind() : cacheKind;
       hosts.add(new Endpoint(new Member(id, 0, kind, 0, State.READY, 1, 0), config.listen()));
     }
--- a/src/main/java/cacheproxy/shared/SharedState.java
+++ b/src/main/java/cacheproxy/shared/SharedState.java
@@ -143,7 +143,7 @@
   }
 
   @Override
-  public void noPlace(double now, int server, double forMs) {
+  public void noConnectionSlot(double now, int server, double forMs) {
     if (settings.healthVerdicts() && verdicts.recordNoConnectionSlot(now, server, forMs)) {
       schedule.schedulePushBy(now + CONNECTION_SLOT_PUSH_DELAY_MS);
     }
@@ -160,14 +160,15 @@
   }
 
   @Override
-  public boolean passOver(double now, int server, boolean mayTry) {
+  public boolean isEjected(double now, int server, boolean mayTry) {
     return verdicts.shouldSkip(now, server, mayTry);
   }
 
   @Override
-  public RoutingApi.Cold spendCold(double now, int server, int kind, double capacity, int warm) {
+  public RoutingApi.QuotaResult spendSlowStartQuota(
+      double now, int server, int kind, double capacity, int warm) {
     if (!slowStart.isEnabled() || !ServedCounters.isKind(kind) || warm == 0) {
-      return RoutingApi.Cold.UNKNOWN;
+      return RoutingApi.QuotaResult.UNKNOWN;
     }
     return slowStart.spend(now, server, served.ratePerMs(now, kind) / warm * capacity);
   }
--- a/src/main/java/cacheproxy/shared/SharedStateHost.java
+++ b/src/main/java/cacheproxy/shared/SharedStateHost.java
@@ -20,8 +20,8 @@
   void wakeUpBy(double atMs);
 
   /**
-   * Others' verdict on a node has changed. The module is to be told by {@link RoutingApi#onWord},
-   * but not from within its own call.
+   * Others' verdict on a node has changed. The module is to be told by {@link
+   * RoutingApi#onGossipedHealth}, but not from within its own call.
    */
   void verdictReceived(int node, boolean excluded);
 
--- a/src/main/java/cacheproxy/shared/SlowStartLeases.java
+++ b/src/main/java/cacheproxy/shared/SlowStartLeases.java
@@ -98,14 +98,14 @@
    *
    * @param ratePerMs what the whole tier may send to the node; 0: not known
    */
-  RoutingApi.Cold spend(double now, int node, double ratePerMs) {
+  RoutingApi.QuotaResult spend(double now, int node, double ratePerMs) {
     if (ratePerMs <= 0) {
       // No warm node of its kind has answered anybody lately, or this proxy, just started, has not
       // heard of it yet.
-      return now - startedMs < ServedCounters.WINDOW_MS ? refuse() : RoutingApi.Cold.UNKNOWN;
+      return now - startedMs < ServedCounters.WINDOW_MS ? refuse() : RoutingApi.QuotaResult.UNKNOWN;
     }
     if (!enforced) {
-      return RoutingApi.Cold.SPENT;
+      return RoutingApi.QuotaResult.SPENT;
     }
     WarmingNode warming = getOrCreate(now, node);
     if (warming == null || warming.quota == null) {
@@ -116,12 +116,12 @@
       return refuse();
     }
     spent++;
-    return RoutingApi.Cold.SPENT;
+    return RoutingApi.QuotaResult.SPENT;
   }
 
-  private RoutingApi.Cold refuse() {
+  private RoutingApi.QuotaResult refuse() {
     refused++;
-    return RoutingApi.Cold.REFUSED;
+    return RoutingApi.QuotaResult.REFUSED;
   }
 
   /** Null, as this is called on the request path: there are too many nodes. */
--- a/src/main/java/cacheproxy/simulator/SettingsParser.java
+++ b/src/main/java/cacheproxy/simulator/SettingsParser.java
@@ -29,9 +29,9 @@
           new Choice<>("pull", Reports.BY_PROBE));
   private static final List<Choice<Effect>> EFFECTS =
       List.of(
-          new Choice<>("retryable", Effect.SAFE),
-          new Choice<>("dedup", Effect.KEYED),
-          new Choice<>("fragile", Effect.UNSAFE));
+          new Choice<>("retryable", Effect.IDEMPOTENT),
+          new Choice<>("dedup", Effect.IDEMPOTENCY_KEY),
+          new Choice<>("fragile", Effect.NOT_IDEMPOTENT));
   private static final List<Choice<Group>> GROUPS =
       List.of(
           new Choice<>("all", Group.ALL),
@@ -130,7 +130,8 @@
 
   private ServiceClass serviceClass(String prefix) {
     Effect effect = choice(prefix + "idempotency", EFFECTS);
-    boolean keyed = effect == Effect.KEYED; // group and window say something of these alone
+    boolean keyed =
+        effect == Effect.IDEMPOTENCY_KEY; // group and window say something of these alone
     return new ServiceClass(
         text(prefix + "name"),
         effect,
--- a/src/main/java/cacheproxy/simulator/SimulatorAdapter.java
+++ b/src/main/java/cacheproxy/simulator/SimulatorAdapter.java
@@ -87,10 +87,10 @@
           policy.onFirstByte(
               nowMs, event.requestId(), event.attempt(), event.attemptServer(), reply);
       case ATTEMPT_END -> policy.onAttemptEnd(nowMs, event.attemptEnd(), reply);
-      case CLIENT_GONE -> policy.onGone(nowMs, event.requestId(), reply);
+      case CLIENT_GONE -> policy.onClientGone(nowMs, event.requestId(), reply);
       case TIMER -> policy.onTimer(nowMs, event.timerToken(), reply);
       case PROBE_RESULT ->
-          policy.onProbed(
+          policy.onHealthCheck(
               nowMs,
               event.probedServer(),
               event.probeOutcome(),
--- a/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/SharedSettingsTest.java
@@ -70,7 +70,7 @@
               assertThat(terms.proxies()).isEqualTo(8);
               assertThat(terms.healthVerdicts() && terms.slowStartQuota()).isTrue();
               assertThat(terms.bytesPerSecond()).isEqualTo(2000);
-              assertThat(terms.overloadFactor()).isEqualTo(config.settings().tipMultiple());
+              assertThat(terms.overloadFactor()).isEqualTo(config.settings().overloadMultiple());
             });
   }
 
--- a/src/test/java/cacheproxy/simulator/SettingsParserTest.java
+++ b/src/test/java/cacheproxy/simulator/SettingsParserTest.java
@@ -24,7 +24,7 @@
   void readsTheClassesAndIgnoresUnknownPaths() {
     assertThat(parse(SETTINGS).classes())
         .containsExactly(
-            new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 250, 1000, 1, 0, false));
+            new ServiceClass("read", Effect.IDEMPOTENT, Group.ALL, 0, 250, 1000, 1, 0, false));
   }
 
   @Test
@@ -32,7 +32,7 @@
     String keyed =
         SETTINGS.replace("retryable", "dedup") + "\nclasses.0.group=cell\nclasses.0.window=1500";
     ServiceClass serviceClass = parse(keyed).classes().get(0);
-    assertThat(serviceClass.effect()).isEqualTo(Effect.KEYED);
+    assertThat(serviceClass.effect()).isEqualTo(Effect.IDEMPOTENCY_KEY);
     assertThat(serviceClass.group()).isEqualTo(Group.CELL);
     assertThat(serviceClass.windowMs()).isEqualTo(1500);
   }
@@ -52,10 +52,10 @@
     assertThat(parse(SETTINGS.replace("silent", "piggyback")).reports())
         .isEqualTo(Reports.WITH_ANSWERS);
     assertThat(parse(SETTINGS.replace("silent", "pull")).reports()).isEqualTo(Reports.BY_PROBE);
-    assertThat(parse(SETTINGS).askForList()).isFalse();
-    assertThat(parse(SETTINGS.replace("=push", "=ask")).askForList()).isTrue();
-    assertThat(parse(SETTINGS).aside()).isTrue();
-    assertThat(parse(SETTINGS.replace("=aside", "=through")).aside()).isFalse();
+    assertThat(parse(SETTINGS).pollsEndpointList()).isFalse();
+    assertThat(parse(SETTINGS.replace("=push", "=ask")).pollsEndpointList()).isTrue();
+    assertThat(parse(SETTINGS).cacheAside()).isTrue();
+    assertThat(parse(SETTINGS.replace("=aside", "=through")).cacheAside()).isFalse();
   }
 
   @Test
