--- a/src/main/java/cacheproxy/limits/BufferPurpose.java
+++ b/src/main/java/cacheproxy/limits/BufferPurpose.java
@@ -1,26 +1,34 @@
 package cacheproxy.limits;
 
 /**
- * What bytes are held for. Each buffer of the program is held for one of these, by one {@link
- * ByteAccount}.
+ * What buffered bytes are reserved for. Each buffer of the program is reserved for one purpose in
+ * one {@link ByteAccount}.
  */
 public enum BufferPurpose {
+  /** Bytes read from a peer and not yet parsed or not yet processed. */
+  INPUT("INPUT"),
+  /** Values received from clients, until their requests have completed. */
+  REQUEST_VALUE("VALUE"),
+  /** Responses of upstream servers that are not complete yet. */
+  UPSTREAM_RESPONSE("READING"),
+  /** Complete responses that wait for their turn or for the client to read them. */
+  CLIENT_RESPONSE("ANSWER"),
   /**
-   * Read from the peer and not worked off: part of a command or an answer, or what waits behind a
-   * full hand.
+   * Parts of large values that are streamed to clients. The upstream connection is not read while
+   * its client is behind.
    */
-  INPUT,
-  /** Values that clients have sent, until their requests are over. */
-  VALUE,
-  /** Answers of servers that are not whole yet. */
-  READING,
-  /** Whole answers that wait for their turn or for the client to take them. */
-  ANSWER,
-  /**
-   * Parts of long values on their way to clients, each with its server held back while its client
-   * is behind.
-   */
-  PASSING,
-  /** Requests on their way out to a server. */
-  OUTPUT
+  STREAMING("PASSING"),
+  /** Requests on their way out to an upstream server. */
+  OUTPUT("OUTPUT");
+
+  private final String logName;
+
+  BufferPurpose(String logName) {
+    this.logName = logName;
+  }
+
+  /** The name in the log line {@code cut off:}; documented in docs/limits.md and kept stable. */
+  public String logName() {
+    return logName;
+  }
 }
--- a/src/main/java/cacheproxy/limits/ByteAccount.java
+++ b/src/main/java/cacheproxy/limits/ByteAccount.java
@@ -1,88 +1,107 @@
 package cacheproxy.limits;
 
 /**
- * What one peer holds: bytes by what they are held for, and how often it was served. Opened by
- * {@link ByteAccounts}.
+ * The bytes that are reserved for one peer, by purpose, and the number of its completed requests.
+ * Opened by {@link ByteAccounts#open()}; used by the event loop's thread only.
  */
 public final class ByteAccount {
   /**
-   * So many bytes at most always have room. Guards receipts, refusals and short values, which cost
-   * next to nothing, against a shortage that long values have made. All clients' hands full of
-   * these pass the bounds by 16 KiB for each connection.
+   * Reservations of at most this many bytes always succeed, so that receipts, rejections and small
+   * values, which cost next to nothing, get through while large values fill the capacity. With 16
+   * pipelined requests each, all clients together exceed a bound by at most 16 KiB a connection.
    */
-  public static final int SHORT_BYTES = 1024;
+  public static final int ALWAYS_ADMITTED_BYTES = 1024;
 
-  private static final BufferPurpose[] KINDS = BufferPurpose.values();
+  private final ByteAccounts accounts;
 
-  private final ByteAccounts all;
-  private final long[] held = new long[KINDS.length];
-  private long served;
+  /** Indexed by the ordinal: this is on the request path, where an EnumMap would box each sum. */
+  private final long[] reservedBytes = new long[BufferPurpose.values().length];
+
+  private long completedRequests;
   private boolean closed;
 
-  ByteAccount(ByteAccounts all) {
-    this.all = all;
+  ByteAccount(ByteAccounts accounts) {
+    this.accounts = accounts;
   }
 
   /**
-   * Charges these bytes, or nothing: false if they are more than {@link #SHORT_BYTES} and would
-   * pass the bound on what all may hold of this kind. An account that is closed takes nothing.
+   * Reserves all of these bytes or none.
+   *
+   * @return false if the account is closed, or if more than {@link #ALWAYS_ADMITTED_BYTES} are
+   *     asked for and would exceed the bound on what all peers may hold for this purpose
    */
-  public boolean charge(BufferPurpose kind, int bytes) {
-    if (closed || bytes > SHORT_BYTES && !all.room(kind, bytes)) {
+  public boolean tryReserve(BufferPurpose purpose, int bytes) {
+    if (closed) {
+      return false;
+    }
+    if (bytes > ALWAYS_ADMITTED_BYTES && !accounts.hasCapacity(purpose, bytes)) {
       return false;
     }
-    add(kind, bytes);
+    add(purpose, bytes);
     return true;
   }
 
-  /** Gives back; IllegalStateException if more than is held, which would be somebody else's. */
-  public void release(BufferPurpose kind, long bytes) {
-    if (bytes > held[kind.ordinal()]) {
+  /**
+   * Returns reserved bytes.
+   *
+   * @throws IllegalStateException if more is returned than this account has reserved, which would
+   *     be another peer's
+   */
+  public void release(BufferPurpose purpose, long bytes) {
+    long reserved = reservedBytes[purpose.ordinal()];
+    if (bytes > reserved) {
       throw new IllegalStateException(
-          bytes + " bytes of " + kind + " given back, of " + held[kind.ordinal()]);
+          "released "
+              + bytes
+              + " bytes of "
+              + purpose
+              + ", but only "
+              + reserved
+              + " are reserved");
     }
-    add(kind, -bytes);
+    add(purpose, -bytes);
   }
 
   /**
-   * Makes what is held of this kind this much: of what has come already, whether or not there is
-   * room for it.
+   * Sets the reservation to this many bytes, whether or not there is capacity: for bytes that have
+   * been received already.
    */
-  public void set(BufferPurpose kind, long bytes) {
-    add(kind, bytes - held[kind.ordinal()]);
+  public void setReserved(BufferPurpose purpose, long bytes) {
+    add(purpose, bytes - reservedBytes[purpose.ordinal()]);
   }
 
-  private void add(BufferPurpose kind, long bytes) {
-    held[kind.ordinal()] += bytes;
-    all.add(kind, bytes);
+  private void add(BufferPurpose purpose, long bytes) {
+    reservedBytes[purpose.ordinal()] += bytes;
+    accounts.add(purpose, bytes);
   }
 
-  public long held(BufferPurpose kind) {
-    return held[kind.ordinal()];
+  /** Bytes reserved for this purpose. */
+  public long reservedBytes(BufferPurpose purpose) {
+    return reservedBytes[purpose.ordinal()];
   }
 
-  /** Bytes held of all kinds. */
-  public long held() {
-    long sum = 0;
-    for (long h : held) {
-      sum += h;
+  /** Bytes reserved for all purposes. */
+  public long totalReservedBytes() {
+    long total = 0;
+    for (long bytes : reservedBytes) {
+      total += bytes;
     }
-    return sum;
+    return total;
   }
 
-  /** One more of the peer's requests has been answered. */
-  public void answered() {
-    served++;
+  /** Records that one more request of the peer has been answered. */
+  public void requestCompleted() {
+    completedRequests++;
   }
 
   /** Requests answered since the account was opened. */
-  public long served() {
-    return served;
+  public long completedRequests() {
+    return completedRequests;
   }
 
   /**
-   * The peer has gone: nothing more is charged, and what is still held stays until it is given
-   * back.
+   * Ends the account of a peer that has disconnected. Later reservations fail; what is reserved
+   * stays so until it is released.
    */
   public void close() {
     closed = true;
--- a/src/main/java/cacheproxy/limits/ByteAccounts.java
+++ b/src/main/java/cacheproxy/limits/ByteAccounts.java
@@ -1,86 +1,101 @@
 package cacheproxy.limits;
 
-import java.util.EnumMap;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** All accounts with the sums of what they hold and the bounds on these sums. */
+/**
+ * All byte accounts: the sums that they reserve by purpose, and the bounds on these sums. Used by
+ * the event loop's thread only.
+ */
 public final class ByteAccounts {
-  private final long[] bounds = new long[BufferPurpose.values().length];
-  private final long[] sums = new long[bounds.length];
-  private final long[] most = new long[bounds.length];
+  private static final BufferPurpose[] PURPOSES = BufferPurpose.values();
+
+  // Indexed by the ordinal: these are on the request path, where an EnumMap would box each sum.
+  private final long[] maxBytes = new long[PURPOSES.length];
+  private final long[] reservedBytes = new long[PURPOSES.length];
+  private final long[] peakBytes = new long[PURPOSES.length];
 
   /**
-   * @param bounds the most that all together may hold, in bytes; a kind that is not named has no
-   *     bound
+   * Creates accounts with these bounds.
+   *
+   * @param bounds the most bytes that all peers together may reserve; a purpose without an entry
+   *     has no bound
+   * @throws IllegalArgumentException if a bound is not positive
    */
   public ByteAccounts(Map<BufferPurpose, Long> bounds) {
-    for (BufferPurpose h : BufferPurpose.values()) {
-      long bound = bounds.getOrDefault(h, Long.MAX_VALUE);
-      if (bound <= 0) {
-        throw new IllegalArgumentException(h + ": a bound of " + bound + " bytes");
-      }
-      this.bounds[h.ordinal()] = bound;
-    }
+    Arrays.fill(maxBytes, Long.MAX_VALUE);
+    bounds.forEach(
+        (purpose, bound) -> {
+          if (bound <= 0) {
+            throw new IllegalArgumentException(
+                "the bound of " + purpose + " must be positive, not " + bound + " bytes");
+          }
+          maxBytes[purpose.ordinal()] = bound;
+        });
   }
 
-  /** An account for a peer that has come. */
+  /** Opens the account of a peer that has connected. */
   public ByteAccount open() {
     return new ByteAccount(this);
   }
 
-  /** Whether so much more may be held. */
-  public boolean room(BufferPurpose kind, long bytes) {
-    return sums[kind.ordinal()] + bytes <= bounds[kind.ordinal()];
+  /** Whether this many more bytes may be reserved for this purpose. */
+  public boolean hasCapacity(BufferPurpose purpose, long bytes) {
+    return reservedBytes[purpose.ordinal()] + bytes <= maxBytes[purpose.ordinal()];
   }
 
-  void add(BufferPurpose kind, long bytes) {
-    int i = kind.ordinal();
-    sums[i] += bytes;
-    most[i] = Math.max(most[i], sums[i]);
+  void add(BufferPurpose purpose, long bytes) {
+    int i = purpose.ordinal();
+    reservedBytes[i] += bytes;
+    peakBytes[i] = Math.max(peakBytes[i], reservedBytes[i]);
   }
 
-  public long held(BufferPurpose kind) {
-    return sums[kind.ordinal()];
+  /** Bytes that all accounts have reserved for this purpose. */
+  public long reservedBytes(BufferPurpose purpose) {
+    return reservedBytes[purpose.ordinal()];
   }
 
-  /** The most that was held at one time, in bytes. */
-  public long most(BufferPurpose kind) {
-    return most[kind.ordinal()];
+  /** The most bytes that were reserved for this purpose at one time. */
+  public long peakBytes(BufferPurpose purpose) {
+    return peakBytes[purpose.ordinal()];
   }
 
-  public long bound(BufferPurpose kind) {
-    return bounds[kind.ordinal()];
+  /** The bound for this purpose in bytes; {@code Long.MAX_VALUE}: none. */
+  public long maxBytes(BufferPurpose purpose) {
+    return maxBytes[purpose.ordinal()];
   }
 
   /**
-   * The fullest kind's part of its bound, from 0; over 1 where what had come already was charged.
-   * Without what is being passed on: that fills its room on purpose, and its servers wait for it.
+   * The highest utilization of a bounded purpose, from 0; above 1 where bytes that had been
+   * received already exceed the bound. Streaming is left out: it fills its capacity on purpose, and
+   * its upstream servers wait for it.
    */
-  public double share() {
-    double share = 0;
-    for (int i = 0; i < sums.length; i++) {
-      if (bounds[i] != Long.MAX_VALUE && i != BufferPurpose.PASSING.ordinal()) {
-        share = Math.max(share, (double) sums[i] / bounds[i]);
+  public double utilization() {
+    double highest = 0;
+    for (int i = 0; i < PURPOSES.length; i++) {
+      if (maxBytes[i] != Long.MAX_VALUE && i != BufferPurpose.STREAMING.ordinal()) {
+        highest = Math.max(highest, (double) reservedBytes[i] / maxBytes[i]);
       }
     }
-    return share;
+    return highest;
   }
 
-  /** What is held, by kind, for the log. */
-  public Map<BufferPurpose, Long> sums() {
-    return byKind(sums);
+  /** The reserved bytes by {@link BufferPurpose#logName()}, for the log. */
+  public Map<String, Long> reservedByLogName() {
+    return byLogName(reservedBytes);
   }
 
-  /** The most that was held of each kind, not at the same time. */
-  public Map<BufferPurpose, Long> mosts() {
-    return byKind(most);
+  /** The peaks, which need not be of the same time, by {@link BufferPurpose#logName()}. */
+  public Map<String, Long> peaksByLogName() {
+    return byLogName(peakBytes);
   }
 
-  private static Map<BufferPurpose, Long> byKind(long[] bytes) {
-    Map<BufferPurpose, Long> all = new EnumMap<>(BufferPurpose.class);
-    for (BufferPurpose h : BufferPurpose.values()) {
-      all.put(h, bytes[h.ordinal()]);
+  private static Map<String, Long> byLogName(long[] bytes) {
+    Map<String, Long> named = new LinkedHashMap<>();
+    for (BufferPurpose purpose : PURPOSES) {
+      named.put(purpose.logName(), bytes[purpose.ordinal()]);
     }
-    return all;
+    return named;
   }
 }
--- a/src/main/java/cacheproxy/limits/DisconnectCounters.java
+++ b/src/main/java/cacheproxy/limits/DisconnectCounters.java
@@ -1,34 +1,41 @@
 package cacheproxy.limits;
 
 /**
- * Who was cut off and why, counted since the start; {@link #news} says what has come since it was
- * last asked.
+ * Counts disconnected or delayed peers by reason since the start. Used by the event loop's thread
+ * only.
  */
 public final class DisconnectCounters {
-  private final long[] counts = new long[DisconnectReason.values().length];
-  private final long[] told = new long[counts.length];
+  private static final DisconnectReason[] REASONS = DisconnectReason.values();
 
-  public void count(DisconnectReason why) {
-    counts[why.ordinal()]++;
+  // Indexed by the ordinal: requests count here as well, and an EnumMap would box each count.
+  private final long[] counts = new long[REASONS.length];
+  private final long[] reportedCounts = new long[REASONS.length];
+
+  /** Counts one more for this reason. */
+  public void increment(DisconnectReason reason) {
+    counts[reason.ordinal()]++;
   }
 
-  public long of(DisconnectReason why) {
-    return counts[why.ordinal()];
+  /** How many were counted for this reason since the start. */
+  public long count(DisconnectReason reason) {
+    return counts[reason.ordinal()];
   }
 
-  /** What was counted since the last call, as {@code idle 3, silent 12}; empty: nothing. */
-  public String news() {
-    StringBuilder text = new StringBuilder();
-    for (DisconnectReason c : DisconnectReason.values()) {
-      long more = counts[c.ordinal()] - told[c.ordinal()];
-      told[c.ordinal()] = counts[c.ordinal()];
-      if (more > 0) {
-        text.append(text.length() == 0 ? "" : ", ")
-            .append(c.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '))
-            .append(' ')
-            .append(more);
+  /**
+   * Reports what was counted since the last call, as {@code idle 3, silent 12}; an empty string if
+   * nothing was.
+   */
+  public String reportNew() {
+    StringBuilder report = new StringBuilder();
+    for (DisconnectReason reason : REASONS) {
+      int i = reason.ordinal();
+      long added = counts[i] - reportedCounts[i];
+      reportedCounts[i] = counts[i];
+      if (added > 0) {
+        report.append(report.length() == 0 ? "" : ", ");
+        report.append(reason.logName()).append(' ').append(added);
       }
     }
-    return text.toString();
+    return report.toString();
   }
 }
--- a/src/main/java/cacheproxy/limits/DisconnectReason.java
+++ b/src/main/java/cacheproxy/limits/DisconnectReason.java
@@ -1,26 +1,37 @@
 package cacheproxy.limits;
 
-/** Why a peer was cut off or made to wait. */
+/** Why a peer was disconnected, delayed or denied memory. */
 public enum DisconnectReason {
-  /** It stood idle, and newcomers need the room. */
-  IDLE,
-  /** It never asked anything usable, and places were short. */
-  USELESS,
-  /** It connected and said nothing for too long. */
-  SILENT,
-  /** Its command came in below the least rate. */
-  SLOW_WRITER,
-  /** It took its answers below the least rate. */
-  SLOW_READER,
+  /** The connection was idle, and new clients need its slot. */
+  IDLE("idle"),
+  /** It never sent a valid request, and connection slots were short. */
+  NO_VALID_REQUEST("useless"),
+  /** It connected and sent nothing for too long. */
+  SILENT("silent"),
+  /** Its command arrived below the minimum rate. */
+  SLOW_WRITER("slow writer"),
+  /** It read its responses below the minimum rate. */
+  SLOW_READER("slow reader"),
   /**
-   * It was behind, and held the most for the least served when memory was short, or a place when
-   * none was free.
+   * It was behind its minimum rate, and exceeded its fair share by the most when memory was short;
+   * or it was the furthest behind when no connection slot was free.
    */
-  HOARDER,
-  /** Its answer was refused, as memory had no room for it and all others kept up. */
-  NO_ROOM,
-  /** A server's answer came below the least rate. */
-  SLOW_NODE,
-  /** Its address was turned away again and again: it is read later. */
-  HELD_OFF
+  UNFAIR_SHARE("hoarder"),
+  /** There was no memory for its value or response, and all other clients kept up. */
+  NO_CAPACITY("no room"),
+  /** An upstream server's response arrived below the minimum rate. */
+  SLOW_NODE("slow node"),
+  /** Its address was rejected repeatedly, so the connection is read later. */
+  BACKED_OFF("held off");
+
+  private final String logName;
+
+  DisconnectReason(String logName) {
+    this.logName = logName;
+  }
+
+  /** The name in the log line {@code cut off:}; documented in docs/limits.md and kept stable. */
+  public String logName() {
+    return logName;
+  }
 }
--- a/src/main/java/cacheproxy/limits/FairShare.java
+++ b/src/main/java/cacheproxy/limits/FairShare.java
@@ -3,41 +3,47 @@
 import java.util.Collection;
 
 /**
- * Whose room is taken when memory is short: of the peers that are behind their least rate the one
- * that holds the most for the longest against the least that it was served. Peers that keep up are
- * never chosen, however much they hold; where only these are left, new work is refused instead.
+ * Chooses which peer is disconnected when memory is short: of the peers that are behind their
+ * minimum rate the one with the most reserved bytes times the longest deficit, divided by its
+ * completed requests. Peers that keep up are never chosen, however much they have reserved; if only
+ * these are left, new work is rejected instead.
  */
 public final class FairShare {
+  /**
+   * A peer with a deficit of at most this keeps up: it may just not have had its turn. The loop
+   * comes to each socket many times within it, unless the machine itself is paused.
+   */
+  static final double TOLERATED_DEFICIT_MS = 100;
+
   private FairShare() {}
 
-  /** A peer as this rule sees it. */
+  /** A peer that may be disconnected. */
   public interface Holder {
+    /** The bytes reserved for the peer. */
     ByteAccount account();
 
-    /** How far it is behind in taking or giving what is owed, in milliseconds; 0: it keeps up. */
-    double behindMs(double nowMs);
+    /** How far it is behind its minimum rate, in milliseconds; 0: it keeps up. */
+    double deficitMs(double nowMs);
   }
 
   /**
-   * A peer that is no further behind than this keeps up: it may just not have had its turn. The
-   * loop comes to each socket many times within it, unless the machine itself stands still.
+   * Returns the peer to disconnect; null if all keep up (no Optional: it runs for each request).
    */
-  static final double KEEPS_UP_MS = 100;
-
-  /** The peer to give way; null: nobody but such as keep up. */
-  public static <H extends Holder> H next(double nowMs, Collection<H> holders) {
-    H next = null;
-    double worst = 0;
-    for (H h : holders) {
-      double behind = h.behindMs(nowMs);
-      if (behind > KEEPS_UP_MS) {
-        double weight = h.account().held() * behind / (1 + h.account().served());
-        if (weight > worst) {
-          worst = weight;
-          next = h;
-        }
+  public static <H extends Holder> H selectVictim(double nowMs, Collection<H> holders) {
+    H victim = null;
+    double highestScore = 0;
+    for (H holder : holders) {
+      double deficitMs = holder.deficitMs(nowMs);
+      if (deficitMs <= TOLERATED_DEFICIT_MS) {
+        continue;
+      }
+      ByteAccount account = holder.account();
+      double score = account.totalReservedBytes() * deficitMs / (1 + account.completedRequests());
+      if (score > highestScore) {
+        highestScore = score;
+        victim = holder;
       }
     }
-    return next;
+    return victim;
   }
 }
--- a/src/main/java/cacheproxy/limits/LoopLag.java
+++ b/src/main/java/cacheproxy/limits/LoopLag.java
@@ -1,55 +1,33 @@
 package cacheproxy.limits;
 
 /**
- * How late the event loop comes to what is due: the most of the last second, from a tick that is
- * asked for at a fixed distance. One late tick counts for a second and not longer; a loop that is
- * late all the time stays so.
+ * How late the event loop runs its timers: the greatest lateness within the last second, measured
+ * by a periodic tick. One late tick counts for a second and not longer. Used by the event loop's
+ * thread only.
  */
 public final class LoopLag {
   /**
-   * A tick this late takes the whole of the loop's room: what waits by then has waited in every
+   * A tick this late counts as full utilization: a request that waits by then has waited in every
    * queue as well.
    */
-  static final double FULL_MS = 250;
+  static final double FULL_LAG_MS = 250;
 
-  private static final int SLOTS = 10;
-  private static final double SLOT_MS = 100;
+  private static final double WINDOW_MS = 1000;
 
-  private final double[] slots = new double[SLOTS];
-  private long at;
+  private final SlidingWindow latenessMs = new SlidingWindow(WINDOW_MS);
 
-  /** A tick that was due then has run now. */
-  public void ticked(double dueMs, double nowMs) {
-    move(nowMs);
-    double late = Math.max(0, nowMs - dueMs);
-    int i = (int) (at % SLOTS);
-    slots[i] = Math.max(slots[i], late);
+  /** Records that a tick that was due at {@code dueMs} has run now. */
+  public void recordTick(double dueMs, double nowMs) {
+    latenessMs.raiseTo(nowMs, Math.max(0, nowMs - dueMs));
   }
 
   /** The greatest lateness within the last second, in milliseconds. */
-  public double lateMs(double nowMs) {
-    move(nowMs);
-    double late = 0;
-    for (double s : slots) {
-      late = Math.max(late, s);
-    }
-    return late;
+  public double maxLatenessMs(double nowMs) {
+    return latenessMs.max(nowMs);
   }
 
-  /** The part of the loop's room that is taken. */
-  public double share(double nowMs) {
-    return lateMs(nowMs) / FULL_MS;
-  }
-
-  private void move(double nowMs) {
-    long slot = (long) Math.floor(nowMs / SLOT_MS);
-    if (slot - at >= SLOTS) {
-      java.util.Arrays.fill(slots, 0);
-      at = slot;
-    }
-    while (at < slot) {
-      at++;
-      slots[(int) (at % SLOTS)] = 0;
-    }
+  /** The lateness as a part of {@link #FULL_LAG_MS}, from 0; above 1 where it is later. */
+  public double utilization(double nowMs) {
+    return maxLatenessMs(nowMs) / FULL_LAG_MS;
   }
 }
--- a/src/main/java/cacheproxy/limits/MinimumRate.java
+++ b/src/main/java/cacheproxy/limits/MinimumRate.java
@@ -1,15 +1,21 @@
 package cacheproxy.limits;
 
 /**
- * The slowest that a peer may be while it owes bytes or is owed some.
+ * The minimum rate at which a peer must send or receive bytes while a transfer is open.
  *
- * @param bytesPerS bytes a second, more than 0
- * @param graceMs how far behind that rate it may fall, in milliseconds, 0 or more
+ * @param bytesPerSecond bytes a second, more than 0
+ * @param graceMs how far the peer may fall behind that rate, in milliseconds, 0 or more
  */
-public record MinimumRate(double bytesPerS, double graceMs) {
+public record MinimumRate(double bytesPerSecond, double graceMs) {
+  /**
+   * Checks the bounds.
+   *
+   * @throws IllegalArgumentException if the rate is not positive or the grace is negative
+   */
   public MinimumRate {
-    if (!(bytesPerS > 0) || !(graceMs >= 0)) {
-      throw new IllegalArgumentException(bytesPerS + " bytes a second after " + graceMs + " ms");
+    if (!(bytesPerSecond > 0) || !(graceMs >= 0)) {
+      throw new IllegalArgumentException(
+          bytesPerSecond + " bytes per second with a grace of " + graceMs + " ms");
     }
   }
 }
--- a/src/main/java/cacheproxy/limits/StreamingWindow.java
+++ b/src/main/java/cacheproxy/limits/StreamingWindow.java
@@ -1,43 +1,45 @@
 package cacheproxy.limits;
 
 /**
- * How much of a long value may wait for its client before no more of it is read from its server.
- * The rest stays with the server and in the system's buffers: more long values pass at once than
- * memory holds.
+ * Flow control of streamed values: how many bytes of a large value may wait for its client before
+ * the upstream connection is no longer read. The rest stays with the upstream server and in the
+ * system's buffers, so that more large values can be streamed at once than fit into memory.
  */
 public final class StreamingWindow {
   /**
-   * What each may have in hand. Guards speed: with less, server and client take turns. Costs this
-   * for each.
+   * The window of each value. A smaller one would make server and client take turns; this one costs
+   * its size for each value under way.
    */
-  public static final int LEAST_BYTES = 64 << 10;
+  public static final int MIN_WINDOW_BYTES = 64 << 10;
 
   /**
-   * What one may have in hand while others wait behind it on its connection. Guards these, which a
-   * slow client of the first would hold up; only while less than half of the room is taken.
+   * The window while other requests wait behind the value on its upstream connection, so that a
+   * slow client does not hold them up; only while less than half of the capacity is used.
    */
-  public static final int MOST_BYTES = 1 << 20;
+  public static final int MAX_WINDOW_BYTES = 1 << 20;
 
-  /** From this part of the room on, each has in hand only what came in one read. */
-  static final double TIGHT_SHARE = 0.75;
+  /** From this utilization on, each value has only what arrived in one read. */
+  static final double NO_WINDOW_FROM = 0.75;
 
   private StreamingWindow() {}
 
   /**
-   * Whether to read on.
+   * Whether to read more of a value.
    *
-   * @param pending bytes of this value that its client has not taken yet
-   * @param behind requests that wait behind it on the server's connection
-   * @param held bytes that all long values hold
-   * @param bound the most that they may
+   * @param pendingBytes bytes of this value that its client has not read yet
+   * @param requestsBehind requests that wait behind it on the upstream connection
+   * @param reservedBytes bytes reserved for all streamed values
+   * @param maxBytes the bound on {@code reservedBytes}
    */
-  public static boolean reads(long pending, int behind, long held, long bound) {
-    if (pending == 0) {
-      return true; // whatever others hold, each goes on
+  public static boolean shouldRead(
+      long pendingBytes, int requestsBehind, long reservedBytes, long maxBytes) {
+    if (pendingBytes == 0) {
+      return true; // each value progresses, whatever others have reserved
     }
-    if (held >= bound * TIGHT_SHARE) {
+    if (reservedBytes >= maxBytes * NO_WINDOW_FROM) {
       return false;
     }
-    return pending < (behind > 0 && held < bound / 2 ? MOST_BYTES : LEAST_BYTES);
+    boolean wide = requestsBehind > 0 && reservedBytes < maxBytes / 2;
+    return pendingBytes < (wide ? MAX_WINDOW_BYTES : MIN_WINDOW_BYTES);
   }
 }
--- a/src/main/java/cacheproxy/limits/WarmUpBudget.java
+++ b/src/main/java/cacheproxy/limits/WarmUpBudget.java
@@ -1,69 +1,75 @@
 package cacheproxy.limits;
 
 /**
- * How long a start may take to get warm, by who is kept waiting. Where others of the tier serve,
- * they carry this one's clients as well until it is back, so it takes the first part of the gain
- * and goes; where nobody serves, as when all start together, a start that is not warm is the
- * greater harm. Times in milliseconds, on any one clock.
+ * The time budget of a warm-up, by who serves meanwhile. While other proxies of the tier serve,
+ * they carry this one's clients, so the warm-up is short; while none serves, as when all start
+ * together, a cold start does more harm than a long one. Times are in milliseconds on any one
+ * clock. Used by the event loop's thread only.
  */
 public final class WarmUpBudget {
-  /**
-   * Guards a tier in which one is away. Harm: what is not settled by then settles while it serves.
-   */
-  static final double AMID_OTHERS_MS = 900;
+  /** While a peer serves. Whatever is not compiled by then is compiled while serving. */
+  static final double PEER_SERVES_MS = 900;
 
-  /** Where there is nobody to ask. Guards a lone proxy's clients, who wait for as long. */
-  static final double ALONE_MS = 1800;
+  /** Without peers. The clients of a lone proxy wait for as long. */
+  static final double NO_PEERS_MS = 1800;
 
-  /**
-   * Where others were asked and none has answered. Harm: with all answers lost, a restart takes
-   * this long.
-   */
-  static final double TOGETHER_MS = 4000;
+  /** While no peer has answered. If all answers are lost, a restart takes this long. */
+  static final double NO_PEER_ANSWERS_MS = 4000;
 
   /**
-   * Who serves is asked again after this, as datagrams get lost; an answer takes up to two ways of
-   * 30 ms.
+   * Peers are polled again after this long, as datagrams get lost; an answer takes up to two ways
+   * of 30 ms.
    */
-  public static final long ASK_AGAIN_MS = 150;
+  public static final long POLL_INTERVAL_MS = 150;
 
-  private static final int ASKED_TIMES = 3;
+  private static final int MAX_POLLS = 3;
 
   private final double startMs;
-  private double spanMs;
-  private int asksLeft;
+  private double budgetMs;
+  private int pollsLeft;
 
   /**
-   * @param peers whether there is anybody to ask
+   * Starts the budget.
+   *
+   * @param hasPeers whether there are peers to poll
    */
-  public WarmUpBudget(double nowMs, boolean peers) {
+  public WarmUpBudget(double nowMs, boolean hasPeers) {
     startMs = nowMs;
-    spanMs = peers ? TOGETHER_MS : ALONE_MS;
-    asksLeft = peers ? ASKED_TIMES : 0;
+    budgetMs = hasPeers ? NO_PEER_ANSWERS_MS : NO_PEERS_MS;
+    pollsLeft = hasPeers ? MAX_POLLS : 0;
   }
 
   /**
-   * One that serves the same clients at the same addresses runs beside this one and goes only once
-   * this is ready.
+   * Sets the budget while a predecessor process serves the same clients at the same addresses and
+   * leaves only when this one is ready.
+   *
+   * @param predecessorBudgetMs the whole budget, in milliseconds since the start
    */
-  public void predecessor(double lastsMs) {
-    spanMs = lastsMs;
-    asksLeft = 0;
+  public void predecessorServes(double predecessorBudgetMs) {
+    budgetMs = predecessorBudgetMs;
+    pollsLeft = 0;
   }
 
-  /** Whether to ask now who serves; true so many times only, and not once one is known to. */
-  public boolean asks() {
-    return asksLeft-- > 0;
+  /**
+   * Takes one of the polls of the peers: true if they are to be polled now, which ends after a
+   * fixed number of polls and once a peer is known to serve.
+   */
+  public boolean takePoll() {
+    if (pollsLeft == 0) {
+      return false;
+    }
+    pollsLeft--;
+    return true;
   }
 
-  /** One of the others has said that it serves. */
-  public void oneServes() {
-    spanMs = Math.min(spanMs, AMID_OTHERS_MS);
-    asksLeft = 0;
+  /** Records that a peer has answered that it serves. */
+  public void peerServes() {
+    budgetMs = Math.min(budgetMs, PEER_SERVES_MS);
+    pollsLeft = 0;
   }
 
-  /** How long the start may still take; 0: it ends, warm or not. */
-  public double leftMs(double nowMs) {
-    return Math.max(0, startMs + spanMs - nowMs);
+  /** The rest of the budget in milliseconds; 0: the warm-up ends, converged or not. */
+  public double remainingMs(double nowMs) {
+    return Math.max(0, startMs + budgetMs - nowMs);
   }
 }
--- a/src/main/java/cacheproxy/limits/WarmUpConvergence.java
+++ b/src/main/java/cacheproxy/limits/WarmUpConvergence.java
@@ -1,85 +1,101 @@
 package cacheproxy.limits;
 
+import java.util.OptionalDouble;
+
 /**
- * Whether a start is warm, told by what a request costs and not by a span: a batch of requests
- * whose cheapest part is hardly cheaper than what was had before has nothing left to gain. The
- * cheapest of several equal parts stands for the batch, as a processor that is shared takes pauses
- * of its own, which lie in some parts and not in all.
+ * Detects that warm-up requests have stopped getting cheaper. Requests are grouped into batches of
+ * equal parts; a batch is represented by its cheapest part, because pauses of a shared processor
+ * lie in some parts and not in all. The warm-up has converged when several batches in a row gain
+ * little on the best one. Used by the event loop's thread only.
  */
 public final class WarmUpConvergence {
-  /** A batch that gains less than this on the best so far counts as settled. */
-  static final double GAIN = 0.10;
+  /** A batch that is cheaper than the best so far by less than this part counts as stable. */
+  static final double MIN_GAIN = 0.10;
 
   /**
-   * A batch that is this many times as dear as the best so far tells of the processor's pauses, one
-   * in each of its parts, and nothing of the code. Harm: where that goes on, only the cap ends the
-   * start.
+   * A batch that costs more than this many times the best so far had a pause of the processor in
+   * each part and is ignored. Where that goes on, only the time budget ends the warm-up.
    */
-  static final double DEAR = 1.5;
+  static final double MAX_COST_RATIO = 1.5;
 
   /**
-   * So many settled batches in a row are asked for: one can be the compiler's turn with the
-   * processor.
+   * Stable batches in a row that are needed: one alone may be the compiler's use of the processor.
    */
-  static final int CALM_BATCHES = 2;
+  static final int STABLE_BATCHES = 2;
 
-  private final int batch;
-  private final int part;
-  private final int least;
-  private int done;
+  private final int batchRequests;
+  private final int partRequests;
+  private final int minRequests;
+  private int requests;
   private double partNanos;
-  private double cheapestPart = Double.MAX_VALUE;
-  private double best = Double.MAX_VALUE;
-  private int calm;
+  private double cheapestPartNanos = Double.MAX_VALUE;
+  private double bestPartNanos = Double.MAX_VALUE;
+  private int stableBatches;
 
   /**
-   * @param batch requests that are compared with those before
-   * @param part requests that are summed up, so that all kinds of them are in each sum; divides
-   *     {@code batch}
-   * @param least requests without which nothing counts as settled: what has run less often is not
-   *     compiled
+   * Creates a detector.
+   *
+   * @param batchRequests requests of a batch, a multiple of {@code partRequests}
+   * @param partRequests requests whose cost is summed up, enough for each kind of request to be in
+   *     each sum
+   * @param minRequests requests before which it does not converge: code that has run less often is
+   *     not compiled
+   * @throws IllegalArgumentException if the sizes do not fit each other
    */
-  public WarmUpConvergence(int batch, int part, int least) {
-    if (part < 1 || batch < part || batch % part != 0 || least < 0) {
+  public WarmUpConvergence(int batchRequests, int partRequests, int minRequests) {
+    if (partRequests < 1
+        || batchRequests < partRequests
+        || batchRequests % partRequests != 0
+        || minRequests < 0) {
       throw new IllegalArgumentException(
-          "parts of " + part + " in batches of " + batch + ", least " + least);
+          "batches of "
+              + batchRequests
+              + " in parts of "
+              + partRequests
+              + ", at least "
+              + minRequests);
     }
-    this.batch = batch;
-    this.part = part;
-    this.least = least;
+    this.batchRequests = batchRequests;
+    this.partRequests = partRequests;
+    this.minRequests = minRequests;
   }
 
-  /** One more request has been served and took this long, in nanoseconds of the loop's time. */
-  public void served(double nanos) {
-    done++;
+  /** Records one more request that took this many nanoseconds of the loop's time. */
+  public void recordRequest(double nanos) {
+    requests++;
     partNanos += nanos;
-    if (done % part == 0) {
-      cheapestPart = Math.min(cheapestPart, partNanos);
+    if (requests % partRequests == 0) {
+      cheapestPartNanos = Math.min(cheapestPartNanos, partNanos);
       partNanos = 0;
     }
-    if (done % batch == 0) {
-      if (cheapestPart <= best * DEAR) {
-        calm = cheapestPart > best * (1 - GAIN) ? calm + 1 : 0;
-      }
-      best = Math.min(best, cheapestPart);
-      cheapestPart = Double.MAX_VALUE;
+    if (requests % batchRequests == 0) {
+      endBatch();
     }
   }
 
-  /** How many requests have been served. */
-  public int served() {
-    return done;
+  private void endBatch() {
+    if (cheapestPartNanos <= bestPartNanos * MAX_COST_RATIO) {
+      boolean stable = cheapestPartNanos > bestPartNanos * (1 - MIN_GAIN);
+      stableBatches = stable ? stableBatches + 1 : 0;
+    }
+    bestPartNanos = Math.min(bestPartNanos, cheapestPartNanos);
+    cheapestPartNanos = Double.MAX_VALUE;
   }
 
-  /**
-   * Nanoseconds a request in the cheapest part so far; not a number before the first batch has
-   * ended.
-   */
-  public double bestNanos() {
-    return best == Double.MAX_VALUE ? Double.NaN : best / part;
+  /** How many requests have been recorded. */
+  public int requests() {
+    return requests;
+  }
+
+  /** Nanoseconds a request in the cheapest part so far; empty before the first batch has ended. */
+  public OptionalDouble bestNanosPerRequest() {
+    return bestPartNanos == Double.MAX_VALUE
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(bestPartNanos / partRequests);
   }
 
-  public boolean settled() {
-    return done >= least && calm >= CALM_BATCHES;
+  /** Whether the cost of a request has stopped falling. */
+  public boolean hasConverged() {
+    return requests >= minRequests && stableBatches >= STABLE_BATCHES;
   }
 }
--- a/src/main/java/cacheproxy/limits/package-info.java
+++ b/src/main/java/cacheproxy/limits/package-info.java
@@ -1,6 +1,7 @@
 /**
- * Who may hold how much, and who has to go when there is not enough: bounds, rates and their order,
- * as rules in virtual time without I/O, threads or a clock. {@code proxy} carries out what they
- * decide.
+ * Rules for bounded resources: memory by purpose, connection slots, minimum transfer rates, backoff
+ * and warm-up, without I/O, threads or a clock of their own. The state belongs to the objects that
+ * {@code cacheproxy.proxy} creates, which calls them on its one event loop thread and carries out
+ * what they decide.
  */
 package cacheproxy.limits;
--- a/src/main/java/cacheproxy/proxy/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/CacheCodec.java
@@ -186,10 +186,10 @@
   private void begin(ByteBuf in, int length, String id) throws MetaCodec.SyntaxException {
     String head = MetaCodec.valueHead(length, id);
     int whole = head.length() + length + 2;
-    if (!connection.account().charge(BufferPurpose.READING, whole)) {
+    if (!connection.account().tryReserve(BufferPurpose.UPSTREAM_RESPONSE, whole)) {
       skipping = length + 2;
       skipped = Outcome.ERROR;
-      dispatcher.cuts().count(DisconnectReason.NO_ROOM);
+      dispatcher.cuts().increment(DisconnectReason.NO_CAPACITY);
       return;
     }
     answer = in.alloc().buffer(whole, whole);
@@ -259,7 +259,7 @@
   private void drop() {
     passage = null;
     if (answer != null) {
-      connection.account().release(BufferPurpose.READING, answer.capacity());
+      connection.account().release(BufferPurpose.UPSTREAM_RESPONSE, answer.capacity());
       answer.release();
       answer = null;
     }
@@ -295,7 +295,7 @@
     } else {
       super.channelReadComplete(ctx);
     }
-    connection.account().set(BufferPurpose.INPUT, internalBuffer().capacity());
+    connection.account().setReserved(BufferPurpose.INPUT, internalBuffer().capacity());
     connection.readSome();
   }
 
@@ -303,7 +303,7 @@
   public void channelInactive(ChannelHandlerContext ctx) throws Exception {
     super.channelInactive(ctx);
     drop();
-    connection.account().set(BufferPurpose.INPUT, 0);
+    connection.account().setReserved(BufferPurpose.INPUT, 0);
     connection.closed();
   }
 
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -6,7 +6,7 @@
 import cacheproxy.limits.ConnectionAdmissionPolicy;
 import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.FairShare;
-import cacheproxy.limits.Pace;
+import cacheproxy.limits.MinimumRateMonitor;
 import cacheproxy.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -26,7 +26,7 @@
  * in the commands' order, each once. Closes only between requests.
  */
 final class ClientConnection extends ByteToMessageDecoder
-    implements ConnectionAdmissionPolicy.Guest, FairShare.Holder {
+    implements ConnectionAdmissionPolicy.EvictionCandidate, FairShare.Holder {
   /** Where the connection has its place; told what it does there. */
   interface House {
     /** It has asked for the first time. */
@@ -103,9 +103,9 @@
   private final ByteAccount account;
 
   /** Of a command that has begun, and of answers that the client is to take. */
-  private final Pace writing;
+  private final MinimumRateMonitor writing;
 
-  private final Pace taking;
+  private final MinimumRateMonitor taking;
   private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
 
@@ -161,8 +161,8 @@
     this.house = house;
     account = dispatcher.accounts().open();
     lot = dispatcher.lot();
-    writing = new Pace(dispatcher.limits().clientWrite());
-    taking = new Pace(dispatcher.limits().clientRead());
+    writing = new MinimumRateMonitor(dispatcher.limits().clientWriteRate());
+    taking = new MinimumRateMonitor(dispatcher.limits().clientReadRate());
   }
 
   @Override
@@ -185,9 +185,9 @@
   }
 
   @Override
-  public double behindMs(double now) {
+  public double deficitMs(double now) {
     seeTaken(now);
-    return Math.max(writing.behindMs(now), taking.behindMs(now));
+    return Math.max(writing.deficitMs(now), taking.deficitMs(now));
   }
 
   /** Nothing is read from it for this time. */
@@ -250,8 +250,8 @@
     looking = true;
     readSomething = true;
     boolean room =
-        dispatcher.accounts().held(BufferPurpose.INPUT)
-            < LOOK_SHARE * dispatcher.limits().valueBytes();
+        dispatcher.accounts().reservedBytes(BufferPurpose.INPUT)
+            < LOOK_SHARE * dispatcher.limits().requestValueBytes();
     int most = room ? LOOK_BYTES : SHORT_LOOK_BYTES;
     for (int i = 0;
         i < LOOKS && readSomething && nio.isActive() && actualReadableBytes() < most;
@@ -272,18 +272,18 @@
   }
 
   @Override
-  public boolean busy() {
+  public boolean isBusy() {
     return !idle();
   }
 
   @Override
-  public double gapMs() {
+  public double longestGapMs() {
     return gapMs;
   }
 
   @Override
-  public long answered() {
-    return account.served();
+  public long completedRequests() {
+    return account.completedRequests();
   }
 
   /**
@@ -291,15 +291,15 @@
    * room.
    */
   @Override
-  public boolean useless() {
+  public boolean isUnproductive() {
     return penalised
         || heldOff
         || finished
-        || answered() == 0 && exchanges.isEmpty() && owedBytes == 0;
+        || completedRequests() == 0 && exchanges.isEmpty() && owedBytes == 0;
   }
 
   @Override
-  public double sinceMs() {
+  public double inactiveSinceMs() {
     return activeMs;
   }
 
@@ -309,17 +309,20 @@
    */
   DisconnectReason stalled(double now, double patience) {
     seeTaken(now);
-    if (taking.tooSlow(now, patience)) {
+    if (taking.isTooSlow(now, patience)) {
       return DisconnectReason.SLOW_READER;
     }
     if (penalised || heldOff) {
       return null; // it is we who do not read
     }
-    if (writing.tooSlow(now, patience)) {
+    if (writing.isTooSlow(now, patience)) {
       return DisconnectReason.SLOW_WRITER;
     }
     boolean silent =
-        answered() == 0 && exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        completedRequests() == 0
+            && exchanges.isEmpty()
+            && incoming == null
+            && actualReadableBytes() == 0;
     return silent && !finished && now - bornMs > dispatcher.limits().silentMs() * patience
         ? DisconnectReason.SILENT
         : null;
@@ -332,7 +335,7 @@
     ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
     long taken = takenWhole + (buffer == null ? 0 : buffer.currentProgress());
     if (taken > takenSeen) {
-      taking.moved(now, taken - takenSeen);
+      taking.transferred(now, taken - takenSeen);
       takenSeen = taken;
     }
   }
@@ -381,7 +384,8 @@
     int most = takenWhole > 0 ? MAX_PIPELINED : Math.min(MAX_PIPELINED, house.unproven());
     return exchanges.size() < most
         && ctx.channel().isWritable()
-        && account.held(BufferPurpose.ANSWER) < dispatcher.limits().clientAnswerBytes();
+        && account.reservedBytes(BufferPurpose.CLIENT_RESPONSE)
+            < dispatcher.limits().responseBytesPerClient();
   }
 
   /** Counts lines only up to a value, which may hold anything. */
@@ -431,7 +435,9 @@
               ? bad
               : away != null
                   ? away
-                  : account.charge(BufferPurpose.VALUE, missing) ? null : MetaCodec.BUSY;
+                  : account.tryReserve(BufferPurpose.REQUEST_VALUE, missing)
+                      ? null
+                      : MetaCodec.BUSY;
       refusalWithinMs = owedWithinMs(command, bad);
       if (refusal == null) {
         incoming.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
@@ -505,7 +511,7 @@
 
   /** The value that its request does not need any more. */
   void giveBackValue(Command command) {
-    account.release(BufferPurpose.VALUE, command.value.maxCapacity());
+    account.release(BufferPurpose.REQUEST_VALUE, command.value.maxCapacity());
     command.release();
   }
 
@@ -524,7 +530,7 @@
    */
   private void turnAway(String line) {
     hasAsked();
-    account.answered();
+    account.requestCompleted();
     house.served(this);
     say(line);
   }
@@ -580,12 +586,12 @@
     }
     if (finished) {
       exchange.answer.release(); // it was this client that had to make room
-      account.release(BufferPurpose.ANSWER, exchange.held);
+      account.release(BufferPurpose.CLIENT_RESPONSE, exchange.held);
       exchange.answer = null;
       return;
     }
     if (exchange.command != null) {
-      account.answered();
+      account.requestCompleted();
       house.served(this);
     }
     flushAnswers();
@@ -598,19 +604,19 @@
    */
   private ByteBuf charged(Exchange exchange, ByteBuf answer) {
     exchange.held = answer.capacity();
-    if (account.charge(BufferPurpose.ANSWER, exchange.held)) {
+    if (account.tryReserve(BufferPurpose.CLIENT_RESPONSE, exchange.held)) {
       return answer;
     }
     house.full();
-    if (account.charge(BufferPurpose.ANSWER, exchange.held)) {
+    if (account.tryReserve(BufferPurpose.CLIENT_RESPONSE, exchange.held)) {
       return answer;
     }
     answer.release();
-    dispatcher.cuts().count(DisconnectReason.NO_ROOM);
+    dispatcher.cuts().increment(DisconnectReason.NO_CAPACITY);
     ByteBuf end =
         MetaCodec.text(ctx.alloc(), exchange.safe ? MetaCodec.BUSY + "\r\n" : MetaCodec.FAILED);
     exchange.held = end.capacity();
-    account.charge(BufferPurpose.ANSWER, exchange.held); // short
+    account.tryReserve(BufferPurpose.CLIENT_RESPONSE, exchange.held); // short
     return end;
   }
 
@@ -668,7 +674,7 @@
       ctx.write(part)
           .addListener(
               f -> {
-                account.release(BufferPurpose.PASSING, bytes);
+                account.release(BufferPurpose.STREAMING, bytes);
                 taken(bytes, 0);
                 passage.taken(bytes);
               });
@@ -682,7 +688,9 @@
       part.release();
       return;
     }
-    account.set(BufferPurpose.PASSING, account.held(BufferPurpose.PASSING) + part.readableBytes());
+    account.setReserved(
+        BufferPurpose.STREAMING,
+        account.reservedBytes(BufferPurpose.STREAMING) + part.readableBytes());
     exchange.passage.add(part);
     flushAnswers();
     exchange.passage.regulate();
@@ -696,14 +704,14 @@
         .requestEnded(exchange.kind, whole ? Metrics.Result.SERVED : Metrics.Result.FAILED);
     if (whole) {
       passage.whole();
-      account.answered();
+      account.requestCompleted();
       house.served(this);
       flushAnswers();
     } else if (passage.begun()) {
       // Only the connection's end tells the client that the value is not whole.
       ctx.close();
     } else {
-      account.release(BufferPurpose.PASSING, passage.drop());
+      account.release(BufferPurpose.STREAMING, passage.drop());
       exchange.passage = null;
       answer(exchange, MetaCodec.text(ctx.alloc(), MetaCodec.FAILED), null);
     }
@@ -711,7 +719,7 @@
 
   /** A whole answer, or a part of one, has gone to the network, or with its connection. */
   private void taken(int bytes, int held) {
-    account.release(BufferPurpose.ANSWER, held);
+    account.release(BufferPurpose.CLIENT_RESPONSE, held);
     owedBytes -= bytes;
     takenWhole += bytes;
     if (owedBytes == 0) {
@@ -779,7 +787,7 @@
 
   /** Notes what is left of what was read; the time while we don't read is not the client's own. */
   private void settle() {
-    account.set(BufferPurpose.INPUT, internalBuffer().capacity());
+    account.setReserved(BufferPurpose.INPUT, internalBuffer().capacity());
     if (!readPaused && (incoming != null || actualReadableBytes() > 0)) {
       writing.begin(dispatcher.now());
     } else {
@@ -791,7 +799,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     readSomething = true;
     int bytes = ((ByteBuf) message).readableBytes();
-    writing.moved(dispatcher.now(), bytes);
+    writing.transferred(dispatcher.now(), bytes);
     if (bytes > 0 && !looking && dispatcher.unreadMs() > STALE_MS) {
       looking = true;
       super.channelRead(context, message);
@@ -832,10 +840,10 @@
     }
     for (Exchange e; (e = exchanges.poll()) != null; ) {
       if (e.passage != null) {
-        account.release(BufferPurpose.PASSING, e.passage.drop());
+        account.release(BufferPurpose.STREAMING, e.passage.drop());
       }
       if (e.answer != null) {
-        account.release(BufferPurpose.ANSWER, e.held);
+        account.release(BufferPurpose.CLIENT_RESPONSE, e.held);
         e.answer.release();
         e.answer = null;
       }
@@ -843,7 +851,7 @@
         dispatcher.gone(e);
       }
     }
-    account.set(BufferPurpose.INPUT, 0);
+    account.setReserved(BufferPurpose.INPUT, 0);
     account.close();
     writing.end();
     taking.end();
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -10,7 +10,7 @@
 import cacheproxy.limits.FairShare;
 import cacheproxy.limits.Limits;
 import cacheproxy.limits.LoopLag;
-import cacheproxy.limits.Pressure;
+import cacheproxy.limits.ResourcePressure;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
@@ -56,7 +56,7 @@
   private final ConnectionAdmissionPolicy rules;
   private final ClientBackoff holdOff = new ClientBackoff();
   private final LoopLag lag = new LoopLag();
-  private final Pressure pressure = new Pressure();
+  private final ResourcePressure pressure = new ResourcePressure();
   private final ByteAccounts accounts;
   private final DisconnectCounters cuts;
   private final Set<ClientConnection> clients = new LinkedHashSet<>();
@@ -83,10 +83,10 @@
     limits = dispatcher.limits();
     accounts = dispatcher.accounts();
     cuts = dispatcher.cuts();
-    int places = limits.places();
+    int places = limits.maxConnections();
     rules =
         new ConnectionAdmissionPolicy(
-            places, limits.clientsRoom(), Math.min(BATCH, places / 8), limits.showOutIdle());
+            places, limits.maxActiveClients(), Math.min(BATCH, places / 8), limits.evictIdle());
   }
 
   static int batch() {
@@ -116,7 +116,7 @@
   void reserve(int sockets, ProcessStatus other) {
     reserved =
         ListenerTakeover.reservedClientSlots(
-            sockets, rules.places(), dispatcher.upstreamInUse(), other);
+            sockets, rules.maxConnections(), dispatcher.upstreamInUse(), other);
     if (listener != null) {
       resume();
     }
@@ -128,7 +128,7 @@
   }
 
   int places() {
-    return rules.places();
+    return rules.maxConnections();
   }
 
   // ---- the listener's questions
@@ -146,7 +146,7 @@
   }
 
   private boolean hasPlace() {
-    return inUse() + reserved < rules.places();
+    return inUse() + reserved < rules.maxConnections();
   }
 
   /**
@@ -168,7 +168,7 @@
 
   void cannotTake(Throwable cause) {
     dispatcher.log("a connection could not be taken: " + cause);
-    ClientConnection first = rules.next(dispatcher.now(), clients, rules.places());
+    ClientConnection first = rules.selectVictim(dispatcher.now(), clients, rules.maxConnections());
     if (first != null) {
       showUnlessItAsked(first);
     }
@@ -189,50 +189,50 @@
     ClientConnection client = new ClientConnection(dispatcher, this);
     channel.pipeline().addLast(client);
     // While it is only expected, so that the choice can't fall on it before it could say a word.
-    if (rules.isShort(
+    if (rules.isShortOfSlots(
         clients.size(),
         expected + reserved)) { // else the next sweep sees to it: this looks at every guest
       makeRoom();
     }
     expected = Math.max(0, expected - 1);
     clients.add(client);
-    double wait = limits.holdOff() ? holdOff.waitMs(dispatcher.now(), client.address()) : 0;
+    double wait = limits.clientBackoff() ? holdOff.delayMs(dispatcher.now(), client.address()) : 0;
     if (wait > 0) {
-      cuts.count(DisconnectReason.HELD_OFF);
+      cuts.increment(DisconnectReason.BACKED_OFF);
       client.holdOff(wait);
     }
   }
 
   @Override
   public void asked(ClientConnection client) {
-    rules.newcomer(dispatcher.now());
+    rules.recordNewClient(dispatcher.now());
   }
 
   @Override
   public void served(ClientConnection client) {
-    if (limits.holdOff()) {
-      holdOff.served(dispatcher.now(), client.address());
+    if (limits.clientBackoff()) {
+      holdOff.recordServed(dispatcher.now(), client.address());
     }
   }
 
   @Override
   public void turnedAway(ClientConnection client) {
-    if (limits.holdOff()) {
-      holdOff.turnedAway(dispatcher.now(), client.address());
+    if (limits.clientBackoff()) {
+      holdOff.recordRejected(dispatcher.now(), client.address());
     }
   }
 
   @Override
   public int unproven() {
-    return pressure.level().unproven();
+    return pressure.level().maxUnprovenPipelined();
   }
 
   /** One at a time, as what it held comes back by and by. */
   @Override
   public void full() {
-    ClientConnection next = FairShare.next(dispatcher.now(), clients);
+    ClientConnection next = FairShare.selectVictim(dispatcher.now(), clients);
     if (next != null) {
-      show(next, DisconnectReason.HOARDER);
+      show(next, DisconnectReason.UNFAIR_SHARE);
     }
   }
 
@@ -271,7 +271,7 @@
   private void makeRoom() {
     Set<ClientConnection> kept = new HashSet<>();
     for (ClientConnection c;
-        (c = rules.next(dispatcher.now(), clients, expected + reserved)) != null; ) {
+        (c = rules.selectVictim(dispatcher.now(), clients, expected + reserved)) != null; ) {
       if (!showUnlessItAsked(c) && !kept.add(c)) {
         return;
       }
@@ -284,16 +284,16 @@
    * hold then. False: it does not.
    */
   private boolean showUnlessItAsked(ClientConnection c) {
-    boolean useless = c.useless();
-    boolean busy = !useless && c.busy();
-    if (!busy && c.lastLook() && (useless ? !c.useless() : c.busy())) {
+    boolean useless = c.isUnproductive();
+    boolean busy = !useless && c.isBusy();
+    if (!busy && c.lastLook() && (useless ? !c.isUnproductive() : c.isBusy())) {
       return false;
     }
     show(
         c,
         useless
-            ? DisconnectReason.USELESS
-            : busy ? DisconnectReason.HOARDER : DisconnectReason.IDLE);
+            ? DisconnectReason.NO_VALID_REQUEST
+            : busy ? DisconnectReason.UNFAIR_SHARE : DisconnectReason.IDLE);
     return true;
   }
 
@@ -320,9 +320,9 @@
       return;
     }
     released(1);
-    cuts.count(why);
+    cuts.increment(why);
     if (why != DisconnectReason.IDLE
-        && why != DisconnectReason.USELESS) { // those two are no fault of its own
+        && why != DisconnectReason.NO_VALID_REQUEST) { // those two are no fault of its own
       turnedAway(client);
     }
     client.close();
@@ -343,14 +343,16 @@
   private void sweep() {
     try {
       double now = dispatcher.now();
-      lag.ticked(sweepDueMs, now);
-      Pressure.Level level =
-          pressure.at(
+      lag.recordTick(sweepDueMs, now);
+      ResourcePressure.Level level =
+          pressure.update(
               Math.max(
-                  accounts.share(),
-                  Math.max(lag.share(now), (double) inUse() / rules.places() * PLACES_SHARE)));
+                  accounts.utilization(),
+                  Math.max(
+                      lag.utilization(now),
+                      (double) inUse() / rules.maxConnections() * PLACES_SHARE)));
       for (ClientConnection c : List.copyOf(clients)) {
-        cutIfStalled(c, level.patience());
+        cutIfStalled(c, level.graceFactor());
         c.lookIfPaused();
       }
       makeRoom();
@@ -366,23 +368,23 @@
   private void tell(double now) {
     if (now - toldMs >= TELL_MS) {
       toldMs = now;
-      String news = cuts.news();
+      String news = cuts.reportNew();
       if (!news.isEmpty()) {
         dispatcher.log(
             "cut off: "
                 + news
                 + "; "
-                + pressure.level()
+                + pressure.level().logName()
                 + ", "
                 + inUse()
                 + " of "
-                + rules.places()
+                + rules.maxConnections()
                 + " places, loop late by "
-                + Math.round(lag.lateMs(now))
+                + Math.round(lag.maxLatenessMs(now))
                 + " ms, held "
-                + accounts.sums()
+                + accounts.reservedByLogName()
                 + ", at most "
-                + accounts.mosts());
+                + accounts.peaksByLogName());
       }
     }
   }
--- a/src/main/java/cacheproxy/proxy/OperatorSettings.java
+++ b/src/main/java/cacheproxy/proxy/OperatorSettings.java
@@ -103,30 +103,33 @@
 
   private static Limits limits(SettingsTable table, Limits defaults) throws SettingsException {
     long connections = maxClientConnections(table, defaults);
-    long unreadBytes = table.number(LimitKeys.UNREAD_RESPONSE_BYTES, defaults.answerBytes());
+    long unreadBytes =
+        table.number(LimitKeys.UNREAD_RESPONSE_BYTES, defaults.clientResponseBytes());
     return new Limits(
         (int) connections,
         (int) maxActiveClients(table, defaults, connections),
-        table.number(LimitKeys.REQUEST_VALUE_BYTES, defaults.valueBytes()),
-        table.number(LimitKeys.INCOMPLETE_RESPONSE_BYTES, defaults.readingBytes()),
+        table.number(LimitKeys.REQUEST_VALUE_BYTES, defaults.requestValueBytes()),
+        table.number(LimitKeys.INCOMPLETE_RESPONSE_BYTES, defaults.upstreamResponseBytes()),
         unreadBytes,
         unreadBytesPerClient(table, defaults, unreadBytes),
-        minimumRate(table, LimitKeys.CLIENT_WRITE, defaults.clientWrite()),
-        minimumRate(table, LimitKeys.CLIENT_READ, defaults.clientRead()),
-        minimumRate(table, LimitKeys.NODE_RESPONSE, defaults.nodeAnswer()),
+        minimumRate(table, LimitKeys.CLIENT_WRITE, defaults.clientWriteRate()),
+        minimumRate(table, LimitKeys.CLIENT_READ, defaults.clientReadRate()),
+        minimumRate(table, LimitKeys.NODE_RESPONSE, defaults.nodeResponseRate()),
         table.number(LimitKeys.SILENT_MS, (long) defaults.silentMs()),
         (int) table.number(LimitKeys.SEND_BUFFER_BYTES, defaults.sendBufferBytes()),
-        table.flag(LimitKeys.EVICT_IDLE, defaults.showOutIdle()),
-        table.flag(LimitKeys.CLIENT_BACKOFF, defaults.holdOff()));
+        table.flag(LimitKeys.EVICT_IDLE, defaults.evictIdle()),
+        table.flag(LimitKeys.CLIENT_BACKOFF, defaults.clientBackoff()));
   }
 
   private static long maxClientConnections(SettingsTable table, Limits defaults)
       throws SettingsException {
-    long connections = table.number(LimitKeys.MAX_CLIENT_CONNECTIONS, defaults.places());
-    if (connections > defaults.places()) {
+    long connections = table.number(LimitKeys.MAX_CLIENT_CONNECTIONS, defaults.maxConnections());
+    if (connections > defaults.maxConnections()) {
       throw table.invalid(
           LimitKeys.MAX_CLIENT_CONNECTIONS,
-          "at most " + defaults.places() + ", which is what the platform's descriptors leave");
+          "at most "
+              + defaults.maxConnections()
+              + ", which is what the platform's descriptors leave");
     }
     return connections;
   }
@@ -134,7 +137,8 @@
   private static long maxActiveClients(SettingsTable table, Limits defaults, long connections)
       throws SettingsException {
     long clients =
-        table.number(LimitKeys.MAX_ACTIVE_CLIENTS, Math.min(defaults.clientsRoom(), connections));
+        table.number(
+            LimitKeys.MAX_ACTIVE_CLIENTS, Math.min(defaults.maxActiveClients(), connections));
     if (clients > connections) {
       throw table.invalid(
           LimitKeys.MAX_ACTIVE_CLIENTS, "at most the " + connections + " places there are");
@@ -147,7 +151,7 @@
     long oneClient =
         table.number(
             LimitKeys.UNREAD_RESPONSE_BYTES_PER_CLIENT,
-            Math.min(defaults.clientAnswerBytes(), allClients));
+            Math.min(defaults.responseBytesPerClient(), allClients));
     if (oneClient > allClients) {
       throw table.invalid(
           LimitKeys.UNREAD_RESPONSE_BYTES_PER_CLIENT,
@@ -159,7 +163,7 @@
   private static MinimumRate minimumRate(
       SettingsTable table, LimitKeys.MinimumRateKeys keys, MinimumRate defaults) {
     return new MinimumRate(
-        table.number(keys.bytesPerSecond(), (long) defaults.bytesPerS()),
+        table.number(keys.bytesPerSecond(), (long) defaults.bytesPerSecond()),
         table.number(keys.graceMs(), (long) defaults.graceMs()));
   }
 }
--- a/src/main/java/cacheproxy/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -92,7 +92,7 @@
       connection.read(((ByteBuf) message).readableBytes());
       // Part of a head waits in the grammar's own buffer, which can't be looked into: the part read
       // counts.
-      connection.account().set(BufferPurpose.INPUT, ((ByteBuf) message).capacity());
+      connection.account().setReserved(BufferPurpose.INPUT, ((ByteBuf) message).capacity());
       ctx.fireChannelRead(message);
     }
   }
@@ -218,7 +218,7 @@
       skipping = passage == null;
     } else {
       reserved = (int) Math.max(0, length);
-      if (!connection.account().charge(BufferPurpose.READING, reserved)) {
+      if (!connection.account().tryReserve(BufferPurpose.UPSTREAM_RESPONSE, reserved)) {
         reserved = 0;
         fail("no room");
         return;
@@ -258,7 +258,8 @@
     int more = body.readableBytes() + part.readableBytes() - reserved;
     if (reserved + more > MetaCodec.MAX_ANSWER) {
       fail("too long");
-    } else if (more > 0 && !connection.account().charge(BufferPurpose.READING, more)) {
+    } else if (more > 0
+        && !connection.account().tryReserve(BufferPurpose.UPSTREAM_RESPONSE, more)) {
       fail("no room");
     } else {
       reserved += Math.max(0, more);
@@ -324,7 +325,7 @@
     passage = null;
     skipping = false;
     within = false;
-    connection.account().release(BufferPurpose.READING, reserved);
+    connection.account().release(BufferPurpose.UPSTREAM_RESPONSE, reserved);
     reserved = 0;
     if (body != null) {
       body.release();
@@ -336,7 +337,7 @@
   public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
     super.channelReadComplete(ctx);
     if (connection.head() == null) {
-      connection.account().set(BufferPurpose.INPUT, 0);
+      connection.account().setReserved(BufferPurpose.INPUT, 0);
     }
     connection.readSome();
   }
@@ -345,7 +346,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     broken = true;
     drop();
-    connection.account().set(BufferPurpose.INPUT, 0);
+    connection.account().setReserved(BufferPurpose.INPUT, 0);
     connection.closed();
   }
 
--- a/src/main/java/cacheproxy/proxy/StreamedResponse.java
+++ b/src/main/java/cacheproxy/proxy/StreamedResponse.java
@@ -76,11 +76,11 @@
   void regulate() {
     if (!ended) {
       from.reads(
-          StreamingWindow.reads(
+          StreamingWindow.shouldRead(
               pending,
               from.depth() - 1,
-              accounts.held(BufferPurpose.PASSING),
-              accounts.bound(BufferPurpose.PASSING)));
+              accounts.reservedBytes(BufferPurpose.STREAMING),
+              accounts.maxBytes(BufferPurpose.STREAMING)));
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -3,7 +3,7 @@
 import cacheproxy.limits.BufferPurpose;
 import cacheproxy.limits.ByteAccount;
 import cacheproxy.limits.DisconnectReason;
-import cacheproxy.limits.Pace;
+import cacheproxy.limits.MinimumRateMonitor;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.routing.RoutingApi;
 import cacheproxy.routing.RoutingApi.Outcome;
@@ -95,7 +95,7 @@
   private final ByteAccount account;
 
   /** Of an answer that has begun. */
-  private final Pace pace;
+  private final MinimumRateMonitor pace;
 
   private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
   private Codec codec;
@@ -130,7 +130,7 @@
   UpstreamConnection(Upstream upstream) {
     this.upstream = upstream;
     account = upstream.dispatcher().accounts().open();
-    pace = new Pace(upstream.dispatcher().limits().nodeAnswer());
+    pace = new MinimumRateMonitor(upstream.dispatcher().limits().nodeResponseRate());
     idleSinceMs = upstream.dispatcher().now();
   }
 
@@ -271,7 +271,7 @@
   private void chargeOutput() {
     ChannelOutboundBuffer out =
         closed || channel == null ? null : channel.unsafe().outboundBuffer();
-    account.set(BufferPurpose.OUTPUT, out == null ? 0 : out.totalPendingWriteBytes());
+    account.setReserved(BufferPurpose.OUTPUT, out == null ? 0 : out.totalPendingWriteBytes());
   }
 
   private void writeNow(Attempt attempt) {
@@ -365,14 +365,14 @@
   void sweep(double now) {
     if (passage != null) {
       if (!paused && now - readMs > PASSING_STALL_MS) {
-        upstream.dispatcher().cuts().count(DisconnectReason.SLOW_NODE);
+        upstream.dispatcher().cuts().increment(DisconnectReason.SLOW_NODE);
         garbage("a long value that does not end");
       }
       return;
     }
-    if (pace.tooSlow(now, 1)) {
-      upstream.dispatcher().cuts().count(DisconnectReason.SLOW_NODE);
-      if (now - readMs >= upstream.dispatcher().limits().nodeAnswer().graceMs()) {
+    if (pace.isTooSlow(now, 1)) {
+      upstream.dispatcher().cuts().increment(DisconnectReason.SLOW_NODE);
+      if (now - readMs >= upstream.dispatcher().limits().nodeResponseRate().graceMs()) {
         garbage("an answer that does not end");
       } else {
         upstream.dispatcher().log("slow answer of " + dial);
@@ -452,7 +452,7 @@
   /** So many bytes have come. */
   void read(int bytes) {
     readMs = upstream.dispatcher().now();
-    pace.moved(readMs, bytes);
+    pace.transferred(readMs, bytes);
   }
 
   /** What has come has been used as far as it goes. */
@@ -532,7 +532,7 @@
     }
     closed = true;
     pace.end();
-    account.set(BufferPurpose.OUTPUT, 0);
+    account.setReserved(BufferPurpose.OUTPUT, 0);
     account.close();
     upstream.closed(this);
     if (refused != null) {
--- a/src/main/java/cacheproxy/proxy/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/WarmUp.java
@@ -91,7 +91,7 @@
     door.open(null);
     span = new WarmUpBudget(dispatcher.now(), peers.hasPeers());
     if (beside) {
-      span.predecessor(ListenerTakeover.MAX_WARM_UP_MS);
+      span.predecessorServes(ListenerTakeover.MAX_WARM_UP_MS);
     }
     ask();
     endInTime();
@@ -103,19 +103,19 @@
   }
 
   private void ask() {
-    if (!done.isDone() && span.asks()) {
+    if (!done.isDone() && span.takePoll()) {
       peers.whoServes(
           () -> {
-            span.oneServes();
+            span.peerServes();
             endInTime();
           });
-      loop.schedule(this::ask, WarmUpBudget.ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::ask, WarmUpBudget.POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
   }
 
   /** Again where the span has become another meanwhile. */
   private void endInTime() {
-    double left = span.leftMs(dispatcher.now());
+    double left = span.remainingMs(dispatcher.now());
     if (left == 0) {
       end();
     } else if (!done.isDone()) {
@@ -142,12 +142,14 @@
   @Override
   public String toString() {
     return "warm-up: "
-        + settling.served()
+        + settling.requests()
         + " requests in "
         + Math.round((lastNanos - startNanos) / 1e6)
         + " ms, "
-        + (settling.settled()
-            ? "settled at " + Math.round(settling.bestNanos() / 1000) + " us"
+        + (settling.hasConverged()
+            ? "settled at "
+                + Math.round(settling.bestNanosPerRequest().orElseThrow() / 1000)
+                + " us"
             : "not settled");
   }
 
@@ -226,9 +228,9 @@
         return;
       }
       long now = System.nanoTime();
-      settling.served((double) (now - lastNanos));
+      settling.recordRequest((double) (now - lastNanos));
       lastNanos = now;
-      if (settling.settled()) {
+      if (settling.hasConverged()) {
         end();
       } else if (left > 0) {
         ask(mirror);
--- a/src/test/java/cacheproxy/limits/ConnectionAdmissionPolicyTest.java
+++ b/src/test/java/cacheproxy/limits/ConnectionAdmissionPolicyTest.java
@@ -7,125 +7,126 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Who is shown out, in virtual time. */
+/** Which connection is evicted, in virtual time. */
 class ConnectionAdmissionPolicyTest {
-  private static final int PLACES = 192;
-  private static final int ROOM = 128;
-  private static final int SPARE = 16;
+  private static final int MAX_CONNECTIONS = 192;
+  private static final int MAX_ACTIVE = 128;
+  private static final int SPARE_SLOTS = 16;
 
-  private static final class Client implements ConnectionAdmissionPolicy.Guest {
+  private static final class Client implements ConnectionAdmissionPolicy.EvictionCandidate {
     boolean busy;
-    boolean useless;
-    double sinceMs;
-    long answered;
+    boolean unproductive;
+    double inactiveSinceMs;
+    long completedRequests;
     double leavesMs = Double.MAX_VALUE;
-    double gapMs;
-    double behindMs;
+    double longestGapMs;
+    double deficitMs;
 
     @Override
-    public double behindMs(double nowMs) {
-      return behindMs;
+    public double deficitMs(double nowMs) {
+      return deficitMs;
     }
 
     @Override
-    public double gapMs() {
-      return gapMs;
+    public double longestGapMs() {
+      return longestGapMs;
     }
 
     @Override
-    public boolean busy() {
+    public boolean isBusy() {
       return busy;
     }
 
     @Override
-    public boolean useless() {
-      return useless;
+    public boolean isUnproductive() {
+      return unproductive;
     }
 
     @Override
-    public double sinceMs() {
-      return sinceMs;
+    public double inactiveSinceMs() {
+      return inactiveSinceMs;
     }
 
     @Override
-    public long answered() {
-      return answered;
+    public long completedRequests() {
+      return completedRequests;
     }
   }
 
-  private final ConnectionAdmissionPolicy rules =
-      new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
-  private final List<Client> in = new ArrayList<>();
+  private final ConnectionAdmissionPolicy policy =
+      new ConnectionAdmissionPolicy(MAX_CONNECTIONS, MAX_ACTIVE, SPARE_SLOTS, true);
+  private final List<Client> connections = new ArrayList<>();
 
-  private Client idle(double since, long answered) {
-    Client c = new Client();
-    c.sinceMs = since;
-    c.answered = answered;
-    in.add(c);
-    return c;
+  private Client addInactive(double sinceMs, long completedRequests) {
+    Client client = new Client();
+    client.inactiveSinceMs = sinceMs;
+    client.completedRequests = completedRequests;
+    connections.add(client);
+    return client;
   }
 
-  private List<Client> clear(double now) {
-    List<Client> out = new ArrayList<>();
-    for (Client c; (c = rules.next(now, in, 0)) != null; ) {
-      in.remove(c);
-      out.add(c);
+  private List<Client> evictAll(double now) {
+    List<Client> evicted = new ArrayList<>();
+    for (Client client; (client = policy.selectVictim(now, connections, 0)) != null; ) {
+      connections.remove(client);
+      evicted.add(client);
     }
-    return out;
+    return evicted;
   }
 
   @Test
-  void whereNobodyComesAnewTheIdleStayForAsLongAsTheyLike() {
-    for (int i = 0; i < ROOM; i++) {
-      idle(0, 1);
+  void idleConnectionsStayWithoutNewClients() {
+    for (int i = 0; i < MAX_ACTIVE; i++) {
+      addInactive(0, 1);
     }
-    assertThat(clear(3_600_000)).isEmpty();
+    assertThat(evictAll(3_600_000)).isEmpty();
   }
 
   /**
-   * The clients of the incident: each asks once and keeps its connection for 2 s; together they
-   * hold a third of the descriptors at most, and who finds that full has no connection. Their
-   * number at the door is then that of those who get in, not of those who want to.
+   * The clients of the incident: each sends one request and keeps its connection for 2 s; together
+   * they have a third of the descriptors at most, and a client that finds that full gets no
+   * connection. The measured arrival rate is then that of the admitted clients only.
    */
   @Test
-  void clientsThatAskOnceAndStayGetInAtTheRateAtWhichTheyCome() {
-    assertThat(share(260, true)).isGreaterThan(0.97);
-    assertThat(share(260, false)).isLessThan(0.35);
+  void admitsClientsThatSendOneRequestAndStayAtTheirRate() {
+    assertThat(admittedRatio(260, true)).isGreaterThan(0.97);
+    assertThat(admittedRatio(260, false)).isLessThan(0.35);
   }
 
-  private double share(int perSecond, boolean ruled) {
-    in.clear();
-    ConnectionAdmissionPolicy door = new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
+  private double admittedRatio(int perSecond, boolean evicting) {
+    connections.clear();
+    ConnectionAdmissionPolicy admission =
+        new ConnectionAdmissionPolicy(MAX_CONNECTIONS, MAX_ACTIVE, SPARE_SLOTS, true);
     Random random = new Random(274);
     int wanted = 0;
     int entered = 0;
     List<Client> open = new ArrayList<>();
     for (double now = 0; now < 20_000; now++) {
       double time = now;
-      open.removeIf(c -> c.leavesMs <= time);
-      for (Client c : open) {
-        if (c.busy && now - c.sinceMs >= 40) {
-          c.busy = false;
-          c.sinceMs = now;
-          c.leavesMs = now + 2000;
+      open.removeIf(client -> client.leavesMs <= time);
+      for (Client client : open) {
+        if (client.busy && now - client.inactiveSinceMs >= 40) {
+          client.busy = false;
+          client.inactiveSinceMs = now;
+          client.leavesMs = now + 2000;
         }
       }
       if (random.nextDouble() < perSecond / 1000.0) {
         wanted++;
-        if (open.size() < ROOM) {
+        if (open.size() < MAX_ACTIVE) {
           entered++;
-          Client c = new Client();
-          c.busy = true;
-          c.sinceMs = now;
-          c.answered = 1;
-          open.add(c);
-          door.newcomer(now);
+          Client client = new Client();
+          client.busy = true;
+          client.inactiveSinceMs = now;
+          client.completedRequests = 1;
+          open.add(client);
+          admission.recordNewClient(now);
         }
       }
-      if (now % 50 == 0 && ruled) {
-        for (Client c; (c = door.next(now, open, 0)) != null; ) {
-          assertThat(c.busy).isFalse();
-          open.remove(c);
+      if (now % 50 == 0 && evicting) {
+        for (Client client; (client = admission.selectVictim(now, open, 0)) != null; ) {
+          assertThat(client.busy).isFalse();
+          open.remove(client);
         }
       }
     }
@@ -133,168 +134,182 @@
   }
 
   /**
-   * Little's law: what stands idle is the rate of coming times the stay, so the stay is room over
-   * rate.
+   * Little's law: the number of idle connections is the arrival rate times the idle time, so the
+   * idle time is slots over rate.
    */
   @Test
-  void theStayOfTheIdleIsRoomOverRate() {
+  void idleTimeIsSlotsOverArrivalRate() {
     for (int perSecond : new int[] {70, 100, 200, 400}) {
-      in.clear();
-      ConnectionAdmissionPolicy door = new ConnectionAdmissionPolicy(PLACES, ROOM, SPARE, true);
-      double stays = 0;
-      int shown = 0;
+      connections.clear();
+      ConnectionAdmissionPolicy admission =
+          new ConnectionAdmissionPolicy(MAX_CONNECTIONS, MAX_ACTIVE, SPARE_SLOTS, true);
+      double idleMs = 0;
+      int evicted = 0;
       for (double now = 0; now < 20_000; now += 1000.0 / perSecond) {
-        door.newcomer(now);
-        idle(now, 1);
-        for (Client c; (c = door.next(now, in, 0)) != null; ) {
-          in.remove(c);
+        admission.recordNewClient(now);
+        addInactive(now, 1);
+        for (Client client; (client = admission.selectVictim(now, connections, 0)) != null; ) {
+          connections.remove(client);
           if (now > 5000) {
-            stays += now - c.sinceMs;
-            shown++;
+            idleMs += now - client.inactiveSinceMs;
+            evicted++;
           }
         }
       }
-      double allowed = ROOM - Math.min(ROOM / 2, perSecond);
-      assertThat(stays / shown)
+      double allowed = MAX_ACTIVE - Math.min(MAX_ACTIVE / 2, perSecond);
+      assertThat(idleMs / evicted)
           .as("at %d a second", perSecond)
           .isBetween(allowed / perSecond * 900, allowed / perSecond * 1100);
     }
   }
 
   @Test
-  void theClaimOfNewcomersEndsWithTheirComing() {
+  void claimOfNewClientsEndsWhenTheyStopArriving() {
     for (int i = 0; i < 500; i++) {
-      rules.newcomer(1000);
+      policy.recordNewClient(1000);
     }
-    assertThat(rules.claimed(1000)).isEqualTo(ROOM / 2);
-    assertThat(rules.idleAllowed(1000, 10)).isEqualTo(ROOM / 2 - 10);
-    assertThat(rules.claimed(2001)).isZero();
+    assertThat(policy.claimedSlots(1000)).isEqualTo(MAX_ACTIVE / 2);
+    assertThat(policy.maxIdle(1000, 10)).isEqualTo(MAX_ACTIVE / 2 - 10);
+    assertThat(policy.claimedSlots(2001)).isZero();
   }
 
   /**
-   * Clients that keep their connections and come back are not shown out for those that ask once and
-   * stay.
+   * Clients that keep their connections and return are not evicted for those that send one request
+   * and stay.
    */
   @Test
-  void whoComesBackStaysWhereWhoAskedOnceGoes() {
+  void returningClientsStayWhereSingleRequestClientsAreEvicted() {
     for (int i = 0; i < 60; i++) {
-      idle(200, 5); // idle for 800 ms
-      idle(600, 1); // idle for 400 ms
+      addInactive(200, 5); // idle for 800 ms
+      addInactive(600, 1); // idle for 400 ms
     }
     for (int i = 0; i < 60; i++) {
-      rules.newcomer(1000);
+      policy.recordNewClient(1000);
     }
-    assertThat(clear(1000)).hasSize(52).allMatch(c -> c.answered == 1);
+    assertThat(evictAll(1000)).hasSize(52).allMatch(client -> client.completedRequests == 1);
   }
 
-  /**
-   * A crowd of newcomers, as of slow peers that are cut off and come again, takes no place in use.
-   */
+  /** A crowd of new clients, as of slow peers that reconnect, takes no slot in use. */
   @Test
-  void whoAsksAllTheTimeIsBetweenTwoRequestsAndNotIdle() {
+  void steadyClientIsBetweenTwoRequestsAndNotIdle() {
     for (int i = 0; i < 40; i++) {
-      Client c = idle(950, 100); // 50 ms ago
-      c.gapMs = 30;
+      Client client = addInactive(950, 100); // 50 ms ago
+      client.longestGapMs = 30;
     }
     for (int i = 0; i < 60; i++) {
-      idle(900, 0).busy = true;
+      addInactive(900, 0).busy = true;
     }
-    Client late = idle(700, 100); // 300 ms ago, with the same rhythm
-    late.gapMs = 30;
+    Client pastItsRhythm = addInactive(700, 100); // 300 ms ago, with the same rhythm
+    pastItsRhythm.longestGapMs = 30;
     for (int i = 0; i < 300; i++) {
-      rules.newcomer(1000);
+      policy.recordNewClient(1000);
     }
-    Client once = idle(990, 1);
-    in.subList(0, 40).forEach(c -> assertThat(c.busy).isFalse());
-    assertThat(clear(1000)).doesNotContainAnyElementsOf(in.subList(0, 40)).isSubsetOf(once, late);
+    Client once = addInactive(990, 1);
+    connections.subList(0, 40).forEach(client -> assertThat(client.busy).isFalse());
+    assertThat(evictAll(1000))
+        .doesNotContainAnyElementsOf(connections.subList(0, 40))
+        .isSubsetOf(once, pastItsRhythm);
   }
 
   @Test
-  void whenPlacesAreShortThoseThatNeverAskedGoFirstAndOldestFirst() {
+  void evictsUnproductiveConnectionsFirstAndOldestFirstWhenSlotsAreShort() {
     for (int i = 0; i < 90; i++) {
-      idle(0, 1);
+      addInactive(0, 1);
     }
     for (int i = 0; i < 100; i++) {
-      idle(100 + i, 0).useless = true;
+      addInactive(100 + i, 0).unproductive = true;
     }
-    List<Client> out = clear(500);
-    assertThat(out).hasSize(SPARE - 2).allMatch(c -> c.useless);
-    assertThat(out).extracting(c -> c.sinceMs).isSorted().startsWith(100.0);
+    List<Client> evicted = evictAll(500);
+    assertThat(evicted).hasSize(SPARE_SLOTS - 2).allMatch(client -> client.unproductive);
+    assertThat(evicted).extracting(client -> client.inactiveSinceMs).isSorted().startsWith(100.0);
   }
 
-  /** All places are held, half of them by slow peers: these go, and who asks all the time stays. */
+  /**
+   * All slots are taken, half of them by slow peers: these are evicted, and steady clients stay.
+   */
   @Test
-  void whenPlacesAreShortTheFurthestBehindGoBeforeThoseBetweenTwoRequests() {
-    for (int i = 0; i < PLACES; i++) {
-      Client c = idle(950, 100);
-      c.gapMs = 30;
-      c.busy = i % 2 == 0;
-      c.behindMs = !c.busy ? 0 : i % 4 == 0 ? ConnectionAdmissionPolicy.BEHIND_MS : 600 + i;
+  void evictsTheFurthestBehindBeforeThoseBetweenTwoRequestsWhenSlotsAreShort() {
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+      Client client = addInactive(950, 100);
+      client.longestGapMs = 30;
+      client.busy = i % 2 == 0;
+      client.deficitMs =
+          !client.busy ? 0 : i % 4 == 0 ? ConnectionAdmissionPolicy.TOLERATED_DEFICIT_MS : 600 + i;
     }
-    List<Client> out = clear(1000);
-    assertThat(out).hasSize(SPARE).allMatch(c -> c.behindMs > ConnectionAdmissionPolicy.BEHIND_MS);
-    assertThat(out.get(0).behindMs).isEqualTo(600 + PLACES - 2);
-    in.forEach(c -> c.behindMs = 0);
-    for (int i = 0; i < SPARE; i++) {
-      idle(950, 0).busy = true;
+    List<Client> evicted = evictAll(1000);
+    assertThat(evicted)
+        .hasSize(SPARE_SLOTS)
+        .allMatch(client -> client.deficitMs > ConnectionAdmissionPolicy.TOLERATED_DEFICIT_MS);
+    assertThat(evicted.get(0).deficitMs).isEqualTo(600 + MAX_CONNECTIONS - 2);
+    connections.forEach(client -> client.deficitMs = 0);
+    for (int i = 0; i < SPARE_SLOTS; i++) {
+      addInactive(950, 0).busy = true;
     }
-    assertThat(clear(1000)).as("nobody is behind").hasSize(SPARE).noneMatch(c -> c.busy);
+    assertThat(evictAll(1000))
+        .as("no client is behind")
+        .hasSize(SPARE_SLOTS)
+        .noneMatch(client -> client.busy);
   }
 
   /**
-   * Over random houses: nobody who keeps up with a request open goes, and nobody goes once the need
-   * is met.
+   * Over random tables of connections: no busy client that keeps up is evicted, and none once the
+   * need is met.
    */
   @Test
-  void nobodyWhoKeepsUpWithARequestOpenIsShownOutAndNoMoreThanNeeded() {
+  void neverEvictsBusyClientsThatKeepUpAndNoMoreThanNeeded() {
     for (long seed = 1; seed <= 2000; seed++) {
       Random random = new Random(seed);
-      in.clear();
-      int places = 2 + random.nextInt(300);
-      int spare = random.nextInt(Math.min(17, places));
-      ConnectionAdmissionPolicy door =
-          new ConnectionAdmissionPolicy(places, 1 + random.nextInt(places), spare, true);
-      int n = random.nextInt(places + 1);
-      for (int i = 0; i < n; i++) {
-        Client c = idle(random.nextInt(5000), random.nextInt(3));
-        c.useless = random.nextInt(4) == 0;
-        c.busy = !c.useless && random.nextInt(3) == 0;
-        c.behindMs = c.busy ? random.nextInt(1000) : 0;
-        c.gapMs = random.nextInt(2000);
-      }
+      connections.clear();
+      int maxConnections = 2 + random.nextInt(300);
+      int spareSlots = random.nextInt(Math.min(17, maxConnections));
+      ConnectionAdmissionPolicy admission =
+          new ConnectionAdmissionPolicy(
+              maxConnections, 1 + random.nextInt(maxConnections), spareSlots, true);
+      int count = random.nextInt(maxConnections + 1);
+      addRandomConnections(random, count);
       for (int i = random.nextInt(200); i > 0; i--) {
-        door.newcomer(4000 + random.nextInt(1000));
+        admission.recordNewClient(4000 + random.nextInt(1000));
       }
-      int busy = (int) in.stream().filter(c -> c.busy).count();
-      int idle =
-          (int)
-              in.stream()
-                  .filter(
-                      c ->
-                          !c.busy
-                              && !c.useless
-                              && 5000 - c.sinceMs
-                                  >= Math.min(
-                                      ConnectionAdmissionPolicy.HORIZON_MS,
-                                      ConnectionAdmissionPolicy.RHYTHM * c.gapMs))
-                  .count();
-      int taken = random.nextInt(places - n + 1);
-      int out = 0;
-      for (Client c; (c = door.next(5000, in, taken)) != null; out++) {
-        assertThat(c.busy && c.behindMs <= ConnectionAdmissionPolicy.BEHIND_MS)
-            .as("seed %d", seed)
-            .isFalse();
-        in.remove(c);
+      int busy = (int) connections.stream().filter(client -> client.busy).count();
+      int idle = (int) connections.stream().filter(client -> isIdle(client, 5000)).count();
+      int unavailable = random.nextInt(maxConnections - count + 1);
+      int evicted = 0;
+      for (Client client;
+          (client = admission.selectVictim(5000, connections, unavailable)) != null;
+          evicted++) {
+        assertThat(isBusyAndKeepsUp(client)).as("seed %d", seed).isFalse();
+        connections.remove(client);
       }
-      int needed = Math.max(0, spare - (places - n - taken));
-      int over = Math.max(0, idle - door.idleAllowed(5000, busy));
-      assertThat(out).as("seed %d", seed).isLessThanOrEqualTo(needed + over);
+      int needed = Math.max(0, spareSlots - (maxConnections - count - unavailable));
+      int surplusIdle = Math.max(0, idle - admission.maxIdle(5000, busy));
+      assertThat(evicted).as("seed %d", seed).isLessThanOrEqualTo(needed + surplusIdle);
       assertThat(
-              places - in.size() - taken >= spare
-                  || in.stream()
-                      .allMatch(c -> c.busy && c.behindMs <= ConnectionAdmissionPolicy.BEHIND_MS))
+              maxConnections - connections.size() - unavailable >= spareSlots
+                  || connections.stream().allMatch(client -> isBusyAndKeepsUp(client)))
           .as("seed %d", seed)
           .isTrue();
     }
   }
+
+  private void addRandomConnections(Random random, int count) {
+    for (int i = 0; i < count; i++) {
+      Client client = addInactive(random.nextInt(5000), random.nextInt(3));
+      client.unproductive = random.nextInt(4) == 0;
+      client.busy = !client.unproductive && random.nextInt(3) == 0;
+      client.deficitMs = client.busy ? random.nextInt(1000) : 0;
+      client.longestGapMs = random.nextInt(2000);
+    }
+  }
+
+  private static boolean isIdle(Client client, double now) {
+    double usualMs =
+        Math.min(
+            ConnectionAdmissionPolicy.HORIZON_MS,
+            ConnectionAdmissionPolicy.BETWEEN_REQUESTS_GAPS * client.longestGapMs);
+    return !client.busy && !client.unproductive && now - client.inactiveSinceMs >= usualMs;
+  }
+
+  private static boolean isBusyAndKeepsUp(Client client) {
+    return client.busy && client.deficitMs <= ConnectionAdmissionPolicy.TOLERATED_DEFICIT_MS;
+  }
 }
--- /dev/null
+++ b/src/test/java/cacheproxy/limits/MinimumRateMonitorTest.java
@@ -0,0 +1,135 @@
+package cacheproxy.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** The deficit against a minimum rate, in virtual time. */
+class MinimumRateMonitorTest {
+  private static final MinimumRate MINIMUM = new MinimumRate(10_000, 2000);
+
+  @Test
+  void isTooSlowAfterTheGraceWithoutTransferAndNotBefore() {
+    MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+    monitor.begin(100);
+    assertThat(monitor.isTooSlow(2100, 1)).isFalse();
+    assertThat(monitor.isTooSlow(2101, 1)).isTrue();
+    assertThat(monitor.isTooSlow(1101, 0.5)).isTrue();
+  }
+
+  /** One byte just inside each time-out does not stop the deficit. */
+  @Test
+  void singleBytesReduceTheDeficitByTheirOwnTimeOnly() {
+    for (double everyMs : new double[] {1, 10, 100, 1900}) {
+      MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+      monitor.begin(0);
+      double now = 0;
+      while (!monitor.isTooSlow(now, 1) && now < 60_000) {
+        now += everyMs;
+        monitor.transferred(now, 1);
+      }
+      assertThat(now).as("a byte every %s ms", everyMs).isLessThan(2000 * 1.15 + 2 * everyMs);
+    }
+  }
+
+  /** The peer sends a burst just before each check, below the minimum rate on the whole. */
+  @Test
+  void burstsBeforeEachCheckDoNotReplaceTheMinimumRate() {
+    for (double everyMs : new double[] {50, 500, 1950}) {
+      MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+      monitor.begin(0);
+      double now = 0;
+      long moved = 0;
+      while (now < 60_000) {
+        now += everyMs;
+        long burst =
+            (long) (everyMs * 10 * 0.8); // four fifths of the minimum rate, all at the last moment
+        monitor.transferred(now, burst);
+        moved += burst;
+        if (monitor.isTooSlow(now, 1)) {
+          break;
+        }
+      }
+      assertThat(now)
+          .as("every %s ms, %d bytes", everyMs, moved)
+          .isBetween(2000.0, 10_000 + 2 * everyMs);
+    }
+  }
+
+  @Test
+  void burstEarnsNoCreditForLater() {
+    MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+    monitor.begin(0);
+    monitor.transferred(1, 50_000_000);
+    assertThat(monitor.isTooSlow(2002, 1)).isTrue();
+  }
+
+  @Test
+  void nextTransferBeginsWithoutDeficitAndTimeBetweenTransfersDoesNotCount() {
+    MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+    monitor.begin(0);
+    monitor.end();
+    assertThat(monitor.isTooSlow(1e9, 1)).isFalse();
+    monitor.begin(1e9);
+    monitor.begin(1e9 + 1500); // goes on, does not begin again
+    assertThat(monitor.deficitMs(1e9 + 1900)).isEqualTo(1900);
+  }
+
+  /**
+   * Against a plain model of the deficit, with one monitor that is read in between and one that is
+   * not.
+   */
+  @Test
+  void deficitMatchesItsDefinitionHoweverOftenItIsRead() {
+    for (long seed = 1; seed <= 500; seed++) {
+      Random random = new Random(seed);
+      MinimumRateMonitor readOften = new MinimumRateMonitor(MINIMUM);
+      MinimumRateMonitor readOnce = new MinimumRateMonitor(MINIMUM);
+      readOften.begin(0);
+      readOnce.begin(0);
+      double now = 0;
+      double expectedMs = 0;
+      for (int i = 0; i < 60; i++) {
+        double stepMs = random.nextInt(400);
+        now += stepMs;
+        expectedMs += stepMs;
+        for (int reads = random.nextInt(4); reads > 0; reads--) {
+          readOften.deficitMs(now - random.nextInt(50)); // also by a clock that has gone back
+        }
+        long bytes = random.nextInt(4000);
+        readOften.transferred(now, bytes);
+        readOnce.transferred(now, bytes);
+        expectedMs = Math.max(0, expectedMs - bytes / 10.0);
+        assertThat(readOften.deficitMs(now))
+            .as("seed %d", seed)
+            .isCloseTo(expectedMs, within(1e-6));
+        assertThat(readOnce.deficitMs(now)).as("seed %d", seed).isCloseTo(expectedMs, within(1e-6));
+      }
+    }
+  }
+
+  /** A peer that keeps the rate at each moment is never too slow, whatever the size. */
+  @Test
+  void peerThatKeepsTheRateIsNeverTooSlow() {
+    for (long seed = 1; seed <= 200; seed++) {
+      Random random = new Random(seed);
+      MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+      monitor.begin(0);
+      for (double now = 0; now < 100_000; ) {
+        double stepMs = 1 + random.nextInt(1900);
+        now += stepMs;
+        monitor.transferred(now, (long) Math.ceil(stepMs * 10));
+        assertThat(monitor.isTooSlow(now, 1)).as("seed %d", seed).isFalse();
+      }
+    }
+  }
+
+  @Test
+  void rejectsRateOfZeroAndNegativeGrace() {
+    assertThatThrownBy(() -> new MinimumRate(0, 1)).isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(() -> new MinimumRate(1, -1)).isInstanceOf(IllegalArgumentException.class);
+  }
+}
--- a/src/test/java/cacheproxy/limits/StreamingWindowTest.java
+++ b/src/test/java/cacheproxy/limits/StreamingWindowTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** How much of a long value may be in hand. */
+/** How much of a large value may be in flight. */
 class StreamingWindowTest {
   @ParameterizedTest
   @CsvSource({
@@ -20,8 +20,11 @@
     "1, 0, 74, true",
     "0, 1, 200, true"
   })
-  void aValueGoesOnWhateverOthersHold(long pending, int behind, long heldPercent, boolean reads) {
-    assertThat(StreamingWindow.reads(pending, behind, heldPercent * 100_000, 10_000_000))
-        .isEqualTo(reads);
+  void readsWithinTheWindowAndAlwaysWhenNothingIsPending(
+      long pendingBytes, int requestsBehind, long reservedPercent, boolean expected) {
+    assertThat(
+            StreamingWindow.shouldRead(
+                pendingBytes, requestsBehind, reservedPercent * 100_000, 10_000_000))
+        .isEqualTo(expected);
   }
 }
--- a/src/test/java/cacheproxy/proxy/LastLookTest.java
+++ b/src/test/java/cacheproxy/proxy/LastLookTest.java
@@ -84,7 +84,7 @@
                       .submit(
                           () ->
                               stage.proxy.door().clients().stream()
-                                  .filter(ClientConnection::busy)
+                                  .filter(ClientConnection::isBusy)
                                   .count())
                       .syncUninterruptibly()
                       .getNow()
@@ -130,7 +130,7 @@
         Stage.serves(stage.client(), "f" + i);
       }
       assertThat(late.read()).isEqualTo("VA 2 Ol1");
-      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isPositive();
+      assertThat(stage.cuts(DisconnectReason.BACKED_OFF)).isPositive();
     }
   }
 
--- a/src/test/java/cacheproxy/proxy/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/LongValueTest.java
@@ -75,7 +75,7 @@
         assertThat(client.read()).isEqualTo("VA " + bytes + " Ox" + i);
         assertThat(client.bytes(bytes + 2).equals(value + "\r\n")).isTrue();
       }
-      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.STREAMING) == 0);
     }
   }
 
@@ -108,9 +108,9 @@
             .as("client " + i)
             .isTrue();
       }
-      assertThat(stage.mostHeld(BufferPurpose.PASSING))
-          .isLessThan(16L * 3 * StreamingWindow.LEAST_BYTES);
-      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
+      assertThat(stage.mostHeld(BufferPurpose.STREAMING))
+          .isLessThan(16L * 3 * StreamingWindow.MIN_WINDOW_BYTES);
+      Stage.await(() -> stage.held(BufferPurpose.STREAMING) == 0);
     }
   }
 
@@ -138,7 +138,7 @@
       assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
       assertThat(client.bytes(BYTES + 2).length()).isLessThan(BYTES);
       assertThat(cache.heard).as("no second attempt").hasSize(1);
-      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.STREAMING) == 0);
     }
   }
 
@@ -190,7 +190,7 @@
       client.write(Stage.read("a", "1"));
       assertThat(client.read()).startsWith("VA ");
       client.close();
-      Stage.await(() -> stage.held(BufferPurpose.PASSING) == 0);
+      Stage.await(() -> stage.held(BufferPurpose.STREAMING) == 0);
       Stage.await(
           () ->
               stage
--- a/src/test/java/cacheproxy/proxy/OperatorSettingsTest.java
+++ b/src/test/java/cacheproxy/proxy/OperatorSettingsTest.java
@@ -44,8 +44,8 @@
 
   @Test
   void boundsOfOneKeyFollowWhatAnotherOneSets() throws Exception {
-    assertThat(read("[limits]\nplaces = 20\n").limits().clientsRoom()).isEqualTo(20);
-    assertThat(read("[limits]\nclient_answers_bytes = 65536\n").limits().clientAnswerBytes())
+    assertThat(read("[limits]\nplaces = 20\n").limits().maxActiveClients()).isEqualTo(20);
+    assertThat(read("[limits]\nclient_answers_bytes = 65536\n").limits().responseBytesPerClient())
         .isEqualTo(65536);
   }
 
--- a/src/test/java/cacheproxy/proxy/ReloadTest.java
+++ b/src/test/java/cacheproxy/proxy/ReloadTest.java
@@ -35,7 +35,7 @@
   @Test
   void theExampleConfigurationCanBeUsed() {
     Config config = Config.read("docs/example-config.json");
-    assertThat(config.limits().places()).isEqualTo(192);
+    assertThat(config.limits().maxConnections()).isEqualTo(192);
     assertThat(config.settings().classes()).hasSize(2);
   }
 
--- a/src/test/java/cacheproxy/proxy/SlowPeersTest.java
+++ b/src/test/java/cacheproxy/proxy/SlowPeersTest.java
@@ -86,7 +86,7 @@
       }
       Stage.serves(healthy, "after");
       assertThat(20_000 + rest(slow)).isLessThan(16L * Stage.LONG.length());
-      assertThat(stage.mostHeld(BufferPurpose.ANSWER)).isLessThanOrEqualTo(4 << 20);
+      assertThat(stage.mostHeld(BufferPurpose.CLIENT_RESPONSE)).isLessThanOrEqualTo(4 << 20);
       allIsGivenBack(stage);
     }
   }
@@ -196,12 +196,12 @@
         assertThat(line.read()).startsWith("ERROR");
       }
       Stage.serves(stage.client(), "usual");
-      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isZero();
+      assertThat(stage.cuts(DisconnectReason.BACKED_OFF)).isZero();
       long asked = System.nanoTime();
       Stage.serves(stage.clientFrom("127.0.0.77"), "again"); // late, and served all the same
       assertThat(System.nanoTime() - asked)
           .isGreaterThan(150_000_000L); // of 200 ms after six times
-      assertThat(stage.cuts(DisconnectReason.HELD_OFF)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.BACKED_OFF)).isEqualTo(1);
     }
   }
 
@@ -218,7 +218,7 @@
       hoards.write(Stage.read("long1", "l1") + Stage.read("long2", "l2"));
       Stage.await(
           () ->
-              stage.held(BufferPurpose.ANSWER) > 120_000
+              stage.held(BufferPurpose.CLIENT_RESPONSE) > 120_000
                   && stage
                           .proxy
                           .loop()
@@ -230,14 +230,14 @@
                                       .clients()
                                       .iterator()
                                       .next()
-                                      .behindMs(stage.proxy.dispatcher().now()))
+                                      .deficitMs(stage.proxy.dispatcher().now()))
                           .syncUninterruptibly()
                           .getNow()
                       > 200);
       Peer.Line asks = stage.client();
       asks.write(Stage.read("long3", "l3"));
       assertThat(asks.read()).isEqualTo("VA 65536 Ol3");
-      assertThat(stage.cuts(DisconnectReason.HOARDER)).isEqualTo(1);
+      assertThat(stage.cuts(DisconnectReason.UNFAIR_SHARE)).isEqualTo(1);
       assertThat(rest(hoards)).isLessThan(2L * Stage.LONG.length());
       allIsGivenBack(stage);
     }
@@ -267,7 +267,7 @@
       client.write(Stage.read("long", "3").replace("c=read", "c=save,k=1"));
       assertThat(client.read()).isEqualTo("SERVER_ERROR failed");
       Stage.serves(client, "4");
-      assertThat(stage.cuts(DisconnectReason.NO_ROOM)).isGreaterThanOrEqualTo(3);
+      assertThat(stage.cuts(DisconnectReason.NO_CAPACITY)).isGreaterThanOrEqualTo(3);
       assertThat(cache.lines).noneMatch(l -> l.ended);
       allIsGivenBack(stage);
     }
@@ -475,19 +475,23 @@
       // A writer that holds the most when answers have no room goes as a hoarder, before its grace
       // is over.
       assertThat(slow).hasSize(48);
-      while (stage.cuts(DisconnectReason.SLOW_WRITER) + stage.cuts(DisconnectReason.HOARDER) < 24
-          || stage.held(BufferPurpose.ANSWER) + stage.held(BufferPurpose.VALUE) > 0) {
+      while (stage.cuts(DisconnectReason.SLOW_WRITER) + stage.cuts(DisconnectReason.UNFAIR_SHARE)
+              < 24
+          || stage.held(BufferPurpose.CLIENT_RESPONSE) + stage.held(BufferPurpose.REQUEST_VALUE)
+              > 0) {
         assertThat(System.nanoTime()).isLessThan(end);
         for (int i = 0; i < healthy.size(); i++) {
           usual(stage, healthy, i, "h" + served++);
         }
       }
-      assertThat(stage.cuts(DisconnectReason.SLOW_READER) + stage.cuts(DisconnectReason.HOARDER))
+      assertThat(
+              stage.cuts(DisconnectReason.SLOW_READER) + stage.cuts(DisconnectReason.UNFAIR_SHARE))
           .isPositive();
       for (int i = 0; i < healthy.size(); i++) {
         usual(stage, healthy, i, "after" + served++);
       }
-      assertThat(stage.mostHeld(BufferPurpose.ANSWER)).isLessThanOrEqualTo((4 << 20) + 80 * 1024);
+      assertThat(stage.mostHeld(BufferPurpose.CLIENT_RESPONSE))
+          .isLessThanOrEqualTo((4 << 20) + 80 * 1024);
       allIsGivenBack(stage);
     }
   }
@@ -551,7 +555,7 @@
                     () -> {
                       long accounted = 0;
                       for (BufferPurpose h : BufferPurpose.values()) {
-                        accounted += stage.proxy.dispatcher().accounts().held(h);
+                        accounted += stage.proxy.dispatcher().accounts().reservedBytes(h);
                       }
                       return new long[] {used(allocator), accounted};
                     })
--- a/src/test/java/cacheproxy/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -214,44 +214,44 @@
    */
   static Limits room(Limits l, long reading, long bytes) {
     return new Limits(
-        l.places(),
-        l.clientsRoom(),
-        l.valueBytes(),
+        l.maxConnections(),
+        l.maxActiveClients(),
+        l.requestValueBytes(),
         reading,
         bytes,
         bytes,
-        l.clientWrite(),
-        l.clientRead(),
-        l.nodeAnswer(),
+        l.clientWriteRate(),
+        l.clientReadRate(),
+        l.nodeResponseRate(),
         l.silentMs(),
         l.sendBufferBytes(),
-        l.showOutIdle(),
-        l.holdOff());
+        l.evictIdle(),
+        l.clientBackoff());
   }
 
   /** Least rates with these graces, and little that the system holds of answers. */
   static Limits narrow(Limits l, double writeGraceMs, double readGraceMs) {
     return new Limits(
-        l.places(),
-        l.clientsRoom(),
-        l.valueBytes(),
-        l.readingBytes(),
-        l.answerBytes(),
-        l.clientAnswerBytes(),
-        new MinimumRate(l.clientWrite().bytesPerS(), writeGraceMs),
-        new MinimumRate(l.clientRead().bytesPerS(), readGraceMs),
-        l.nodeAnswer(),
+        l.maxConnections(),
+        l.maxActiveClients(),
+        l.requestValueBytes(),
+        l.upstreamResponseBytes(),
+        l.clientResponseBytes(),
+        l.responseBytesPerClient(),
+        new MinimumRate(l.clientWriteRate().bytesPerSecond(), writeGraceMs),
+        new MinimumRate(l.clientReadRate().bytesPerSecond(), readGraceMs),
+        l.nodeResponseRate(),
         l.silentMs(),
         8 << 10,
-        l.showOutIdle(),
-        l.holdOff());
+        l.evictIdle(),
+        l.clientBackoff());
   }
 
   /** How often the proxy has cut somebody off for this. */
   long cuts(DisconnectReason why) {
     return proxy
         .loop()
-        .submit(() -> proxy.dispatcher().cuts().of(why))
+        .submit(() -> proxy.dispatcher().cuts().count(why))
         .syncUninterruptibly()
         .getNow();
   }
@@ -259,7 +259,7 @@
   long held(BufferPurpose kind) {
     return proxy
         .loop()
-        .submit(() -> proxy.dispatcher().accounts().held(kind))
+        .submit(() -> proxy.dispatcher().accounts().reservedBytes(kind))
         .syncUninterruptibly()
         .getNow();
   }
@@ -267,7 +267,7 @@
   long mostHeld(BufferPurpose kind) {
     return proxy
         .loop()
-        .submit(() -> proxy.dispatcher().accounts().most(kind))
+        .submit(() -> proxy.dispatcher().accounts().peakBytes(kind))
         .syncUninterruptibly()
         .getNow();
   }
