Package overload in standard terms: PIE controller, request costs, report of its own

Change: Admission is PieRejectionController, Costs is RequestCosts, and OverloadReport comes out of CpuLoadShedder with the counts and the line `not enough processor:`, which stays to the character and is held by a new test. Unknown ratios and costs are OptionalDouble; these are made once in 100 ms, not on the request path.

--- a/src/main/java/cacheproxy/model/LoopModel.java
+++ b/src/main/java/cacheproxy/model/LoopModel.java
@@ -282,8 +282,8 @@
     nextComesMs = gap();
     while (now < endMs) {
       double due = (Math.floor(now / TICK_MS) + 1) * TICK_MS;
-      if (budget != null && budget.entering(now, due)) {
-        budget.span(now, (long) (ranMs * 1e6) + " 0 0");
+      if (budget != null && budget.beforeSelect(now, due)) {
+        budget.endInterval(now, (long) (ranMs * 1e6) + " 0 0");
       }
       happen(now);
       if (kernel.isEmpty()) {
@@ -292,7 +292,7 @@
         happen(now);
       }
       if (budget != null) {
-        budget.selected(now);
+        budget.afterSelect(now);
       }
       for (int ready = kernel.size(); ready > 0; ready--) {
         work(kernel.poll());
@@ -367,13 +367,13 @@
     }
     double began = now;
     double advice = -1;
-    double excess = budget == null ? 0 : budget.excess(now);
+    double excess = budget == null ? 0 : budget.rejectionRatio(now);
     if (excess > 0) {
-      advice = gate.turnAway(now, ask, budget.waitedMs(now), excess);
+      advice = gate.turnAway(now, ask, budget.queueDelayMs(now), excess);
     }
     if (advice >= 0) {
       spend(plan.refusedMs());
-      budget.refused(now - began);
+      budget.recordRejected(now - began);
       Second second = second(now);
       if (second != null) {
         second.refusals++;
@@ -384,7 +384,7 @@
       return;
     }
     if (budget != null) {
-      budget.taken();
+      budget.recordAdmitted();
     }
     spend(plan.servedMs() / 2);
     event(now + plan.serverMs(), ask, ANSWER);
--- a/src/main/java/cacheproxy/model/LoopTable.java
+++ b/src/main/java/cacheproxy/model/LoopTable.java
@@ -41,7 +41,8 @@
   private static double[] play(Plan plan, boolean rules) {
     double[] sums = new double[2];
     for (long seed = 1; seed <= SEEDS; seed++) {
-      CpuLoadShedder budget = rules ? new CpuLoadShedder(CpuLoadShedder.targetMs(AIM_MS)) : null;
+      CpuLoadShedder budget =
+          rules ? new CpuLoadShedder(CpuLoadShedder.targetDelayMs(AIM_MS)) : null;
       for (LoopModel.Second s :
           new LoopModel(plan, budget, LoopModel.Gate.module(AIM_MS, 1000, seed), seed)
               .play(20)
--- a/src/main/java/cacheproxy/overload/CpuLoadShedder.java
+++ b/src/main/java/cacheproxy/overload/CpuLoadShedder.java
@@ -1,169 +1,138 @@
 package cacheproxy.overload;
 
-import java.util.Locale;
+import java.util.Optional;
 
 /**
- * What the proxy's own part of a processor allows, from what its loop is seen to do. Asked before
- * anything is spent on a request; says how much is too much and never who.
+ * Decides how large a part of the incoming requests has to be rejected because the proxy's share of
+ * a processor does not suffice for all; which requests these are is decided elsewhere. It observes
+ * the event loop's iterations, is asked before anything is spent on a request, and is used by the
+ * event loop's thread only. Recording a request allocates nothing.
  */
 public final class CpuLoadShedder {
-  /**
-   * What there is and what it is spent on is worked out so often, in milliseconds, or after a round
-   * that is longer.
-   */
-  static final double SPAN_MS = 100;
+  /** Measurements are taken this often, in milliseconds, or after an iteration that is longer. */
+  static final double INTERVAL_MS = 100;
 
   /**
-   * Of the shortest aim: what is read and what comes back wait for the loop once each, and a server
-   * takes its time.
+   * The target delay as a part of the shortest latency objective: a request and its response wait
+   * for the loop once each, and the upstream server takes its time.
    */
-  static final double PART_OF_AIM = 0.25;
+  static final double PART_OF_OBJECTIVE = 0.25;
 
-  /** Told in the log so often at most while anyone is turned away, in milliseconds. */
-  static final double TELL_MS = 10_000;
+  private static final double MS_PER_SECOND = 1000;
 
-  private final LoopIterations rounds = new LoopIterations();
-  private final Admission admission;
-  private final Costs costs = new Costs();
-  private final ThreadCpuClock time = new ThreadCpuClock();
-  private double startedMs = Double.NaN;
-  private double worked;
-  private double busy;
-  private long taken;
-  private long refused;
-  private long toldRefused;
-  private double perSecond;
-  private double mostWaitMs;
-  private double toldMs = Double.NEGATIVE_INFINITY;
+  private final LoopIterations iterations = new LoopIterations();
+  private final PieRejectionController controller;
+  private final RequestCosts costs = new RequestCosts();
+  private final ThreadCpuClock cpuClock = new ThreadCpuClock();
+  private final OverloadReport report = new OverloadReport();
+  private boolean started;
+  private double intervalStartMs;
+  private double processingMs;
 
   /**
-   * @param targetMs the wait for the loop that is aimed at while not all fit, in milliseconds
+   * Creates a load shedder that admits everything.
+   *
+   * @param targetDelayMs the delay of the loop that is aimed at under overload, in milliseconds
+   * @throws IllegalArgumentException if the target is not positive
    */
-  public CpuLoadShedder(double targetMs) {
-    admission = new Admission(targetMs);
+  public CpuLoadShedder(double targetDelayMs) {
+    controller = new PieRejectionController(targetDelayMs);
   }
 
   /**
-   * The wait to aim at where the most urgent class is to be answered by this time, in milliseconds.
+   * The target delay for a latency objective, both in milliseconds.
+   *
+   * @param latencyObjectiveMs the objective of the most urgent class
    */
-  public static double targetMs(double aimMs) {
-    return aimMs * PART_OF_AIM;
+  public static double targetDelayMs(double latencyObjectiveMs) {
+    return latencyObjectiveMs * PART_OF_OBJECTIVE;
   }
 
-  // ---- what the loop does
-
   /**
-   * The loop is about to select, and wakes by itself at this time at the latest. True: a span has
-   * ended.
+   * Records that the loop is about to select.
+   *
+   * @param wakeDueMs when it wakes by itself at the latest
+   * @return whether the measurement interval is over and {@link #endInterval} is due
    */
-  public boolean entering(double nowMs, double dueMs) {
-    double work = rounds.workedMs(nowMs);
-    if (Double.isNaN(startedMs)) {
-      startedMs = nowMs;
+  public boolean beforeSelect(double nowMs, double wakeDueMs) {
+    double iterationMs = iterations.processingMs(nowMs);
+    if (started) {
+      processingMs += iterationMs;
+      controller.recordIteration(nowMs, iterationMs + iterations.oversleptMs());
     } else {
-      worked += work;
-      admission.round(nowMs, work + rounds.oversleptMs());
+      started = true;
+      intervalStartMs = nowMs;
     }
-    rounds.entering(nowMs, dueMs);
-    return nowMs - startedMs >= SPAN_MS;
+    iterations.beforeSelect(nowMs, wakeDueMs);
+    return nowMs - intervalStartMs >= INTERVAL_MS;
+  }
+
+  /** Records that the loop has selected, and processes the result from now on. */
+  public void afterSelect(double nowMs) {
+    iterations.afterSelect(nowMs);
   }
 
   /**
-   * A span has ended.
+   * Ends a measurement interval.
    *
-   * @param threadTime what the system tells of the loop's thread; empty: nothing, and it is taken
-   *     to run whenever it has work
+   * @param schedstat the system's figures of the loop's thread; empty: there are none, and the
+   *     thread is taken to run whenever it has work
    */
-  public void span(double nowMs, String threadTime) {
-    double span = nowMs - startedMs;
-    startedMs = nowMs;
-    if (span <= 0) {
+  public void endInterval(double nowMs, String schedstat) {
+    double intervalMs = nowMs - intervalStartMs;
+    intervalStartMs = nowMs;
+    if (intervalMs <= 0) {
       return;
     }
-    busy = Math.min(1, worked / span);
-    worked = 0;
-    time.read(nowMs, threadTime);
-    double ran = Double.isNaN(time.ran()) ? busy : Math.min(1, time.ran());
-    perSecond = costs.read() * 1000 / span;
-    costs.span(ran * span);
-    mostWaitMs = Math.max(mostWaitMs, admission.waitMs());
+    double busyRatio = Math.min(1, processingMs / intervalMs);
+    processingMs = 0;
+    cpuClock.read(nowMs, schedstat);
+    double requestsPerSecond = costs.requestsInInterval() * MS_PER_SECOND / intervalMs;
+    double runningRatio = Math.min(1, cpuClock.runningRatio().orElse(busyRatio));
+    costs.endInterval(runningRatio * intervalMs);
+    report.endInterval(
+        new OverloadReport.Interval(
+            requestsPerSecond, busyRatio, cpuClock.runningRatio(), cpuClock.waitingRatio()),
+        controller.meanDelayMs());
   }
 
-  public void selected(double nowMs) {
-    rounds.selected(nowMs);
-  }
-
-  // ---- what fits
-
   /**
-   * The part of what is read now that does not fit, from 0; 0: nobody needs to be asked. As long as
-   * too few were taken to know what one costs, all fit: rounds are long at a start, and tell
-   * nothing of what comes.
+   * The part of the requests read now that has to be rejected, from 0; 0: none has to be checked.
+   * Until the cost of a request is known all are admitted: iterations are long at a start, and say
+   * nothing about the load. While only this iteration is late, the least positive value makes each
+   * request be checked.
    */
-  public double excess(double nowMs) {
-    if (!costs.known()) {
+  public double rejectionRatio(double nowMs) {
+    if (!costs.areKnown()) {
       return 0;
     }
-    double excess = admission.excess();
-    return excess > 0 || rounds.waitedMs(nowMs) > admission.targetMs()
-        ? Math.max(Double.MIN_VALUE, excess)
-        : 0;
+    double ratio = controller.rejectionRatio();
+    boolean late = iterations.queueDelayMs(nowMs) > controller.targetDelayMs();
+    return ratio > 0 || late ? Math.max(Double.MIN_VALUE, ratio) : 0;
   }
 
-  /** How long a request that is read now has waited for that, in milliseconds. */
-  public double waitedMs(double nowMs) {
-    return rounds.waitedMs(nowMs);
+  /** The mean time that a request that is read now has waited for that, in milliseconds. */
+  public double queueDelayMs(double nowMs) {
+    return iterations.queueDelayMs(nowMs);
   }
 
-  public void taken() {
-    taken++;
-    costs.served();
+  /** Records that a request was admitted. */
+  public void recordAdmitted() {
+    report.recordAdmitted();
+    costs.recordAdmitted();
   }
 
-  /** Turned away before anything else, which took so long. */
-  public void refused(double tookMs) {
-    refused++;
-    costs.refused(tookMs);
+  /** Records that a request was rejected, this many milliseconds after it had been read. */
+  public void recordRejected(double tookMs) {
+    report.recordRejected();
+    costs.recordRejected(tookMs);
   }
 
-  // ---- what operators see
-
   /**
-   * One line where anybody was turned away since the last one, and that is some time ago; else
-   * null.
+   * Takes the line for the log, if requests were rejected since the last one and that is long
+   * enough ago.
    */
-  public String news(double nowMs) {
-    if (refused == toldRefused || nowMs - toldMs < TELL_MS) {
-      return null;
-    }
-    toldMs = nowMs;
-    toldRefused = refused;
-    String line = toString();
-    mostWaitMs = 0;
-    return line;
-  }
-
-  @Override
-  public String toString() {
-    return String.format(
-        Locale.ROOT,
-        "not enough processor: %d turned away of %d, %.0f/s; loop late by %.0f ms, at most"
-            + " %.0f, all is taken up to %.0f; at work %.0f%%, ran %s, kept waiting %s; a request takes %s, a refusal %.0f us",
-        refused,
-        taken + refused,
-        perSecond,
-        admission.waitMs(),
-        mostWaitMs,
-        admission.targetMs(),
-        100 * busy,
-        figure(100 * time.ran(), "%"),
-        figure(100 * time.held(), "%"),
-        figure(1000 * costs.servedMs(), " us"),
-        1000 * costs.refusalMs());
-  }
-
-  /** What is not known is said to be so. */
-  private static String figure(double value, String unit) {
-    return Double.isNaN(value) ? "unknown" : Math.round(value) + unit;
+  public Optional<String> pollReport(double nowMs) {
+    return report.poll(nowMs, controller, costs);
   }
 }
--- a/src/main/java/cacheproxy/overload/LoopIterations.java
+++ b/src/main/java/cacheproxy/overload/LoopIterations.java
@@ -1,60 +1,59 @@
 package cacheproxy.overload;
 
 /**
- * The event loop's rounds, and what they tell of a request that is read now: the kernel doesn't say
- * since when it has had it. A selection that did not have to wait gives what has come since the one
- * before; one that waited gives what ended the wait, and overslept by as long as the whole process
- * stood still meanwhile.
+ * Estimates from the event loop's iterations how long a request that is read now has waited: the
+ * kernel does not tell when it arrived. A selection that returns at once returns what has arrived
+ * since the one before; one that waited returns what ended the wait, and overslept by as long as
+ * the whole process was paused meanwhile. Used by the event loop's thread only; allocates nothing.
  */
-public final class LoopIterations {
+final class LoopIterations {
   /** A selection that took no longer has not waited for anything. */
-  static final double AT_ONCE_MS = 0.2;
+  static final double IMMEDIATE_MS = 0.2;
 
-  private double enteredMs = Double.NaN;
-  private double dueMs;
-  private double selectedMs = Double.NaN;
+  private boolean hasSelected;
+  private double selectStartMs;
+  private double wakeDueMs;
+  private double selectedMs;
 
-  /** What was selected last may have been ready for as long before that. */
+  /** What was selected last may have been ready for this long before. */
   private double readyMs;
 
   private double oversleptMs;
 
   /**
-   * The loop is about to select.
+   * Records that the loop is about to select.
    *
-   * @param dueMs when it wakes by itself at the latest, on the same clock
+   * @param wakeDueMs when it wakes by itself at the latest, on the same clock
    */
-  public void entering(double nowMs, double dueMs) {
-    enteredMs = nowMs;
-    this.dueMs = dueMs;
+  void beforeSelect(double nowMs, double wakeDueMs) {
+    selectStartMs = nowMs;
+    this.wakeDueMs = wakeDueMs;
   }
 
-  /** It has selected, and works on what it was given from now on. */
-  public void selected(double nowMs) {
-    double before = selectedMs;
+  /** Records that the loop has selected, and processes the result from now on. */
+  void afterSelect(double nowMs) {
+    double previousMs = selectedMs;
+    oversleptMs = Math.max(0, nowMs - Math.max(wakeDueMs, selectStartMs + IMMEDIATE_MS));
+    boolean immediate = nowMs - selectStartMs <= IMMEDIATE_MS;
+    if (hasSelected) {
+      readyMs = immediate ? nowMs - previousMs : oversleptMs;
+    }
     selectedMs = nowMs;
-    oversleptMs = Math.max(0, nowMs - Math.max(dueMs, enteredMs + AT_ONCE_MS));
-    boolean atOnce = nowMs - enteredMs <= AT_ONCE_MS;
-    readyMs = Double.isNaN(before) ? 0 : atOnce ? nowMs - before : oversleptMs;
+    hasSelected = true;
   }
 
-  /**
-   * Since when the loop has worked on what it selected, in milliseconds; 0 before its first round.
-   */
-  public double workedMs(double nowMs) {
-    return Double.isNaN(selectedMs) ? 0 : Math.max(0, nowMs - selectedMs);
+  /** For how many milliseconds the loop has processed its last selection; 0 before the first. */
+  double processingMs(double nowMs) {
+    return hasSelected ? Math.max(0, nowMs - selectedMs) : 0;
   }
 
-  /**
-   * By how much the last selection went past the time at which it should have ended, in
-   * milliseconds.
-   */
-  public double oversleptMs() {
+  /** By how many milliseconds the last selection exceeded the time at which it was due to end. */
+  double oversleptMs() {
     return oversleptMs;
   }
 
-  /** How long a request that is read now has waited for that, on the mean, in milliseconds. */
-  public double waitedMs(double nowMs) {
-    return Double.isNaN(selectedMs) ? 0 : readyMs / 2 + workedMs(nowMs);
+  /** The mean time that a request that is read now has waited, in milliseconds. */
+  double queueDelayMs(double nowMs) {
+    return hasSelected ? readyMs / 2 + processingMs(nowMs) : 0;
   }
 }
--- a/src/main/java/cacheproxy/overload/ThreadCpuClock.java
+++ b/src/main/java/cacheproxy/overload/ThreadCpuClock.java
@@ -1,44 +1,55 @@
 package cacheproxy.overload;
 
+import java.util.OptionalDouble;
+
 /**
- * A thread's processor time from what the system tells of it (Linux, {@code schedstat}: nanoseconds
- * on a processor, nanoseconds for which it could have run and did not, number of turns).
+ * Measures a thread's processor time from its Linux {@code schedstat} line: nanoseconds on a
+ * processor, nanoseconds runnable without a processor, number of time slices. Used by the event
+ * loop's thread only.
  */
-public final class ThreadCpuClock {
-  private double runMs = Double.NaN;
-  private double heldMs;
-  private double atMs;
-  private double ran = Double.NaN;
-  private double held = Double.NaN;
+final class ThreadCpuClock {
+  private static final double NANOS_PER_MS = 1e6;
+
+  private boolean hasReading;
+  private double readMs;
+  private double runningMs;
+  private double waitingMs;
+  private OptionalDouble runningRatio = OptionalDouble.empty();
+  private OptionalDouble waitingRatio = OptionalDouble.empty();
 
-  /** The line as it is now; one that is of another form is left out. */
-  public void read(double nowMs, String line) {
-    int first = line.indexOf(' ');
-    int second = line.indexOf(' ', first + 1);
-    double run;
-    double wait;
+  /** Takes the line as it is now; a line of another form is ignored. */
+  void read(double nowMs, String schedstat) {
+    int first = schedstat.indexOf(' ');
+    int second = schedstat.indexOf(' ', first + 1);
+    double running;
+    double waiting;
     try {
-      run = Long.parseLong(line.substring(0, Math.max(0, first))) / 1e6;
-      wait = Long.parseLong(line.substring(first + 1, Math.max(first + 1, second))) / 1e6;
+      running = millis(schedstat.substring(0, Math.max(0, first)));
+      waiting = millis(schedstat.substring(first + 1, Math.max(first + 1, second)));
     } catch (NumberFormatException e) {
-      return;
+      return; // the system has no such figures
     }
-    if (!Double.isNaN(runMs) && nowMs > atMs) {
-      ran = (run - runMs) / (nowMs - atMs);
-      held = (wait - heldMs) / (nowMs - atMs);
+    if (hasReading && nowMs > readMs) {
+      runningRatio = OptionalDouble.of((running - runningMs) / (nowMs - readMs));
+      waitingRatio = OptionalDouble.of((waiting - waitingMs) / (nowMs - readMs));
     }
-    runMs = run;
-    heldMs = wait;
-    atMs = nowMs;
+    hasReading = true;
+    runningMs = running;
+    waitingMs = waiting;
+    readMs = nowMs;
+  }
+
+  private static double millis(String nanos) {
+    return Long.parseLong(nanos) / NANOS_PER_MS;
   }
 
-  /** Part of the time between the last two lines in which it ran; NaN: not known. */
-  public double ran() {
-    return ran;
+  /** The part of the time between the last two lines in which it ran; empty: not known. */
+  OptionalDouble runningRatio() {
+    return runningRatio;
   }
 
-  /** Part of that time in which it could have run and was not let; NaN: not known. */
-  public double held() {
-    return held;
+  /** The part of that time in which it was runnable without a processor; empty: not known. */
+  OptionalDouble waitingRatio() {
+    return waitingRatio;
   }
 }
--- a/src/main/java/cacheproxy/overload/package-info.java
+++ b/src/main/java/cacheproxy/overload/package-info.java
@@ -1,6 +1,7 @@
 /**
- * What fits on the proxy's own part of a processor: rules alone, told of the loop's rounds and of
- * what is read. Who is turned away where not all fit is the decision module's word;
- * docs/design-overload.md says why these rules.
+ * Load shedding by the proxy's share of a processor: rules without I/O that observe the event
+ * loop's iterations and the requests that are read (docs/design-overload.md). Their state belongs
+ * to one {@link cacheproxy.overload.CpuLoadShedder}, which the event loop thread of {@code
+ * cacheproxy.proxy} calls.
  */
 package cacheproxy.overload;
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -452,7 +452,7 @@
       take(command);
     }
     if (unseen) {
-      dispatcher.budget().refused(dispatcher.now() - began);
+      dispatcher.budget().recordRejected(dispatcher.now() - began);
     }
   }
 
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -180,7 +180,7 @@
             : new CpuLoadShedder(
                 config.waitMs() > 0
                     ? config.waitMs()
-                    : CpuLoadShedder.targetMs(
+                    : CpuLoadShedder.targetDelayMs(
                         settings.classes().stream()
                             .mapToDouble(ServiceClass::aimMs)
                             .min()
@@ -265,7 +265,7 @@
       return null;
     }
     double now = now();
-    double excess = rehearsed(budget.excess(now));
+    double excess = rehearsed(budget.rejectionRatio(now));
     if (excess == 0) {
       return null;
     }
@@ -285,7 +285,7 @@
                 kind,
                 tenant,
                 "1".equals(MetaCodec.named(c.extras, "r")),
-                budget.waitedMs(now),
+                budget.queueDelayMs(now),
                 patience),
             excess);
     if (advice == RoutingApi.TAKEN) {
@@ -454,9 +454,8 @@
   }
 
   private void sweep(double now) {
-    String news = budget == null || refuseOneIn > 0 ? null : budget.news(now);
-    if (news != null) {
-      budgetLog.line(news, null);
+    if (budget != null && refuseOneIn <= 0) {
+      budget.pollReport(now).ifPresent(line -> budgetLog.line(line, null));
     }
     for (Upstream u : upstreams.values()) {
       u.closeIdle(now - config.idleCloseMs() * RETIRE_AT);
@@ -662,8 +661,8 @@
     double wait = figure(c, "d", 0);
     double waited = 0;
     if (budget != null) {
-      budget.taken();
-      waited = Math.min(wait, budget.waitedMs(now));
+      budget.recordAdmitted();
+      waited = Math.min(wait, budget.queueDelayMs(now));
     }
     wait -= Math.min(ANSWER_AHEAD_MS, wait / 10) + waited;
     wait = Math.max(1, Math.min(wait, answerByMs - now));
@@ -840,7 +839,7 @@
    * known.
    */
   double unreadMs() {
-    return budget == null ? 0 : budget.waitedMs(now());
+    return budget == null ? 0 : budget.queueDelayMs(now());
   }
 
   private void over(Exchange x) {
--- a/src/main/java/cacheproxy/proxy/LoopWatch.java
+++ b/src/main/java/cacheproxy/proxy/LoopWatch.java
@@ -40,8 +40,8 @@
   int round(IoHandler io, IoHandlerContext context) {
     loop = context;
     double now = dispatcher.now();
-    if (budget.entering(now, now + context.delayNanos(System.nanoTime()) / 1e6)) {
-      budget.span(now, threadTime());
+    if (budget.beforeSelect(now, now + context.delayNanos(System.nanoTime()) / 1e6)) {
+      budget.endInterval(now, threadTime());
     }
     return io.run(this);
   }
@@ -87,7 +87,7 @@
 
   @Override
   public boolean shouldReportActiveIoTime() {
-    budget.selected(dispatcher.now());
+    budget.afterSelect(dispatcher.now());
     return loop.shouldReportActiveIoTime();
   }
 
--- a/src/test/java/cacheproxy/overload/CpuLoadShedderTest.java
+++ b/src/test/java/cacheproxy/overload/CpuLoadShedderTest.java
@@ -3,86 +3,113 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
-import java.util.List;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** What the loop's rounds tell, and what a request is seen to cost. */
+/** The queue delay from the loop's iterations, learnt costs, and the report. */
 class CpuLoadShedderTest {
   /**
-   * A round selected at 1000; the next selection is begun and ends at these times, with a timer due
-   * then; a request is read at the last.
+   * An iteration selected at 1000; the next selection starts and ends at these times, with a timer
+   * due then; a request is read at the last.
    */
   @ParameterizedTest(name = "{0}")
   @CsvSource({
-    // what,                                    begun, due,  ends,   read,  waited
-    "it was ready: half of the round before,     1040, 1050, 1040.1, 1045,  24.95",
-    "the loop slept until it came,               1040, 1090, 1060,   1062,  2",
-    "the process stood still while it slept,     1040, 1050, 3050,   3051,  1001",
-    "it stood still while it worked,             3000, 3010, 3000.1, 3000.1, 1000.05"
+    // case,                                    start, due,  end,    read,  delay
+    "ready at once: half of the last iteration,    1040, 1050, 1040.1, 1045,  24.95",
+    "the loop slept until it arrived,              1040, 1090, 1060,   1062,  2",
+    "the process was paused while it slept,        1040, 1050, 3050,   3051,  1001",
+    "it was paused while it worked,                3000, 3010, 3000.1, 3000.1, 1000.05"
   })
-  void howLongARequestHasWaited(
-      String what, double begun, double due, double ends, double read, double waited) {
-    LoopIterations rounds = new LoopIterations();
-    assertThat(rounds.waitedMs(900)).isZero();
-    rounds.entering(999, 1050);
-    rounds.selected(1000);
-    rounds.entering(begun, due);
-    rounds.selected(ends);
-    assertThat(rounds.waitedMs(read)).isCloseTo(waited, within(1e-6));
+  void estimatesTheQueueDelayFromSelections(
+      String name, double startMs, double dueMs, double endMs, double readMs, double delayMs) {
+    LoopIterations iterations = new LoopIterations();
+    assertThat(iterations.queueDelayMs(900)).isZero();
+    iterations.beforeSelect(999, 1050);
+    iterations.afterSelect(1000);
+    iterations.beforeSelect(startMs, dueMs);
+    iterations.afterSelect(endMs);
+    assertThat(iterations.queueDelayMs(readMs)).isCloseTo(delayMs, within(1e-6));
   }
 
   /**
-   * 30% of 100 ms for 100 requests, 50 of them refused in 0.05 ms after as much for reading; one
-   * stood still for 60 ms.
+   * 30% of 100 ms for 100 requests, 50 of them rejected in 0.05 ms after as much for reading; one
+   * was interrupted for 60 ms.
    */
   @Test
-  void whatRequestsAndRefusalsTake() {
-    Costs costs = new Costs();
-    for (int span = 0; span < 60; span++) {
+  void learnsTheCostOfAdmittedAndRejectedRequests() {
+    RequestCosts costs = new RequestCosts();
+    for (int interval = 0; interval < 60; interval++) {
       for (int i = 0; i < 50; i++) {
-        costs.served();
-        costs.refused(i == 7 ? 60 : 0.05);
+        costs.recordAdmitted();
+        costs.recordRejected(i == 7 ? 60 : 0.05);
       }
-      costs.span(30);
+      costs.endInterval(30);
     }
-    assertThat(costs.refusalMs()).isBetween(0.1, 0.25);
-    assertThat(costs.servedMs()).isBetween(0.35, 0.55);
+    assertThat(costs.rejectionMs()).isBetween(0.1, 0.25);
+    assertThat(costs.admittedMs().orElseThrow()).isBetween(0.35, 0.55);
   }
 
-  /** A start: rounds of 400 ms where 62 are aimed at, and five requests a second. */
+  /** A start: iterations of 400 ms with a target delay of 62 ms, and five requests a second. */
   @Test
-  void nothingIsTurnedAwayBeforeACostIsKnownAndNothingIsTimedAsNoNumber() {
-    CpuLoadShedder budget = new CpuLoadShedder(62);
+  void rejectsNothingBeforeTheCostIsKnownAndReportsUnknownFigures() {
+    CpuLoadShedder shedder = new CpuLoadShedder(62);
     double now = 0;
-    for (int round = 1; round <= 60; round++) {
-      if (budget.entering(now, now + 10)) {
-        budget.span(now, "");
+    for (int iteration = 1; iteration <= 60; iteration++) {
+      if (shedder.beforeSelect(now, now + 10)) {
+        shedder.endInterval(now, "");
       }
-      budget.selected(now + 1);
+      shedder.afterSelect(now + 1);
       now += 400;
-      assertThat(budget.excess(now) > 0).as("round %d", round).isEqualTo(2 * round > Costs.ENOUGH);
-      budget.taken();
-      budget.taken();
+      assertThat(shedder.rejectionRatio(now) > 0)
+          .as("iteration %d", iteration)
+          .isEqualTo(2 * iteration > RequestCosts.MIN_REQUESTS);
+      shedder.recordAdmitted();
+      shedder.recordAdmitted();
     }
-    budget.refused(0.1);
-    assertThat(budget.news(now))
+    shedder.recordRejected(0.1);
+    assertThat(shedder.pollReport(now).orElseThrow())
         .contains("ran unknown", "a request takes 199500 us")
         .doesNotContain("NaN");
   }
 
   @ParameterizedTest
-  @CsvSource({
-    "40000000 10000000 7, 0.4, 0.1",
-    "'', NaN, NaN",
-    "40000000, NaN, NaN",
-    "a b c, NaN, NaN"
-  })
-  void whatTheSystemTellsOfTheThread(String line, double ran, double held) {
-    ThreadCpuClock time = new ThreadCpuClock();
-    time.read(0, "0 0 0");
-    time.read(100, line);
-    assertThat(List.of(time.ran(), time.held())).isEqualTo(List.of(ran, held));
+  @CsvSource({"40000000 10000000 7, 0.4, 0.1", "'', ,", "40000000, ,", "a b c, ,"})
+  void readsRunningAndWaitingRatiosAndIgnoresOtherLines(
+      String schedstat, Double running, Double waiting) {
+    ThreadCpuClock clock = new ThreadCpuClock();
+    clock.read(0, "0 0 0");
+    clock.read(100, schedstat);
+    assertThat(clock.runningRatio()).isEqualTo(optional(running));
+    assertThat(clock.waitingRatio()).isEqualTo(optional(waiting));
+  }
+
+  /** docs/overload.md documents the line, and operators' filters match it. */
+  @Test
+  void reportLineKeepsItsDocumentedText() {
+    CpuLoadShedder shedder = new CpuLoadShedder(20);
+    shedder.beforeSelect(0, 10);
+    shedder.afterSelect(0.1);
+    for (int i = 0; i < 30; i++) {
+      shedder.recordAdmitted();
+    }
+    shedder.recordRejected(0.025);
+    assertThat(shedder.beforeSelect(100, 110)).isTrue();
+    shedder.endInterval(100, "0 0 0");
+    shedder.afterSelect(100.1);
+    shedder.recordRejected(0.025);
+    assertThat(shedder.beforeSelect(200, 210)).isTrue();
+    shedder.endInterval(200, "40000000 20000000 1");
+    assertThat(shedder.pollReport(200))
+        .hasValue(
+            "not enough processor: 2 turned away of 32, 10/s; loop late by 100 ms, at most 100,"
+                + " all is taken up to 20; at work 100%, ran 40%, kept waiting 20%; a request takes"
+                + " 4808 us, a refusal 50 us");
+    assertThat(shedder.pollReport(201)).isEmpty();
+  }
+
+  private static OptionalDouble optional(Double value) {
+    return value == null ? OptionalDouble.empty() : OptionalDouble.of(value);
   }
 }
--- a/src/test/java/cacheproxy/overload/OverloadModelTest.java
+++ b/src/test/java/cacheproxy/overload/OverloadModelTest.java
@@ -10,61 +10,64 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * The rules and the module's word against a processor that is not enough: 0.8 ms a request, so
+ * Load shedding and the routing module on a processor that does not suffice: 0.8 ms a request, so
  * 1,250 a second.
  */
 class OverloadModelTest {
-  private static final double SERVED_MS = 0.8;
-  private static final double REFUSED_MS = 0.1;
+  private static final double ADMITTED_MS = 0.8;
+  private static final double REJECTED_MS = 0.1;
 
-  private static List<LoopModel.Second> play(Plan plan, boolean budget, long seed, int seconds) {
+  private static List<LoopModel.Second> play(Plan plan, boolean shedding, long seed, int seconds) {
     return new LoopModel(
             plan,
-            budget ? new CpuLoadShedder(CpuLoadShedder.targetMs(250)) : null,
+            shedding ? new CpuLoadShedder(CpuLoadShedder.targetDelayMs(250)) : null,
             LoopModel.Gate.module(250, 1000, seed),
             seed)
         .play(seconds);
   }
 
   private static double inTime(List<LoopModel.Second> seconds, int from, int to) {
-    return seconds.subList(from, to).stream().mapToInt(s -> s.inTime).sum() / (double) (to - from);
+    return seconds.subList(from, to).stream().mapToInt(second -> second.inTime).sum()
+        / (double) (to - from);
   }
 
   /**
-   * In time, as a part of what {@code of} requests a second would be, between two seconds; by three
-   * seeds. Without the rules all of them collapse, most for good: what is late is asked again, and
-   * all that is served is late.
+   * The ratio of requests in time to {@code capacityPerSecond}, between two seconds; by three
+   * seeds. Without load shedding all of them collapse, most for good: late requests are sent again,
+   * and all that is served is late.
    */
   @ParameterizedTest(name = "{0}")
   @CsvSource({
-    // what happens,                            from, to, of,   least, without at most
-    "a little more than there is room for,         5, 20, 1250, 0.90, 0.20",
-    "a half more,                                  5, 20, 1250, 0.80, 0.05",
-    "a half more on part of a core,                5, 20, 1250, 0.78, 0.05",
-    "twice as much and refusals at a fortieth,     5, 20, 1250, 0.85, 0.05",
-    "clients that ignore advice,                   5, 20, 1250, 0.65, 0.05",
-    "a crowd of refusals,                          5, 20, 1250, 0.35, 0.05",
-    "five seconds of twice as much are over,      12, 20, 1000, 0.97, 0.05",
-    "a share that is halved for five seconds,     12, 20, 1000, 0.97, 0.50",
-    "while it is halved,                           6, 10,  500, 0.60, 0.10",
-    "a stop of two seconds is over,                9, 20, 1150, 0.96, 0.30",
-    "a start four times as dear,                   4, 20, 1000, 0.97, 0.50"
+    // case,                                      from, to, capacity, least, most without shedding
+    "slightly more than the capacity,             5, 20, 1250, 0.90, 0.20",
+    "a half more,                                 5, 20, 1250, 0.80, 0.05",
+    "a half more on part of a core,               5, 20, 1250, 0.78, 0.05",
+    "twice as much with rejections at a fortieth, 5, 20, 1250, 0.85, 0.05",
+    "clients that ignore Retry-After,             5, 20, 1250, 0.65, 0.05",
+    "immediate retries of rejected requests,      5, 20, 1250, 0.35, 0.05",
+    "after five seconds of twice as much,         12, 20, 1000, 0.97, 0.05",
+    "after five seconds of half the processor,    12, 20, 1000, 0.97, 0.50",
+    "during half the processor,                   6, 10,  500, 0.60, 0.10",
+    "after a pause of two seconds,                9, 20, 1150, 0.96, 0.30",
+    "a start four times as expensive,             4, 20, 1000, 0.97, 0.50"
   })
-  void itDoesNotCollapse(String what, int from, int to, double of, double least, double without) {
+  void keepsServingInTimeUnderOverload(
+      String name, int from, int to, double capacityPerSecond, double least, double mostWithout) {
     Plan plan =
-        switch (what) {
-          case "a little more than there is room for" -> Plan.of(SERVED_MS, REFUSED_MS, 1300);
-          case "a half more" -> Plan.of(SERVED_MS, REFUSED_MS, 1500);
+        switch (name) {
+          case "slightly more than the capacity" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1300);
+          case "a half more" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1500);
           case "a half more on part of a core" ->
-              Plan.of(SERVED_MS * 0.4, REFUSED_MS * 0.4, 1500).share(0.4);
-          case "twice as much and refusals at a fortieth" ->
-              Plan.of(SERVED_MS, SERVED_MS / 40, 2500);
-          case "clients that ignore advice" -> Plan.of(SERVED_MS, REFUSED_MS, 1600).honours(0, 2);
-          case "a crowd of refusals" -> Plan.of(SERVED_MS, REFUSED_MS, 2500);
-          case "five seconds of twice as much are over" ->
+              Plan.of(ADMITTED_MS * 0.4, REJECTED_MS * 0.4, 1500).share(0.4);
+          case "twice as much with rejections at a fortieth" ->
+              Plan.of(ADMITTED_MS, ADMITTED_MS / 40, 2500);
+          case "clients that ignore Retry-After" ->
+              Plan.of(ADMITTED_MS, REJECTED_MS, 1600).honours(0, 2);
+          case "immediate retries of rejected requests" -> Plan.of(ADMITTED_MS, REJECTED_MS, 2500);
+          case "after five seconds of twice as much" ->
               Plan.of(
-                  SERVED_MS,
-                  REFUSED_MS,
+                  ADMITTED_MS,
+                  REJECTED_MS,
                   1000,
                   1000,
                   1000,
@@ -76,38 +79,38 @@
                   2500,
                   2500,
                   1000);
-          case "a stop of two seconds is over" ->
-              Plan.of(SERVED_MS, REFUSED_MS, 1150).stopped(5000, 7000);
-          case "a start four times as dear" ->
-              Plan.of(SERVED_MS, REFUSED_MS, 1000).slowed(0, 2000, 0.25);
-          default -> Plan.of(SERVED_MS, REFUSED_MS, 1000).slowed(5000, 10_000, 0.5);
+          case "after a pause of two seconds" ->
+              Plan.of(ADMITTED_MS, REJECTED_MS, 1150).stopped(5000, 7000);
+          case "a start four times as expensive" ->
+              Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(0, 2000, 0.25);
+          default -> Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(5000, 10_000, 0.5);
         };
     for (long seed = 1; seed <= 3; seed++) {
-      assertThat(inTime(play(plan, true, seed, 20), from, to) / of)
+      assertThat(inTime(play(plan, true, seed, 20), from, to) / capacityPerSecond)
           .as("seed " + seed)
           .isGreaterThanOrEqualTo(least);
-      assertThat(inTime(play(plan, false, seed, 20), from, to) / of)
+      assertThat(inTime(play(plan, false, seed, 20), from, to) / capacityPerSecond)
           .as("seed " + seed)
-          .isLessThanOrEqualTo(without);
+          .isLessThanOrEqualTo(mostWithout);
     }
   }
 
-  /** One in twenty is worth eight times as much: of them, all but a few are served. */
+  /** One in twenty has eight times the priority weight: of them, all but a few are served. */
   @Test
-  void whatIsWorthMostIsServed() {
+  void servesTheClassOfTheHighestPriorityWeight() {
     List<LoopModel.Second> seconds =
-        play(Plan.of(SERVED_MS, REFUSED_MS, 2000), true, 1, 20).subList(5, 20);
-    double part =
-        seconds.stream().mapToInt(s -> s.rareInTime).sum()
-            / (double) seconds.stream().mapToInt(s -> s.rareOffered).sum();
-    assertThat(part).isGreaterThan(0.9);
+        play(Plan.of(ADMITTED_MS, REJECTED_MS, 2000), true, 1, 20).subList(5, 20);
+    double servedRatio =
+        seconds.stream().mapToInt(second -> second.rareInTime).sum()
+            / (double) seconds.stream().mapToInt(second -> second.rareOffered).sum();
+    assertThat(servedRatio).isGreaterThan(0.9);
   }
 
-  /** Nobody is refused while all fit, not by a single long round either. */
+  /** No request is rejected while all fit, not by a single long iteration either. */
   @Test
-  void whatFitsIsTaken() {
+  void admitsAllWithinCapacityDespiteASingleLongIteration() {
     List<LoopModel.Second> seconds =
-        play(Plan.of(SERVED_MS, REFUSED_MS, 800).stopped(5000, 5040), true, 1, 20);
-    assertThat(seconds.stream().mapToInt(s -> s.refusals).sum()).isZero();
+        play(Plan.of(ADMITTED_MS, REJECTED_MS, 800).stopped(5000, 5040), true, 1, 20);
+    assertThat(seconds.stream().mapToInt(second -> second.refusals).sum()).isZero();
   }
 }
--- a/src/test/java/cacheproxy/proxy/OverloadTest.java
+++ b/src/test/java/cacheproxy/proxy/OverloadTest.java
@@ -109,7 +109,7 @@
                                   .proxy
                                   .dispatcher()
                                   .budget()
-                                  .excess(stage.proxy.dispatcher().now()))
+                                  .rejectionRatio(stage.proxy.dispatcher().now()))
                       .syncUninterruptibly()
                       .getNow()
                   == 0);
