--- a/src/test/java/cacheproxy/overload/OverloadModelTest.java
+++ b/src/test/java/cacheproxy/overload/OverloadModelTest.java
@@ -53,38 +53,7 @@
   })
   void keepsServingInTimeUnderOverload(
       String name, int from, int to, double capacityPerSecond, double least, double mostWithout) {
-    Plan plan =
-        switch (name) {
-          case "slightly more than the capacity" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1300);
-          case "a half more" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1500);
-          case "a half more on part of a core" ->
-              Plan.of(ADMITTED_MS * 0.4, REJECTED_MS * 0.4, 1500).share(0.4);
-          case "twice as much with rejections at a fortieth" ->
-              Plan.of(ADMITTED_MS, ADMITTED_MS / 40, 2500);
-          case "clients that ignore Retry-After" ->
-              Plan.of(ADMITTED_MS, REJECTED_MS, 1600).honours(0, 2);
-          case "immediate retries of rejected requests" -> Plan.of(ADMITTED_MS, REJECTED_MS, 2500);
-          case "after five seconds of twice as much" ->
-              Plan.of(
-                  ADMITTED_MS,
-                  REJECTED_MS,
-                  1000,
-                  1000,
-                  1000,
-                  1000,
-                  1000,
-                  2500,
-                  2500,
-                  2500,
-                  2500,
-                  2500,
-                  1000);
-          case "after a pause of two seconds" ->
-              Plan.of(ADMITTED_MS, REJECTED_MS, 1150).stopped(5000, 7000);
-          case "a start four times as expensive" ->
-              Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(0, 2000, 0.25);
-          default -> Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(5000, 10_000, 0.5);
-        };
+    Plan plan = plan(name);
     for (long seed = 1; seed <= 3; seed++) {
       assertThat(inTime(play(plan, true, seed, 20), from, to) / capacityPerSecond)
           .as("seed " + seed)
@@ -95,6 +64,40 @@
     }
   }
 
+  private static Plan plan(String name) {
+    return switch (name) {
+      case "slightly more than the capacity" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1300);
+      case "a half more" -> Plan.of(ADMITTED_MS, REJECTED_MS, 1500);
+      case "a half more on part of a core" ->
+          Plan.of(ADMITTED_MS * 0.4, REJECTED_MS * 0.4, 1500).share(0.4);
+      case "twice as much with rejections at a fortieth" ->
+          Plan.of(ADMITTED_MS, ADMITTED_MS / 40, 2500);
+      case "clients that ignore Retry-After" ->
+          Plan.of(ADMITTED_MS, REJECTED_MS, 1600).honours(0, 2);
+      case "immediate retries of rejected requests" -> Plan.of(ADMITTED_MS, REJECTED_MS, 2500);
+      case "after five seconds of twice as much" ->
+          Plan.of(
+              ADMITTED_MS,
+              REJECTED_MS,
+              1000,
+              1000,
+              1000,
+              1000,
+              1000,
+              2500,
+              2500,
+              2500,
+              2500,
+              2500,
+              1000);
+      case "after a pause of two seconds" ->
+          Plan.of(ADMITTED_MS, REJECTED_MS, 1150).stopped(5000, 7000);
+      case "a start four times as expensive" ->
+          Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(0, 2000, 0.25);
+      default -> Plan.of(ADMITTED_MS, REJECTED_MS, 1000).slowed(5000, 10_000, 0.5);
+    };
+  }
+
   /** One in twenty has eight times the priority weight: of them, all but a few are served. */
   @Test
   void servesTheClassOfTheHighestPriorityWeight() {
