--- a/review/standins/CacheNode.java
+++ b/review/standins/CacheNode.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -96,7 +97,7 @@
       OutputStream out = socket.getOutputStream();
       while (true) {
         Answer next = answers.take();
-        java.util.concurrent.TimeUnit.NANOSECONDS.sleep(next.dueNanos() - System.nanoTime());
+        TimeUnit.NANOSECONDS.sleep(next.dueNanos() - System.nanoTime());
         Reply reply = next.reply();
         if (reply.outcome() == Outcome.DROPPED) {
           continue;
--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -36,7 +36,7 @@
         String verdict = code == 0 ? "the rule held" : "RULE BROKEN: " + broken;
         record.line("%s", verdict);
         System.out.println(verdict);
-      } catch (Exception e) {
+      } catch (Exception | Error e) {
         record.line("the case could not run: %s", e);
         System.err.println("the case could not run: " + e);
       }
--- a/review/standins/ProxyProcess.java
+++ b/review/standins/ProxyProcess.java
@@ -90,10 +90,6 @@
     return new InetSocketAddress("127.0.0.1", port);
   }
 
-  public long pid() {
-    return process.pid();
-  }
-
   @Override
   public void close() throws IOException {
     process.destroyForcibly();
