Don't take a rejection without an id as proof while others are in flight

Cause: "SERVER_ERROR busy" and "failed" carry no id and were matched to the attempt at the head of the connection's queue. A cache node that drops a request with very little time left shifts every later response by one position, so the busy of a third request was booked for the second one, which had run; RetryPolicy.isSafeToSend then let it go to another node.

Evidence: a trace of the bookings in a scratch copy, beside the stand-in's record: "booked ERROR to a2 (given up), behind it [b1, c1]", "booked FULL to b1, behind it [c1]" as the node answers b1 failed and c1 busy; 3 ms later node 2 runs b1 again.

Change: UpstreamConnection ends a non-idempotent attempt with an error if its rejection arrives while others are in flight behind it. Alone on its connection, a rejection can be nobody else's and counts as before. No assumption on which requests are dropped. The operators' metrics count the cases.

The HTTP side takes one request at a time and is not affected. MetricsTest and OperatorCallsTest compare the whole JSON, which has one key more.

--- a/src/main/java/cacheproxy/admin/Metrics.java
+++ b/src/main/java/cacheproxy/admin/Metrics.java
@@ -58,6 +58,7 @@
   private final long[] requests;
 
   private long attempts;
+  private long ambiguousRejections;
 
   /**
    * Creates counters that start at 0.
@@ -79,6 +80,19 @@
     attempts++;
   }
 
+  /**
+   * Counts a rejection by a cache node that carries no id and could belong to several requests, so
+   * that an attempt that must not be repeated counts as failed.
+   */
+  public void ambiguousRejection() {
+    ambiguousRejections++;
+  }
+
+  /** Returns the number of rejections that could belong to several requests. */
+  public long ambiguousRejections() {
+    return ambiguousRejections;
+  }
+
   /** Returns the number of requests of this service class that ended with this result. */
   public long requests(int serviceClass, Result result) {
     return requests[index(serviceClass, result)];
@@ -96,7 +110,8 @@
     appendCount(json, "cluster_size", gauges.listedNodes()).append(',');
     appendCount(json, "cluster_unhealthy", gauges.avoidedNodes()).append(',');
     appendCount(json, "conf_loaded", gauges.configurationsLoaded()).append(',');
-    appendCount(json, "conf_invalid", gauges.configurationsInvalid());
+    appendCount(json, "conf_invalid", gauges.configurationsInvalid()).append(',');
+    appendCount(json, "ambiguous_rejections", ambiguousRejections);
     return json.append("}\n").toString();
   }
 
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -490,7 +490,8 @@
   }
 
   /**
-   * Ends the attempt whose response is complete.
+   * Ends the attempt whose response is complete. A rejection carries no id and is matched to its
+   * attempt by position alone (see {@link #isAmbiguousRejection}).
    *
    * @param surplus whether more bytes have arrived behind the response
    */
@@ -518,11 +519,34 @@
     // this connection at once.
     boolean first = !answered;
     answered = true;
+    if (isAmbiguousRejection(attempt, outcome)) {
+      upstream.dispatcher().metrics().ambiguousRejection();
+      end(attempt, Outcome.ERROR, note, report, answer);
+      return;
+    }
     if (first && outcome == Outcome.FULL && !upstream.origin && !attempt.abandoned && !closed) {
       delayedBusy = attempt;
       upstream.dispatcher().after(BUSY_DELAY_MS, () -> endDelayedBusy(Outcome.FULL, note));
       return;
     }
+    end(attempt, outcome, note, report, answer);
+  }
+
+  /**
+   * Whether a rejection could belong to another request than this attempt's, which must not be
+   * repeated once it has run. A server may drop a request without a response, and then the response
+   * of the next request takes its position. With further requests in flight, a rejection therefore
+   * does not prove that the attempt at its position never ran.
+   */
+  private boolean isAmbiguousRejection(Attempt attempt, Outcome outcome) {
+    return outcome == Outcome.FULL
+        && !attempts.isEmpty()
+        && attempt.exchange != null
+        && !attempt.exchange.idempotent;
+  }
+
+  /** Ends an attempt that has been removed, and the connection if it is not needed any more. */
+  private void end(Attempt attempt, Outcome outcome, int note, float[] report, ByteBuf answer) {
     if (attempts.isEmpty() ? retired : abandonedCount == attempts.size()) {
       close();
     }
--- a/src/test/java/cacheproxy/admin/MetricsTest.java
+++ b/src/test/java/cacheproxy/admin/MetricsTest.java
@@ -19,6 +19,6 @@
                 + "\"deferred\":{\"read\":0,\"a\\\"\\u000a\":1},"
                 + "\"errored\":{\"read\":0,\"a\\\"\\u000a\":1},"
                 + "\"sends\":1,\"current\":1,\"cluster_size\":2,\"cluster_unhealthy\":3,"
-                + "\"conf_loaded\":4,\"conf_invalid\":5}\n");
+                + "\"conf_loaded\":4,\"conf_invalid\":5,\"ambiguous_rejections\":0}\n");
   }
 }
--- a/src/test/java/cacheproxy/proxy/OperatorCallsTest.java
+++ b/src/test/java/cacheproxy/proxy/OperatorCallsTest.java
@@ -69,7 +69,7 @@
               "200 {\"answered\":{\"read\":2,\"pay\":0,\"save\":0}," + "\"deferred\":{\"read\":0")
           .contains(
               "\"sends\":2,\"current\":0,\"cluster_size\":1,"
-                  + "\"cluster_unhealthy\":0,\"conf_loaded\":1,\"conf_invalid\":0}");
+                  + "\"cluster_unhealthy\":0,\"conf_loaded\":1,\"conf_invalid\":0,\"ambiguous_rejections\":0}");
       assertThat(call(port, "GET /ops/nothing", "")).startsWith("404");
       assertThat(call(port, "GET /ops/members", ""))
           .as("membership is disabled")
--- /dev/null
+++ b/src/test/java/cacheproxy/proxy/PositionalResponseTest.java
@@ -0,0 +1,79 @@
+package cacheproxy.proxy;
+
+import static cacheproxy.proxy.CrossingsTest.keyOf;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Responses without an id, which a connection matches to its requests by their position alone. A
+ * node that drops a request without a response shifts all positions behind it.
+ */
+class PositionalResponseTest {
+  private static final String FAILED = "SERVER_ERROR failed\r\n";
+  private static final String BUSY = "SERVER_ERROR busy\r\n";
+
+  /**
+   * With ten proxies in the tier, each opens one connection to a cache node. Idempotency keys are
+   * detected within a cell.
+   */
+  private static Stage stageWithOneConnectionPerNode() {
+    Stage stage = new Stage();
+    stage.change =
+        config ->
+            config
+                .replace("\"balancers\":2", "\"balancers\":10")
+                .replace("\"group\":\"all\"", "\"group\":\"cell\"");
+    return stage;
+  }
+
+  private static String read(String key, String id, String serviceClass) {
+    return Stage.read(key, id)
+        .replace("c=read", "c=" + serviceClass)
+        .replace("d=8000", "k=1,d=8000");
+  }
+
+  /**
+   * Guards against a second run of an unsafe request because the rejection of another one was taken
+   * for its own. The node drops the first request, runs the second and rejects the third. An
+   * idempotency key protects only within its cell.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"pay", "save"})
+  void rejectionBehindADroppedRequestDoesNotPermitARetry(String serviceClass) throws Exception {
+    Stage stage = stageWithOneConnectionPerNode();
+    try (stage) {
+      Peer shifted =
+          stage.peer(
+              line -> {
+                line.read(); // dropped
+                line.read(); // runs and fails, below
+                line.read();
+                line.write(FAILED + BUSY);
+                for (String text; (text = line.read()) != null; ) {
+                  Stage.answer(line, text);
+                }
+              });
+      Peer other = stage.fullCache();
+      stage.start(
+          stage.quietDiscovery(),
+          Stage.cache("s-1", shifted),
+          Stage.host("s-2", "cache", other, "up").replace("\"block\":0", "\"block\":1"),
+          Stage.origin(stage.peer(Peer.Line::head)));
+      Peer.Line dropped = stage.client();
+      dropped.write(read(keyOf("s-1", 0), "dropped", "pay"));
+      Stage.await(() -> shifted.heard.size() == 1);
+      Peer.Line client = stage.client();
+      client.write(read(keyOf("s-1", 1), "runs", serviceClass));
+      Stage.await(() -> shifted.heard.size() == 2);
+      Peer.Line rejected = stage.client();
+      rejected.write(read(keyOf("s-1", 2), "rejected", "read"));
+      assertThat(client.read()).isIn("SERVER_ERROR failed", "VA 2 Oruns");
+      assertThat(dropped.read()).isEqualTo("SERVER_ERROR failed");
+      assertThat(other.heard).noneMatch(text -> text.contains(" Oruns "));
+      assertThat(shifted.lines).hasSize(1);
+      assertThat(stage.ambiguousRejections()).isEqualTo(1);
+    }
+  }
+}
--- a/src/test/java/cacheproxy/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -256,6 +256,15 @@
         .getNow();
   }
 
+  /** How many rejections could not be attributed to a request. */
+  long ambiguousRejections() {
+    return proxy
+        .loop()
+        .submit(() -> proxy.dispatcher().metrics().ambiguousRejections())
+        .syncUninterruptibly()
+        .getNow();
+  }
+
   long held(BufferPurpose kind) {
     return proxy
         .loop()
