Keep the complete grace of a client that reads an answer under pressure

A disconnect within an answer loses the request that is being answered; within a command nothing has been accepted yet.

Nothing but this factor was changed.

Change: responseRate is always compared with the complete grace. Slots, memory and lateness of the loop alike no longer shorten it.

--- a/src/main/java/cacheproxy/limits/ResourcePressure.java
+++ b/src/main/java/cacheproxy/limits/ResourcePressure.java
@@ -8,15 +8,16 @@
  */
 public final class ResourcePressure {
   /**
-   * The pressure levels. A higher level grants slow peers less grace and allows fewer pipelined
-   * requests to clients that have not read a response yet.
+   * The pressure levels. A higher level grants less grace to clients that are silent or slow within
+   * a command, and allows fewer pipelined requests to clients that have not read a response yet. It
+   * does not affect clients that read a response.
    */
   public enum Level {
-    /** Slow peers get their full grace. */
+    /** Silent and slow clients get their full grace. */
     NORMAL("CALM", 1, 16),
-    /** Slow peers get half of their grace. */
+    /** Silent clients and slow writers get half of their grace. */
     ELEVATED("TIGHT", 0.5, 4),
-    /** Slow peers get a quarter of their grace. */
+    /** Silent clients and slow writers get a quarter of their grace. */
     CRITICAL("SHORT", 0.25, 2);
 
     private final String logName;
@@ -46,7 +47,7 @@
       return maxUnprovenPipelined;
     }
 
-    /** Returns the fraction of its grace that a slow peer is granted, from 0 to 1. */
+    /** Returns the fraction of its grace that a silent client or slow writer gets, from 0 to 1. */
     public double graceFactor() {
       return graceFactor;
     }
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -127,6 +127,8 @@
    */
   private static final int MAX_ERRORS = 3;
 
+  private static final double FULL_GRACE = 1;
+
   private final Dispatcher dispatcher;
   private final Owner owner;
   private final ByteAccount account;
@@ -322,11 +324,16 @@
    * Why the client is to be disconnected: it is silent, or below the minimum rate in sending a
    * command or reading answers. Null if it is to stay connected.
    *
-   * @param graceFactor the part of its usual grace that the client is granted
+   * <p>A client that reads answers always has its complete grace: a disconnect loses the request
+   * that is being answered, whoever uses up the proxy's resources. A command that is not complete
+   * has not been accepted yet.
+   *
+   * @param graceFactor the part of its usual grace that a client is granted that is silent or
+   *     within a command
    */
   DisconnectReason reasonToDisconnect(double now, double graceFactor) {
     recordWriteProgress(now);
-    if (responseRate.isTooSlow(now, graceFactor)) {
+    if (responseRate.isTooSlow(now, FULL_GRACE)) {
       return DisconnectReason.SLOW_READER;
     }
     if (errorPending) {
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -46,8 +46,8 @@
 
   /**
    * Full connection slots count as this utilization, which is within the pressure level that halves
-   * the graces of slow and silent clients. A higher level would be too strict for slow clients, as
-   * eviction already resolves a shortage of slots.
+   * the graces of slow writers and silent clients. A higher level would be too strict for slow
+   * writers, as eviction already resolves a shortage of slots.
    */
   private static final double SLOT_PRESSURE_WEIGHT = 0.8;
 
