Move the progress of a client's output out of ClientConnection

Need: ClientConnection has over 900 lines and kept the bytes written, waiting and credited beside everything else; the grace of a reader was one argument among others.

Change: OutputProgress holds them with the minimum rate, and always compares with the complete grace. No change in behaviour.

--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
@@ -127,8 +126,6 @@
    */
   private static final int MAX_ERRORS = 3;
 
-  private static final double FULL_GRACE = 1;
-
   private final Dispatcher dispatcher;
   private final Owner owner;
   private final ByteAccount account;
@@ -136,7 +133,7 @@
   /** Monitors the rate at which an incomplete command arrives. */
   private final MinimumRateMonitor commandRate;
 
-  private final MinimumRateMonitor responseRate;
+  private final OutputProgress output;
   private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
 
@@ -172,17 +169,10 @@
   private double lastRequestMs;
   private double decayedGapMs;
 
-  /** Bytes of answers not yet written to the socket; closing the connection would discard them. */
-  private int unwrittenBytes;
-
   private boolean sendBufferBounded;
   private double connectedMs;
   private double lastActiveMs;
 
-  /** Bytes of completely written answers. */
-  private long writtenBytes;
-
-  private long recordedWrittenBytes;
   private Object address = "";
   private final double drainDraw;
 
@@ -192,7 +182,7 @@
     account = dispatcher.accounts().open();
     drainDraw = dispatcher.nextDrainFraction();
     commandRate = new MinimumRateMonitor(dispatcher.limits().clientWriteRate());
-    responseRate = new MinimumRateMonitor(dispatcher.limits().clientReadRate());
+    output = new OutputProgress(dispatcher.limits().clientReadRate());
   }
 
   @Override
@@ -216,8 +206,7 @@
 
   @Override
   public double deficitMs(double now) {
-    recordWriteProgress(now);
-    return Math.max(commandRate.deficitMs(now), responseRate.deficitMs(now));
+    return Math.max(commandRate.deficitMs(now), output.deficitMs(now, ctx.channel()));
   }
 
   /**
@@ -227,7 +216,7 @@
   boolean isIdle() {
     return exchanges.isEmpty()
         && incomingWrite == null
-        && unwrittenBytes == 0
+        && !output.isPending()
         && actualReadableBytes() == 0;
   }
 
@@ -312,7 +301,7 @@
   public boolean isUnproductive() {
     return errorPending
         || outputClosed
-        || completedRequests() == 0 && exchanges.isEmpty() && unwrittenBytes == 0;
+        || completedRequests() == 0 && exchanges.isEmpty() && !output.isPending();
   }
 
   @Override
@@ -332,8 +321,7 @@
    *     within a command
    */
   DisconnectReason reasonToDisconnect(double now, double graceFactor) {
-    recordWriteProgress(now);
-    if (responseRate.isTooSlow(now, FULL_GRACE)) {
+    if (output.isTooSlow(now, ctx.channel())) {
       return DisconnectReason.SLOW_READER;
     }
     if (errorPending) {
@@ -354,19 +342,6 @@
         : null;
   }
 
-  /**
-   * Records the bytes written since the last call, including parts of an answer, with the monitor
-   * of the rate at which the client reads.
-   */
-  private void recordWriteProgress(double now) {
-    ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
-    long written = writtenBytes + (buffer == null ? 0 : buffer.currentProgress());
-    if (written > recordedWrittenBytes) {
-      responseRate.transferred(now, written - recordedWrittenBytes);
-      recordedWrittenBytes = written;
-    }
-  }
-
   void close() {
     ctx.close();
   }
@@ -409,7 +384,7 @@
   /** Whether another command may be accepted. */
   private boolean mayAcceptCommand() {
     int maxOpenCommands =
-        writtenBytes > 0 ? MAX_PIPELINED : Math.min(MAX_PIPELINED, owner.maxUnprovenPipelined());
+        output.hasBegun() ? MAX_PIPELINED : Math.min(MAX_PIPELINED, owner.maxUnprovenPipelined());
     return exchanges.size() < maxOpenCommands
         && ctx.channel().isWritable()
         && account.reservedBytes(BufferPurpose.CLIENT_RESPONSE)
@@ -688,7 +663,7 @@
     }
     if (wrote) {
       lastActiveMs = dispatcher.now();
-      responseRate.begin(lastActiveMs);
+      output.begin(lastActiveMs);
       ctx.flush();
     }
     resumeReadingIfAllowed();
@@ -702,9 +677,9 @@
    * most connections end before that, and are spared two system calls.
    */
   private void addUnwritten(int bytes) {
-    unwrittenBytes += bytes;
+    output.add(bytes);
     int maxBufferBytes = dispatcher.limits().sendBufferBytes();
-    if (!sendBufferBounded && writtenBytes + unwrittenBytes > maxBufferBytes / 4) {
+    if (!sendBufferBounded && output.totalBytes() > maxBufferBytes / 4) {
       sendBufferBounded = true;
       ctx.channel().config().setOption(ChannelOption.SO_SNDBUF, maxBufferBytes);
     }
@@ -774,13 +749,9 @@
    */
   private void writeCompleted(int bytes, int held) {
     account.release(BufferPurpose.CLIENT_RESPONSE, held);
-    unwrittenBytes -= bytes;
-    writtenBytes += bytes;
-    if (unwrittenBytes == 0) {
-      responseRate.end();
-      if (closing || dispatcher.shouldCloseForDrain(drainDraw)) {
-        ctx.executor().execute(this::finishIfDone); // not within the flush that wrote the answer
-      }
+    output.written(bytes);
+    if (!output.isPending() && (closing || dispatcher.shouldCloseForDrain(drainDraw))) {
+      ctx.executor().execute(this::finishIfDone); // not within the flush that wrote the answer
     }
     if (readPaused) {
       resumeReadingIfAllowed();
@@ -794,7 +765,7 @@
    */
   private void finishIfDone() {
     if (exchanges.isEmpty()
-        && unwrittenBytes == 0
+        && !output.isPending()
         && (closing
             || dispatcher.shouldCloseForDrain(drainDraw) && isIdle() && !readAvailableInput())) {
       finish();
@@ -912,7 +883,7 @@
     account.setReserved(BufferPurpose.INPUT, 0);
     account.close();
     commandRate.end();
-    responseRate.end();
+    output.end();
     dispatcher.clientDisconnected(this);
   }
 
