LongValueTest gives its unread clients more time than their start takes

Cause: the test starts 16 clients in turn, none of which reads on until all have their first line, and client 0 is cut off as a slow reader after its grace of 3 s, as it has to be.

Change: the test, which is about memory and paused servers, sets a read grace of 20 s. What it asserts is unchanged: complete values, the bound on streamed bytes, all of it released. The default grace has its own tests (SlowPeersTest).

--- a/src/test/java/cacheproxy/proxy/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/LongValueTest.java
@@ -21,6 +21,9 @@
 class LongValueTest {
   private static final int BYTES = 3 << 20;
 
+  /** Longer than it takes to start all clients of a test on a busy machine. */
+  private static final double READ_GRACE_MS = 20_000;
+
   /** A value in which all parts differ and that contains line terminators. */
   private static String value(int bytes) {
     StringBuilder text = new StringBuilder(bytes + 16);
@@ -91,6 +94,7 @@
     String value = value(BYTES);
     try (Stage stage = new Stage()) {
       stage.memoryMb = 96;
+      stage.limits = l -> Stage.withReadGrace(l, READ_GRACE_MS);
       Peer cache =
           stage.peer(
               line -> {
--- a/src/test/java/cacheproxy/proxy/Stage.java
+++ b/src/test/java/cacheproxy/proxy/Stage.java
@@ -229,6 +229,24 @@
         l.clientBackoff());
   }
 
+  /** The same bounds with another grace for clients that read answers. */
+  static Limits withReadGrace(Limits l, double graceMs) {
+    return new Limits(
+        l.maxConnections(),
+        l.maxActiveClients(),
+        l.requestValueBytes(),
+        l.upstreamResponseBytes(),
+        l.clientResponseBytes(),
+        l.responseBytesPerClient(),
+        l.clientWriteRate(),
+        new MinimumRate(l.clientReadRate().bytesPerSecond(), graceMs),
+        l.nodeResponseRate(),
+        l.silentMs(),
+        l.sendBufferBytes(),
+        l.evictIdle(),
+        l.clientBackoff());
+  }
+
   /** Least rates with these graces, and little that the system holds of answers. */
   static Limits narrow(Limits l, double writeGraceMs, double readGraceMs) {
     return new Limits(
