--- a/review/second/Settings.java
+++ b/review/second/Settings.java
@@ -8,7 +8,7 @@
        "limits": {"cores": 1.0, "memory_mb": %d, "sockets": 384},
        "known": %s,
        "settings": {
-        "me": 0, "balancers": 2, "locality": 0, "zones": ["a"], "kinds": ["cache", "origin"],
+        "me": 0, "balancers": %d, "locality": 0, "zones": ["a"], "kinds": ["cache", "origin"],
         "discovery": "ask", "extra": {"mode": "aside", "origin-kind": 1}, "tenants": [],
         "report": {"how": "silent", "names": []}, "value-by": "request",
         "caps": {"may-cancel": true, "may-probe": false, "peers": false, "second-copies": true,
@@ -27,9 +27,10 @@
   String discovery;
   String known;
   int memoryMb = 128;
+  int proxies = 2;
   int writeDeadlineMs = 600;
 
   String json() {
-    return String.format(TEMPLATE, listen, discovery, memoryMb, known, writeDeadlineMs);
+    return String.format(TEMPLATE, listen, discovery, memoryMb, known, proxies, writeDeadlineMs);
   }
 }
