An open request is answered although the next command stops half way

Cause: ConnectionAdmission.disconnectIfTooSlow closed the connection of a slow writer whatever was open on it.

Change: a client that is owed an answer gets it, then CLIENT_ERROR for the incomplete command, then the close. A connection whose error is delayed no longer counts as unproductive while a request of it is open, so it is not the first to be evicted when slots are short.

--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -209,6 +209,14 @@
     return Math.max(commandRate.deficitMs(now), output.deficitMs(now, ctx.channel()));
   }
 
+  /**
+   * Whether an accepted request has no answer yet, or an answer is not written. Closing the
+   * connection would lose it.
+   */
+  boolean isOwedAnswer() {
+    return output.isPending() || exchanges.stream().anyMatch(x -> x.command != null);
+  }
+
   /**
    * Whether the connection is between requests: no request is open, no answer is unwritten and no
    * command has begun.
@@ -295,12 +303,12 @@
 
   /**
    * No request of the client was ever answered and none is open, or the connection is being
-   * rejected or closed. Such connections are evicted first.
+   * rejected or closed and no request is open. Such connections are evicted first.
    */
   @Override
   public boolean isUnproductive() {
-    return errorPending
-        || outputClosed
+    return outputClosed
+        || errorPending && !isOwedAnswer()
         || completedRequests() == 0 && exchanges.isEmpty() && !output.isPending();
   }
 
@@ -346,6 +354,24 @@
     ctx.close();
   }
 
+  /**
+   * Rejects the command that the client sends too slowly. The answers to earlier commands are still
+   * given, and the connection is closed after them.
+   */
+  void rejectIncompleteCommand() {
+    closing = true;
+    commandRate.end();
+    discardIncomingWrite();
+    rejectCommand("CLIENT_ERROR command too slow");
+  }
+
+  private void discardIncomingWrite() {
+    if (incomingWrite != null && incomingWrite.value != null) {
+      releaseValue(incomingWrite);
+    }
+    incomingWrite = null;
+  }
+
   // ---- commands
 
   @Override
@@ -861,12 +887,7 @@
     closing = true;
     outputClosed = true;
     super.channelInactive(context);
-    if (incomingWrite != null) {
-      if (incomingWrite.value != null) {
-        releaseValue(incomingWrite);
-      }
-      incomingWrite = null;
-    }
+    discardIncomingWrite();
     for (Exchange e; (e = exchanges.poll()) != null; ) {
       if (e.streamedResponse != null) {
         account.release(BufferPurpose.STREAMING, e.streamedResponse.discard());
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -315,13 +315,17 @@
 
   /**
    * Disconnects the client if it is too slow or silent. Available input is read before the final
-   * decision.
+   * decision. A client that is owed an answer while it sends the next command too slowly gets that
+   * answer first.
    */
   private void disconnectIfTooSlow(ClientConnection client, double graceFactor) {
     if (client.reasonToDisconnect(dispatcher.now(), graceFactor) != null) {
       client.readAvailableInput();
       DisconnectReason reason = client.reasonToDisconnect(dispatcher.now(), graceFactor);
-      if (reason != null) {
+      if (reason == DisconnectReason.SLOW_WRITER && client.isOwedAnswer()) {
+        disconnectCounters.increment(reason);
+        client.rejectIncompleteCommand();
+      } else if (reason != null) {
         disconnect(client, reason);
       }
     }
