Clients that read steadily keep their connection when memory for answers runs out

Cause: responseMemoryExhausted closed a client from 100 ms behind its minimum rate on, which is any client between two pieces; its grace of 3 s was not regarded, neither here nor in the eviction for a slot.

Change: a client that is owed an answer is behind only by what exceeds its complete grace. Under pressure a client with unread answers has as few commands accepted as one that has read nothing.

--- a/src/main/java/cacheproxy/limits/FairShare.java
+++ b/src/main/java/cacheproxy/limits/FairShare.java
@@ -4,9 +4,11 @@
 
 /**
  * Selects the peer that is disconnected when memory is short. The candidates are the peers that are
- * behind their minimum rate. The peer with the highest score is selected: reserved bytes times
- * deficit, divided by one more than its completed requests. Peers that keep up are never selected,
- * however much they have reserved. If all peers keep up, the caller rejects new requests instead.
+ * behind their minimum rate; one that is owed a response is behind only once its grace is used up,
+ * as a disconnect loses that response. The peer with the highest score is selected: reserved bytes
+ * times deficit, divided by one more than its completed requests. Peers that keep up are never
+ * selected, however much they have reserved. If all peers keep up, the caller rejects new requests
+ * instead.
  */
 public final class FairShare {
   /**
--- a/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
+++ b/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
@@ -54,6 +54,11 @@
     return deficitMs;
   }
 
+  /** Returns by how many milliseconds the deficit exceeds the complete grace; 0 if it does not. */
+  public double overdueMs(double nowMs) {
+    return Math.max(0, deficitMs(nowMs) - minimum.graceMs());
+  }
+
   /**
    * Returns whether the deficit exceeds the granted grace.
    *
--- a/src/main/java/cacheproxy/limits/ResourcePressure.java
+++ b/src/main/java/cacheproxy/limits/ResourcePressure.java
@@ -9,8 +9,8 @@
 public final class ResourcePressure {
   /**
    * The pressure levels. A higher level grants less grace to clients that are silent or slow within
-   * a command, and allows fewer pipelined requests to clients that have not read a response yet. It
-   * does not affect clients that read a response.
+   * a command, and allows fewer pipelined requests to clients that have unread responses or have
+   * not read any yet. It does not shorten the grace of clients that read a response.
    */
   public enum Level {
     /** Silent and slow clients get their full grace. */
@@ -22,12 +22,12 @@
 
     private final String logName;
     private final double graceFactor;
-    private final int maxUnprovenPipelined;
+    private final int maxUnreadPipelined;
 
-    Level(String logName, double graceFactor, int maxUnprovenPipelined) {
+    Level(String logName, double graceFactor, int maxUnreadPipelined) {
       this.logName = logName;
       this.graceFactor = graceFactor;
-      this.maxUnprovenPipelined = maxUnprovenPipelined;
+      this.maxUnreadPipelined = maxUnreadPipelined;
     }
 
     /**
@@ -39,12 +39,12 @@
     }
 
     /**
-     * Returns how many pipelined requests are accepted from a client that has not read a response
-     * yet. The responses for a client that never reads occupy memory until it is disconnected, and
-     * fetching them loads the upstream servers for nothing.
+     * Returns how many pipelined requests are accepted from a client that has unread responses or
+     * has not read any yet. The responses for a client that never reads occupy memory until it is
+     * disconnected, and fetching them loads the upstream servers for nothing.
      */
-    public int maxUnprovenPipelined() {
-      return maxUnprovenPipelined;
+    public int maxUnreadPipelined() {
+      return maxUnreadPipelined;
     }
 
     /** Returns the fraction of its grace that a silent client or slow writer gets, from 0 to 1. */
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -45,16 +45,16 @@
     double errorBackoffMs(ClientConnection client);
 
     /**
-     * There is no memory for another answer. Disconnects a client that reads its answers too
-     * slowly, to free the memory that it holds.
+     * There is no memory for another answer. Disconnects a client that is behind in reading its
+     * answers by more than its grace, to free the memory that it holds.
      */
     void responseMemoryExhausted();
 
     /**
-     * The number of pipelined commands that a client may have open before it has read its first
-     * answer.
+     * The number of pipelined commands that a client may have open while it has read no answer yet
+     * or has not read all that was written.
      */
-    int maxUnprovenPipelined();
+    int maxUnreadPipelined();
   }
 
   /**
@@ -204,9 +204,13 @@
     return account;
   }
 
+  /**
+   * The time by which the client is behind its minimum rate. One that is owed an answer has its
+   * complete grace first, as a disconnect loses that answer.
+   */
   @Override
   public double deficitMs(double now) {
-    return Math.max(commandRate.deficitMs(now), output.deficitMs(now, ctx.channel()));
+    return isOwedAnswer() ? output.overdueMs(now, ctx.channel()) : commandRate.deficitMs(now);
   }
 
   /**
@@ -410,7 +414,9 @@
   /** Whether another command may be accepted. */
   private boolean mayAcceptCommand() {
     int maxOpenCommands =
-        output.hasBegun() ? MAX_PIPELINED : Math.min(MAX_PIPELINED, owner.maxUnprovenPipelined());
+        output.hasBegun() && !output.isPending()
+            ? MAX_PIPELINED
+            : Math.min(MAX_PIPELINED, owner.maxUnreadPipelined());
     return exchanges.size() < maxOpenCommands
         && ctx.channel().isWritable()
         && account.reservedBytes(BufferPurpose.CLIENT_RESPONSE)
@@ -641,9 +647,9 @@
   }
 
   /**
-   * Reserves memory for the answer. If there is none, even after a slow client was disconnected,
-   * returns an error line instead. The request has already been executed, so the error is "busy"
-   * only if a repetition is harmless, and "failed" otherwise.
+   * Reserves memory for the answer. If there is none, even after a client that is past its grace
+   * was disconnected, returns an error line instead. The request has already been executed, so the
+   * error is "busy" only if a repetition is harmless, and "failed" otherwise.
    */
   private ByteBuf reserveMemory(Exchange exchange, ByteBuf answer) {
     exchange.reservedBytes = answer.capacity();
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -235,8 +235,8 @@
   }
 
   @Override
-  public int maxUnprovenPipelined() {
-    return pressure.level().maxUnprovenPipelined();
+  public int maxUnreadPipelined() {
+    return pressure.level().maxUnreadPipelined();
   }
 
   /** Disconnects one client per call, because its memory is released gradually. */
--- a/src/main/java/cacheproxy/proxy/OutputProgress.java
+++ b/src/main/java/cacheproxy/proxy/OutputProgress.java
@@ -73,10 +73,10 @@
     return writtenBytes + unwrittenBytes;
   }
 
-  /** The client's time deficit against the minimum rate in milliseconds; 0 if it keeps up. */
-  double deficitMs(double nowMs, Channel channel) {
+  /** By how much the client has exceeded its grace in milliseconds; 0 if it is within it. */
+  double overdueMs(double nowMs, Channel channel) {
     credit(nowMs, channel);
-    return rate.deficitMs(nowMs);
+    return rate.overdueMs(nowMs);
   }
 
   /** Whether the client is behind the minimum rate by more than its grace. */
--- /dev/null
+++ b/src/test/java/cacheproxy/proxy/SteadyReadersTest.java
@@ -0,0 +1,81 @@
+package cacheproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cacheproxy.limits.DisconnectReason;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * More answers are open than memory holds, and each client reads its own steadily, above the
+ * minimum rate. Guards against disconnecting such a client in a pause between two pieces.
+ */
+@Timeout(60)
+class SteadyReadersTest {
+  private static final int CLIENTS = 12;
+  private static final int ANSWERS = 8;
+  private static final int ANSWER_BYTES_IN_MEMORY = 600_000;
+  private static final int READ_GRACE_MS = 3000;
+
+  /** Later clients find the memory in use by those that pause. */
+  private static final int START_INTERVAL_MS = 50;
+
+  private static void readAll(Stage stage, int number, String serviceClass, int pauseMs)
+      throws Exception {
+    Peer.Line client = stage.narrowClient();
+    StringBuilder commands = new StringBuilder();
+    for (int i = 0; i < ANSWERS; i++) {
+      commands.append(
+          Stage.read("long" + i, number + "x" + i).replace("c=read", "c=" + serviceClass));
+    }
+    client.write(commands.toString());
+    for (int i = 0; i < ANSWERS; i++) {
+      String line = client.read();
+      if (line != null && line.startsWith("VA ")) {
+        assertThat(line).isEqualTo("VA 65536 O" + number + "x" + i);
+        Thread.sleep(pauseMs);
+        assertThat(client.bytes(Stage.LONG.length()).equals(Stage.LONG)).as("whole value").isTrue();
+        assertThat(client.read()).isEmpty();
+      } else {
+        assertThat(line).as("answer %d of client %d", i, number).startsWith("SERVER_ERROR ");
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"read 400", "pay 400", "read 1200"})
+  void everyRequestOfASteadyReaderIsAnswered(String clients) throws Exception {
+    String serviceClass = clients.split(" ")[0];
+    int pauseMs = Integer.parseInt(clients.split(" ")[1]);
+    try (Stage stage = new Stage()) {
+      stage.limits =
+          l -> Stage.room(Stage.narrow(l, 60_000, READ_GRACE_MS), 1 << 20, ANSWER_BYTES_IN_MEMORY);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      List<CompletableFuture<Void>> readers = new ArrayList<>();
+      for (int i = 0; i < CLIENTS; i++) {
+        int number = i;
+        readers.add(
+            CompletableFuture.runAsync(
+                () -> {
+                  try {
+                    readAll(stage, number, serviceClass, pauseMs);
+                  } catch (Exception e) {
+                    throw new CompletionException(e);
+                  }
+                },
+                task -> new Thread(task).start()));
+        Thread.sleep(START_INTERVAL_MS);
+      }
+      for (CompletableFuture<Void> reader : readers) {
+        reader.join();
+      }
+      assertThat(stage.cuts(DisconnectReason.UNFAIR_SHARE)).isZero();
+      assertThat(stage.cuts(DisconnectReason.SLOW_READER)).isZero();
+    }
+  }
+}
