State of finished requests is released when they finish, not at their clients' deadlines

Other clients waited 4 s and got nothing while 400 clients read long values slowly, were cut off and came back (trial, real processes, 96 MB): the heap was full, "OutOfMemoryError: Java heap space" in the log.

Cause, by a heap histogram in a second trial: 60,391 InFlightRequest beside 932 Exchange. InFlightRequests.byTimer and the stopped timers of Timers kept each request until the timer of its deadline ran, however long the client had named.

Change: the policy cancels a request's timers as it finishes (Actions.cancelTimer; the simulator's wire is unchanged), and a stopped timer is removed.

Measured: RequestTimersTest failed with the removal taken out (timers of the 2,000 requests left), green with it. Policy tests, RandomRulesTest and TimersTest green.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -109,6 +109,10 @@
   private final Map<String, Integer> classIndexes = new HashMap<>();
   private final Map<String, Integer> tenantIndexes = new HashMap<>();
   private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
+
+  /** The policy's timers that have not run yet, by token. */
+  private final IntObjectHashMap<Timers.Timer> policyTimers = new IntObjectHashMap<>();
+
   private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
 
   /** Servers that are no longer listed, kept until their last connection is closed. */
@@ -382,6 +386,11 @@
     return exchanges.values().stream().mapToInt(x -> x.attemptsInFlight).sum();
   }
 
+  /** The number of timers that have not run and are not stopped. For tests. */
+  int pendingTimers() {
+    return timers.pending();
+  }
+
   /** The number of requests without a final answer. For tests. */
   int openRequests() {
     return openRequestIds.size();
@@ -1039,13 +1048,21 @@
 
   @Override
   public void setTimer(double afterMs, int token) {
-    after(
-        afterMs,
-        () -> {
-          if (!stopped) {
-            callPolicy(() -> policy.onTimer(now(), token, this));
-          }
-        });
+    policyTimers.put(
+        token,
+        after(
+            afterMs,
+            () -> {
+              policyTimers.remove(token);
+              if (!stopped) {
+                callPolicy(() -> policy.onTimer(now(), token, this));
+              }
+            }));
+  }
+
+  @Override
+  public void cancelTimer(int token) {
+    stop(policyTimers.remove(token));
   }
 
   @Override
--- a/src/main/java/cacheproxy/proxy/Timers.java
+++ b/src/main/java/cacheproxy/proxy/Timers.java
@@ -1,9 +1,10 @@
 package cacheproxy.proxy;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -22,21 +23,27 @@
 
   private final EventLoop loop;
   private final long start = System.nanoTime();
-  private final TreeMap<Long, List<Timer>> ticks = new TreeMap<>();
+  private final TreeMap<Long, Set<Timer>> ticks = new TreeMap<>();
 
   /** The tick for which a wake-up is scheduled; the greatest value if there is none. */
   private long nextWakeTick = Long.MAX_VALUE;
 
   /** A timer that runs once unless it is stopped before. */
   static final class Timer {
+    private final Timers owner;
+    private final long tick;
     private Runnable task;
 
-    private Timer(Runnable task) {
+    private Timer(Timers owner, long tick, Runnable task) {
+      this.owner = owner;
+      this.tick = tick;
       this.task = task;
     }
 
+    /** Stops the timer, which then takes no memory until it would have run. */
     void stop() {
       task = null;
+      owner.remove(this);
     }
   }
 
@@ -45,14 +52,26 @@
   }
 
   Timer after(double ms, Runnable task) {
-    Timer timer = new Timer(task);
     double due = System.nanoTime() - start + Math.max(0, ms) * 1e6;
     long tick = (long) Math.ceil(due / TICK_NANOS);
-    ticks.computeIfAbsent(tick, t -> new ArrayList<>()).add(timer);
+    Timer timer = new Timer(this, tick, task);
+    ticks.computeIfAbsent(tick, t -> new LinkedHashSet<>()).add(timer);
     scheduleWake(tick);
     return timer;
   }
 
+  /** The number of timers that have not run and are not stopped. */
+  int pending() {
+    return ticks.values().stream().mapToInt(Set::size).sum();
+  }
+
+  private void remove(Timer timer) {
+    Set<Timer> sameTick = ticks.get(timer.tick);
+    if (sameTick != null && sameTick.remove(timer) && sameTick.isEmpty()) {
+      ticks.remove(timer.tick);
+    }
+  }
+
   private void scheduleWake(long tick) {
     if (tick < nextWakeTick) {
       nextWakeTick = tick;
@@ -66,10 +85,10 @@
       return; // an earlier tick was scheduled since and has rescheduled this one
     }
     long now = System.nanoTime() - start;
-    for (Map.Entry<Long, List<Timer>> entry;
+    for (Map.Entry<Long, Set<Timer>> entry;
         (entry = ticks.firstEntry()) != null && entry.getKey() * TICK_NANOS <= now; ) {
       ticks.remove(entry.getKey());
-      for (Timer timer : entry.getValue()) {
+      for (Timer timer : List.copyOf(entry.getValue())) { // a task may stop another timer
         Runnable task = timer.task;
         timer.task = null;
         if (task != null) {
--- a/src/main/java/cacheproxy/routing/InFlightRequest.java
+++ b/src/main/java/cacheproxy/routing/InFlightRequest.java
@@ -4,12 +4,15 @@
 import cacheproxy.routing.RoutingApi.Request;
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /**
  * State of a client's request and of its attempts. Absent values are null or NaN instead of {@code
  * Optional}, because the request path creates and reads this object.
  */
 final class InFlightRequest {
+  private static final int INITIAL_TIMERS = 2;
+
   final Request request;
   final ServiceClass serviceClass;
   final boolean idempotent;
@@ -25,6 +28,10 @@
   /** Whether each attempt has ended. */
   final boolean[] ended;
 
+  /** Tokens of the timers that have been set for it; the first {@link #timerCount} are valid. */
+  private int[] timers = new int[INITIAL_TIMERS];
+
+  private int timerCount;
   int attempts;
   int attemptsInFlight;
   boolean finished;
@@ -81,6 +88,20 @@
     return arrivedMs + serviceClass.latencyObjectiveMs();
   }
 
+  void addTimer(int token) {
+    if (timerCount == timers.length) {
+      timers = Arrays.copyOf(timers, 2 * timerCount);
+    }
+    timers[timerCount++] = token;
+  }
+
+  /** Removes and returns the tokens of all timers that have been set for it. */
+  int[] removeTimers() {
+    int[] tokens = Arrays.copyOf(timers, timerCount);
+    timerCount = 0;
+    return tokens;
+  }
+
   boolean mayHaveRun() {
     return !Double.isNaN(mayHaveRunSinceMs);
   }
--- a/src/main/java/cacheproxy/routing/InFlightRequests.java
+++ b/src/main/java/cacheproxy/routing/InFlightRequests.java
@@ -1,5 +1,6 @@
 package cacheproxy.routing;
 
+import cacheproxy.routing.RoutingApi.Actions;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -40,9 +41,17 @@
     return List.copyOf(byId.values());
   }
 
-  /** Marks a request as finished. It stays registered until its last attempt has ended. */
-  void finish(InFlightRequest pending) {
+  /**
+   * Marks a request as finished and cancels its timers. It stays registered until its last attempt
+   * has ended.
+   */
+  void finish(InFlightRequest pending, Actions actions) {
     pending.finished = true;
+    for (int token : pending.removeTimers()) {
+      if (byTimer.remove(token) != null) {
+        actions.cancelTimer(token);
+      }
+    }
     if (pending.attemptsInFlight == 0) {
       byId.remove(pending.request.id());
     }
@@ -57,6 +66,7 @@
     int token = nextToken++ << KIND_BITS | kind.ordinal();
     if (pending != null) {
       byTimer.put(token, pending);
+      pending.addTimer(token);
     }
     return token;
   }
--- a/src/main/java/cacheproxy/routing/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -242,7 +242,7 @@
       return;
     }
     answer(now, pending, actions);
-    requests.finish(pending);
+    requests.finish(pending, actions);
   }
 
   /**
@@ -278,7 +278,7 @@
     }
     boolean wasFinished = pending.finished;
     if (end.finalAnswer() || wasFinished) {
-      requests.finish(pending);
+      requests.finish(pending, actions);
     }
     if (pending.followers != null && attempt == pending.fetchAttempt) {
       endFetch(now, pending, end.outcome() == Outcome.OK, actions);
@@ -342,7 +342,7 @@
 
   /** Ends a request that no server has answered. A fetch that other requests wait for continues. */
   private void abandon(InFlightRequest pending, Actions actions) {
-    requests.finish(pending);
+    requests.finish(pending, actions);
     boolean followed = pending.followers != null && !pending.followers.isEmpty();
     if (!pending.streaming && !followed) {
       cancelAttemptsExcept(NO_ATTEMPT, pending, actions);
--- a/src/main/java/cacheproxy/routing/RoutingApi.java
+++ b/src/main/java/cacheproxy/routing/RoutingApi.java
@@ -268,6 +268,12 @@
     /** Requests a call of {@link RoutingApi#onTimer} with this token after this delay. */
     void setTimer(double afterMs, int token);
 
+    /**
+     * The timer with this token is not needed any more. A host may call {@link RoutingApi#onTimer}
+     * for it all the same, which then has no effect.
+     */
+    default void cancelTimer(int token) {}
+
     /** Starts a health check of a server; {@link RoutingApi#onHealthCheck} receives its result. */
     void startHealthCheck(int server);
 
