Command lines and unread input of many clients stay within the memory limit

Cause: the line of an open command (up to 8 KiB on the heap) was on no account; unread input behind the commands in hand was (17.6 MB of a limit of 6), but nothing acted on it.

From half of the limit for input on, connections are read 4 KiB at a time and no further ahead (ClientReadBufferSizer).

Measured: RequestMemoryTest green; with the reservation taken out, and with the small buffers taken out, its test failed (9.5 MB of unread input, 3.2 with the change, limit 2.6).

--- a/src/main/java/cacheproxy/limits/BufferPurpose.java
+++ b/src/main/java/cacheproxy/limits/BufferPurpose.java
@@ -7,7 +7,7 @@
 public enum BufferPurpose {
   /** Bytes read from a connection that have not been parsed or processed yet. */
   INPUT("INPUT"),
-  /** Values received from clients. They stay reserved until the client's request has completed. */
+  /** Command lines and values of clients' requests, until the request has completed. */
   REQUEST_VALUE("VALUE"),
   /** Incomplete responses of cache nodes and origin servers. */
   UPSTREAM_RESPONSE("READING"),
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -108,6 +108,9 @@
 
   private static final double REDUCED_READ_AHEAD_UTILIZATION = 0.25;
 
+  /** Read-ahead bound while memory for input is short. */
+  private static final int MIN_READ_AHEAD_BYTES = 4 << 10;
+
   /**
    * Maximum number of reads per read-ahead. Bounds the loop for a connection that is closing: its
    * input is dropped, so the byte bound is never reached.
@@ -265,10 +268,7 @@
     }
     readingAhead = true;
     inputReceived = true;
-    boolean memoryFree =
-        dispatcher.accounts().reservedBytes(BufferPurpose.INPUT)
-            < REDUCED_READ_AHEAD_UTILIZATION * dispatcher.limits().requestValueBytes();
-    int maxBytes = memoryFree ? READ_AHEAD_BYTES : REDUCED_READ_AHEAD_BYTES;
+    int maxBytes = maxReadAheadBytes();
     for (int i = 0;
         i < MAX_READ_AHEAD_READS
             && inputReceived
@@ -281,6 +281,16 @@
     readingAhead = false;
   }
 
+  private int maxReadAheadBytes() {
+    if (ClientReadBufferSizer.isInputMemoryShort(dispatcher.accounts())) {
+      return MIN_READ_AHEAD_BYTES;
+    }
+    boolean memoryFree =
+        dispatcher.accounts().reservedBytes(BufferPurpose.INPUT)
+            < REDUCED_READ_AHEAD_UTILIZATION * dispatcher.limits().requestValueBytes();
+    return memoryFree ? READ_AHEAD_BYTES : REDUCED_READ_AHEAD_BYTES;
+  }
+
   /** Decodes the buffered input, unless the client has disconnected in the meantime. */
   private void resumeDecoding() {
     readAhead();
@@ -370,8 +380,8 @@
   }
 
   private void discardIncomingWrite() {
-    if (incomingWrite != null && incomingWrite.value != null) {
-      releaseValue(incomingWrite);
+    if (incomingWrite != null) {
+      releaseCommand(incomingWrite);
     }
     incomingWrite = null;
   }
@@ -476,9 +486,7 @@
               ? invalidReason
               : rejection != null
                   ? rejection
-                  : account.tryReserve(BufferPurpose.REQUEST_VALUE, missingBytes)
-                      ? null
-                      : MetaCodec.BUSY;
+                  : tryReserve(command, missingBytes) ? null : MetaCodec.BUSY;
       writeRejectionMaxDelayMs = maxErrorDelayMs(command, invalidReason);
       if (writeRejection == null) {
         incomingWrite.value = ctx.alloc().buffer(Math.min(missingBytes, 16 << 10), missingBytes);
@@ -489,14 +497,26 @@
       rejectRequest(rejection);
     } else if (invalidReason != null) {
       rejectCommand("CLIENT_ERROR " + invalidReason, maxErrorDelayMs(command, invalidReason));
-    } else {
+    } else if (tryReserve(command, 0)) {
       acceptRequest(command);
+    } else {
+      rejectRequest(MetaCodec.BUSY); // no memory for the line; nothing was sent
     }
     if (shedEarly) {
       dispatcher.loadShedder().recordRejected(dispatcher.now() - startMs);
     }
   }
 
+  /** Reserves memory for the command's line and value; returns false if there is none. */
+  private boolean tryReserve(Command command, int valueBytes) {
+    int bytes = command.lineBytes() + valueBytes;
+    if (!account.tryReserve(BufferPurpose.REQUEST_VALUE, bytes)) {
+      return false;
+    }
+    command.reservedBytes = bytes;
+    return true;
+  }
+
   private double maxErrorDelayMs(Command command, String invalidReason) {
     return command == null || invalidReason == null
         ? Double.POSITIVE_INFINITY
@@ -520,7 +540,7 @@
     if (writeRejection == null) {
       int end = command.value.writerIndex();
       if (command.value.getByte(end - 2) != '\r' || command.value.getByte(end - 1) != '\n') {
-        releaseValue(command);
+        releaseCommand(command);
         throw new MetaCodec.SyntaxException("bad data chunk");
       }
       acceptRequest(command);
@@ -550,9 +570,10 @@
     }
   }
 
-  /** Releases the value of a write command that no further attempt needs. */
-  void releaseValue(Command command) {
-    account.release(BufferPurpose.REQUEST_VALUE, command.value.maxCapacity());
+  /** Releases the line and value of a command that no further attempt needs. */
+  void releaseCommand(Command command) {
+    account.release(BufferPurpose.REQUEST_VALUE, command.reservedBytes);
+    command.reservedBytes = 0;
     command.release();
   }
 
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -712,7 +712,7 @@
     if (!openRequestIds.add(command.id)) {
       // A request with this id was accepted after this one had been validated.
       exchange.finished = true;
-      releaseValue(exchange);
+      exchange.client.releaseCommand(exchange.command);
       exchange.client.answer(
           exchange,
           MetaCodec.asciiBuffer(
@@ -957,25 +957,19 @@
   }
 
   /**
-   * If the request has its final answer, releases its value and, once no attempt is in flight, the
-   * request itself.
+   * If the request has its final answer, releases its line and value and, once no attempt is in
+   * flight, the request itself.
    */
   private void releaseIfFinished(Exchange exchange) {
     if (!exchange.finished) {
       return;
     }
-    releaseValue(exchange);
+    exchange.client.releaseCommand(exchange.command);
     if (exchange.attemptsInFlight == 0) {
       exchanges.remove(exchange.id);
     }
   }
 
-  private void releaseValue(Exchange exchange) {
-    if (exchange.command.value != null) {
-      exchange.client.releaseValue(exchange.command);
-    }
-  }
-
   // ---- actions ordered by the policy
 
   @Override
--- a/src/main/java/cacheproxy/proxy/Exchange.java
+++ b/src/main/java/cacheproxy/proxy/Exchange.java
@@ -61,13 +61,18 @@
     final String id;
     final boolean write;
 
-    /** The comma-separated list of names and values, as received. */
-    final String extras;
+    /**
+     * The comma-separated list of names and values, as received; null once the request is finished.
+     */
+    String extras;
 
-    /** The command line before and after the deadline's value. */
-    private final String lineBeforeDeadline;
+    /** The command line before and after the deadline's value; null once it is finished. */
+    private String lineBeforeDeadline;
 
-    private final String lineAfterDeadline;
+    private String lineAfterDeadline;
+
+    /** Bytes of the memory budget reserved for the line and the value. */
+    int reservedBytes;
 
     /**
      * The value with its line terminator; null for reads. Kept for further attempts until the
@@ -100,7 +105,19 @@
       return MetaCodec.withParameter(extras, "d", Long.toString(deadlineMs));
     }
 
+    /** The memory that the line takes until {@link #release()}, in bytes. */
+    int lineBytes() {
+      return extras.length() + lineBeforeDeadline.length() + lineAfterDeadline.length();
+    }
+
+    /**
+     * Releases the value and all of the line but key and id, which an attempt that is still in
+     * flight needs to recognize its response.
+     */
     void release() {
+      extras = null;
+      lineBeforeDeadline = null;
+      lineAfterDeadline = null;
       if (value != null) {
         value.release();
         value = null;
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -12,7 +12,6 @@
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -44,18 +43,6 @@
   /** Interval at which the status that another process of this proxy reads is updated. */
   private static final long STATUS_INTERVAL_MS = 50;
 
-  /**
-   * Initial size of a client's read buffer: large enough to contain a flood of commands in one
-   * read.
-   */
-  private static final int INITIAL_READ_BYTES = 8 << 10;
-
-  /**
-   * Maximum size of a client's read buffer. With all connection slots in use, memory must suffice
-   * for twice this per client.
-   */
-  private static final int MAX_READ_BYTES = 16 << 10;
-
   /**
    * Exit code when the event loop has ended unexpectedly, in which case nothing is served any more.
    */
@@ -65,12 +52,6 @@
     PlainLog.install(); // before any Netty class obtains a logger
   }
 
-  /**
-   * Maximum number of reads per client and event loop round. Without it, a client that sends at
-   * full speed could occupy the loop for a megabyte at a time; a long value takes several rounds.
-   */
-  private static final int MAX_READS_PER_ROUND = 2;
-
   private GuardedIo guardedIo;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(
@@ -193,10 +174,7 @@
                 })
             .childOption(ChannelOption.ALLOCATOR, allocator) // Netty sets TCP_NODELAY by itself
             .childOption(
-                ChannelOption.RECVBUF_ALLOCATOR,
-                new AdaptiveRecvByteBufAllocator(
-                        INITIAL_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
-                    .maxMessagesPerRead(MAX_READS_PER_ROUND))
+                ChannelOption.RECVBUF_ALLOCATOR, new ClientReadBufferSizer(dispatcher.accounts()))
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 new WriteBufferWaterMark(64 << 10, 128 << 10))
