Requests that are unread when their client closes its connection are not sent

A client that sent 16 reads and some writes of 64 KB at once and closed had two of the writes sent to the origin 0.3 s after the close.

Cause: the end of a connection shows once all before it is read, and 128 KiB were read ahead. Change: 512 KiB are read ahead while memory for input is free. More than that, or under pressure: open.

Measured: ClientLeavesTest.requestsUnreadAtTheCloseAreNotSent failed before (two requests at the origin), green after.

--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -93,12 +93,10 @@
 
   /**
    * To notice that a client has disconnected, the proxy must read all input that precedes the end
-   * of the stream; it reads ahead up to this many bytes. This is 1.5 times what the kernel buffers
-   * for a connection that nobody reads (86 KiB on loopback): if a client sent more than that, its
-   * end of stream arrives only after the input is read. The bound limits memory for clients that
-   * keep sending.
+   * of the stream; it reads ahead up to this many bytes, which is several values of the maximum
+   * length. The bound limits memory for clients that keep sending.
    */
-  private static final int READ_AHEAD_BYTES = 128 << 10;
+  private static final int READ_AHEAD_BYTES = 512 << 10;
 
   /**
    * Read-ahead bound while the input of all clients takes {@link #REDUCED_READ_AHEAD_UTILIZATION}
@@ -115,7 +113,7 @@
    * Maximum number of reads per read-ahead. Bounds the loop for a connection that is closing: its
    * input is dropped, so the byte bound is never reached.
    */
-  private static final int MAX_READ_AHEAD_READS = 16;
+  private static final int MAX_READ_AHEAD_READS = 64;
 
   /**
    * Input that waited unread for longer than this is not executed until the proxy has checked
