An id that comes again after its client has left does not run a second time

A write that must not run twice, or one with an idempotency key, ran again when its client left before the answer and came back with the same id.

Cause: Dispatcher knew the ids of open requests only; the attempt of one whose client has left may still run. Change: ids of finished requests that are not idempotent and may have run are kept for 10 s, 4,096 at most.

Open: the other process of an upgrade.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -6,6 +6,7 @@
 import cacheproxy.limits.ByteAccounts;
 import cacheproxy.limits.DisconnectCounters;
 import cacheproxy.limits.Limits;
+import cacheproxy.limits.RecentRequestIds;
 import cacheproxy.overload.CpuLoadShedder;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
@@ -89,6 +90,12 @@
   private static final double GOLDEN_RATIO_FRACTION = 0.6180339887498949;
 
   private static final String ID_IN_USE = "the id is another open request's";
+  private static final String ID_USED = "the id is a finished request's";
+
+  /** Longer than a client goes on with a request, so that its id cannot come again after that. */
+  private static final double RECENT_ID_RETENTION_MS = 10_000;
+
+  private static final int MAX_RECENT_IDS = 4096;
 
   /**
    * Writes to standard error, with a bounded number of lines per minute so that long runs stay
@@ -121,6 +128,10 @@
   /** The ids, as given by clients, of the requests without a final answer. */
   private final Set<String> openRequestIds = new HashSet<>();
 
+  /** The ids of finished requests that may have run and must not run twice. */
+  private final RecentRequestIds recentIds =
+      new RecentRequestIds(RECENT_ID_RETENTION_MS, MAX_RECENT_IDS);
+
   private final ArrayDeque<Runnable> pendingPolicyCalls = new ArrayDeque<>();
   private final Upstream.Dialer dialer;
   private final double startUnixMs = System.currentTimeMillis();
@@ -674,7 +685,10 @@
         && MetaCodec.parameter(command.extras, "k") == null) {
       return "no idempotency key";
     }
-    return openRequestIds.contains(command.id) ? ID_IN_USE : null;
+    if (openRequestIds.contains(command.id)) {
+      return ID_IN_USE;
+    }
+    return recentIds.contains(now(), command.id) ? ID_USED : null;
   }
 
   /**
@@ -698,7 +712,9 @@
    */
   double errorDueWithinMs(Command command, String error) {
     double timeBudgetMs =
-        error.equals(ID_IN_USE) ? numericExtra(command, "d", 0) : Double.POSITIVE_INFINITY;
+        error.equals(ID_IN_USE) || error.equals(ID_USED)
+            ? numericExtra(command, "d", 0)
+            : Double.POSITIVE_INFINITY;
     return timeBudgetMs - Math.min(ANSWER_MARGIN_MS, timeBudgetMs / 10);
   }
 
@@ -709,7 +725,7 @@
   void submit(Exchange exchange) {
     Command command = exchange.command;
     double now = now();
-    if (!openRequestIds.add(command.id)) {
+    if (recentIds.contains(now, command.id) || !openRequestIds.add(command.id)) {
       // A request with this id was accepted after this one had been validated.
       exchange.finished = true;
       exchange.client.releaseCommand(exchange.command);
@@ -817,6 +833,7 @@
   void cancelForClosedClient(Exchange exchange) {
     if (!exchange.finished) {
       markFinished(exchange);
+      rememberId(exchange);
       if (exchange.streamedResponse != null) { // the rest of the response has no recipient
         Attempt attempt = exchange.streamedResponse.attempt;
         attempt.connection.abandon(attempt);
@@ -886,11 +903,13 @@
     exchange.attemptsInFlight--;
     if (streamed && !exchange.finished) {
       markFinished(exchange);
+      rememberId(exchange);
       exchange.client.streamingEnded(exchange, outcome == Outcome.OK);
     } else if (answer != null && (exchange.finished || exchange.streamedResponse != null)) {
       answer.release();
     } else if (answer != null) {
       markFinished(exchange);
+      rememberId(exchange);
       exchange.client.answer(exchange, answer, Metrics.Result.SERVED);
     }
     boolean finalAnswer = exchange.finished;
@@ -938,6 +957,16 @@
     stop(exchange.deadlineTimer);
   }
 
+  /**
+   * Keeps the id of a request that may have run. A client may send it again after its connection
+   * has ended, and the first one may still be on its way at a server.
+   */
+  private void rememberId(Exchange exchange) {
+    if (!exchange.idempotent && !exchange.attempts.isEmpty()) {
+      recentIds.add(now(), exchange.command.id);
+    }
+  }
+
   private void finish(Exchange exchange, String text) {
     finish(
         exchange,
@@ -952,6 +981,9 @@
       return;
     }
     markFinished(exchange);
+    if (result != Metrics.Result.REJECTED) {
+      rememberId(exchange);
+    }
     exchange.client.answer(exchange, answer, result);
     releaseIfFinished(exchange);
   }
--- a/src/test/java/cacheproxy/proxy/ClientLeavesTest.java
+++ b/src/test/java/cacheproxy/proxy/ClientLeavesTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that close their connection while requests are open or unread. */
 @Timeout(60)
@@ -27,6 +30,40 @@
         == 0;
   }
 
+  /** Guards against a second run of a request whose id comes again after its client has left. */
+  @ParameterizedTest
+  @ValueSource(strings = {"pay", "save"})
+  void anIdThatComesAgainAfterItsClientHasLeftRunsOnce(String serviceClass) throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicInteger writes = new AtomicInteger();
+      CountDownLatch answer = new CountDownLatch(1);
+      Peer origin =
+          stage.peer(
+              line -> {
+                while (line.head() != null) {
+                  line.bytes(3);
+                  writes.incrementAndGet();
+                  answer.await();
+                  line.http("200 OK", "", "r1");
+                }
+              });
+      stage.start(
+          stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+      Peer.Line first = stage.client();
+      first.write(Stage.write("a", "1", serviceClass, "xyz"));
+      Stage.await(() -> writes.get() == 1);
+      first.close();
+      Stage.await(() -> isIdle(stage));
+      answer.countDown();
+      Peer.Line again = stage.client();
+      again.write(Stage.write("a", "1", serviceClass, "xyz"));
+      assertThat(again.read()).startsWith("CLIENT_ERROR ");
+      assertThat(writes).hasValue(1);
+      again.write(Stage.write("a", "2", serviceClass, "xyz"));
+      assertThat(again.read()).isEqualTo("HD O2 cr1");
+    }
+  }
+
   /** Guards against sending requests that were unread when their client closed its connection. */
   @Test
   void requestsUnreadAtTheCloseAreNotSent() throws Exception {
