A long value that is still being written is completed after SIGTERM

Cause: the drain ended by deadlines, which a streamed value has none of. Change: the process goes on while a client is owed an answer, 30 s more at most.

Measured: LongValueTest.streamIsCompletedDuringDrain failed before, green after.

--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -43,6 +43,9 @@
   /** Interval at which the status that another process of this proxy reads is updated. */
   private static final long STATUS_INTERVAL_MS = 50;
 
+  /** How much longer than a drain a long value may take that is still being written. */
+  private static final double MAX_STREAM_DRAIN_MS = 30_000;
+
   /**
    * Exit code when the event loop has ended unexpectedly, in which case nothing is served any more.
    */
@@ -464,7 +467,9 @@
           c.finish();
         }
       }
-      if (connectionAdmission.clients().isEmpty() && !listener.isOpen() || now >= drainEndsMs) {
+      if (connectionAdmission.clients().isEmpty() && !listener.isOpen()
+          || now >= drainEndsMs + MAX_STREAM_DRAIN_MS
+          || now >= drainEndsMs && !isAnyClientOwedAnswer()) {
         drained.countDown();
         return;
       }
@@ -472,6 +477,11 @@
     loop.schedule(this::continueDrain, 20, TimeUnit.MILLISECONDS);
   }
 
+  /** By the end of the drain all deadlines are over; what is left are long values on their way. */
+  private boolean isAnyClientOwedAnswer() {
+    return connectionAdmission.clients().stream().anyMatch(ClientConnection::isOwedAnswer);
+  }
+
   /** For tests. State owned by the event loop may only be read on the event loop. */
   ConnectionAdmission connectionAdmission() {
     return connectionAdmission;
--- a/src/test/java/cacheproxy/proxy/LongValueTest.java
+++ b/src/test/java/cacheproxy/proxy/LongValueTest.java
@@ -4,8 +4,11 @@
 
 import cacheproxy.limits.BufferPurpose;
 import cacheproxy.limits.StreamingWindow;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -208,4 +211,44 @@
                   == 0);
     }
   }
+
+  /**
+   * Guards against a process that ends after SIGTERM while a server still writes a long value, and
+   * so cuts it off.
+   */
+  @Test
+  void streamIsCompletedDuringDrain() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.change = config -> config.replace("\"deadline\":10000", "\"deadline\":500");
+      Peer cache =
+          nodeServingValue(
+              stage,
+              BYTES,
+              line -> {
+                line.write(value(BYTES).substring(0, 100_000));
+                Thread.sleep(3000); // longer than the drain of a process without streams
+                line.write(value(BYTES).substring(100_000) + "\r\n");
+              });
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", cache));
+      Peer.Line client = stage.client();
+      client.write("mg a v O1 Pc=read,t=a,d=500\r\n");
+      assertThat(client.read()).isEqualTo("VA " + BYTES + " O1");
+      CompletableFuture<Void> end =
+          CompletableFuture.runAsync(
+              () -> {
+                stage.proxy.drain(); // returns when the process would end
+                closeProxy(stage);
+              });
+      assertThat(client.bytes(BYTES + 2).equals(value(BYTES) + "\r\n")).isTrue();
+      end.join();
+    }
+  }
+
+  private static void closeProxy(Stage stage) {
+    try {
+      stage.proxy.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
