A keyed request is not retried at a process that has taken the place of the one before

A keyed write that may have run at a node could be retried in another group, where the key is not known, if a new process had come up under the node's name in another cell or zone before the attempt ended.

Cause: InFlightRequest kept the Node, whose list entry EndpointList.update replaces in place. Change: the entry is kept as it was when the attempt was sent, and a node that started after the first possible run gets no keyed repeat.

--- a/src/main/java/cacheproxy/routing/InFlightRequest.java
+++ b/src/main/java/cacheproxy/routing/InFlightRequest.java
@@ -1,6 +1,7 @@
 package cacheproxy.routing;
 
 import cacheproxy.routing.RoutingApi.Idempotency;
+import cacheproxy.routing.RoutingApi.Member;
 import cacheproxy.routing.RoutingApi.Request;
 import cacheproxy.routing.RoutingApi.ServiceClass;
 import java.util.ArrayDeque;
@@ -22,6 +23,9 @@
   /** Node of each attempt, by attempt number. */
   final Node[] nodes;
 
+  /** What the endpoint list said of the node of each attempt when it was sent. */
+  final Member[] members;
+
   /** Time at which each attempt was sent, in milliseconds. */
   final double[] sentMs;
 
@@ -62,8 +66,11 @@
   /** Start of the first attempt that may have been executed; NaN if there is none. */
   double mayHaveRunSinceMs = Double.NaN;
 
-  /** Node of the first attempt that may have been executed; null if there is none. */
-  Node mayHaveRunNode;
+  /**
+   * The first attempt's node that may have executed it, as it was listed then; null if there is
+   * none. The node may have been replaced by another process since.
+   */
+  Member mayHaveRunMember;
 
   /** Requests that wait for this request's fetch; null if it is not fetching for others. */
   ArrayDeque<InFlightRequest> followers;
@@ -79,6 +86,7 @@
     keyHash =
         Carp.keyHash(request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id()));
     nodes = new Node[maxAttempts];
+    members = new Member[maxAttempts];
     sentMs = new double[maxAttempts];
     ended = new boolean[maxAttempts];
   }
--- a/src/main/java/cacheproxy/routing/InFlightRequests.java
+++ b/src/main/java/cacheproxy/routing/InFlightRequests.java
@@ -1,10 +1,10 @@
 package cacheproxy.routing;
 
-import cacheproxy.routing.RoutingApi.Actions;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntConsumer;
 
 /**
  * The requests in flight at this instance, with their timers and coalesced fetches. Absent requests
@@ -42,14 +42,15 @@
   }
 
   /**
-   * Marks a request as finished and cancels its timers. It stays registered until its last attempt
-   * has ended.
+   * Marks a request as finished. It stays registered until its last attempt has ended.
+   *
+   * @param cancelTimer receives the tokens of its timers that have not run
    */
-  void finish(InFlightRequest pending, Actions actions) {
+  void finish(InFlightRequest pending, IntConsumer cancelTimer) {
     pending.finished = true;
     for (int token : pending.removeTimers()) {
       if (byTimer.remove(token) != null) {
-        actions.cancelTimer(token);
+        cancelTimer.accept(token);
       }
     }
     if (pending.attemptsInFlight == 0) {
--- a/src/main/java/cacheproxy/routing/Policy.java
+++ b/src/main/java/cacheproxy/routing/Policy.java
@@ -202,6 +202,7 @@
   private void send(double now, InFlightRequest pending, Node node, Actions actions) {
     int attempt = pending.attempts++;
     pending.nodes[attempt] = node;
+    pending.members[attempt] = node.member;
     pending.sentMs[attempt] = now;
     pending.attemptsInFlight++;
     boolean toCache = node != endpoints.origin;
@@ -242,7 +243,7 @@
       return;
     }
     answer(now, pending, actions);
-    requests.finish(pending, actions);
+    requests.finish(pending, actions::cancelTimer);
   }
 
   /**
@@ -274,11 +275,11 @@
     }
     if (end.outcome().mayHaveRun() && !pending.mayHaveRun()) {
       pending.mayHaveRunSinceMs = pending.sentMs[attempt];
-      pending.mayHaveRunNode = node;
+      pending.mayHaveRunMember = pending.members[attempt];
     }
     boolean wasFinished = pending.finished;
     if (end.finalAnswer() || wasFinished) {
-      requests.finish(pending, actions);
+      requests.finish(pending, actions::cancelTimer);
     }
     if (pending.followers != null && attempt == pending.fetchAttempt) {
       endFetch(now, pending, end.outcome() == Outcome.OK, actions);
@@ -342,7 +343,7 @@
 
   /** Ends a request that no server has answered. A fetch that other requests wait for continues. */
   private void abandon(InFlightRequest pending, Actions actions) {
-    requests.finish(pending, actions);
+    requests.finish(pending, actions::cancelTimer);
     boolean followed = pending.followers != null && !pending.followers.isEmpty();
     if (!pending.streaming && !followed) {
       cancelAttemptsExcept(NO_ATTEMPT, pending, actions);
--- a/src/main/java/cacheproxy/routing/RetryPolicy.java
+++ b/src/main/java/cacheproxy/routing/RetryPolicy.java
@@ -39,8 +39,10 @@
     double windowEndMs = pending.mayHaveRunSinceMs + pending.serviceClass.idempotencyWindowMs();
     return pending.serviceClass.idempotency() == Idempotency.IDEMPOTENCY_KEY
         && now + settings.connectTimeoutMs() < windowEndMs
+        && node.member.startedMs()
+            <= pending.mayHaveRunSinceMs // a later start knows no earlier keys
         && sameGroup(
-            pending.serviceClass.idempotencyScope(), pending.mayHaveRunNode.member, node.member);
+            pending.serviceClass.idempotencyScope(), pending.mayHaveRunMember, node.member);
   }
 
   private static boolean sameGroup(IdempotencyScope group, Member first, Member second) {
--- a/src/test/java/cacheproxy/routing/PolicyRetryTest.java
+++ b/src/test/java/cacheproxy/routing/PolicyRetryTest.java
@@ -5,6 +5,7 @@
 
 import cacheproxy.routing.RoutingApi.EndpointState;
 import cacheproxy.routing.RoutingApi.IdempotencyScope;
+import cacheproxy.routing.RoutingApi.Member;
 import cacheproxy.routing.RoutingApi.Outcome;
 import cacheproxy.routing.RoutingApi.Request;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Rules for retries, and coalescing of fetches for one key. */
 class PolicyRetryTest {
@@ -166,6 +168,37 @@
     }
   }
 
+  /**
+   * Guards against a second run of a keyed request at a process that has taken the place of the one
+   * that may have run it, in another cell or without its memory of keys.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aRetryTakesNoNewProcessForTheOneBefore(boolean inAnotherCell) {
+    for (long key = 1; key <= 200; key++) {
+      PolicyTestRig rig =
+          new PolicyTestRig(PolicyTestRig.settings(false, false, false, IdempotencyScope.CELL))
+              .withNodes(12);
+      rig.policy.onRequest(
+          rig.now,
+          new Request(
+              1, PolicyTestRig.IDEMPOTENCY_KEY, 0, key, rig.now + 1000, Double.NaN, 0, true, false),
+          rig);
+      int first = rig.lastAttempt().server();
+      rig.now += 50;
+      Member before = PolicyTestRig.member(first, EndpointState.READY, rig.now);
+      int cell = inAnotherCell ? (before.cell() + 1) % 4 : before.cell();
+      rig.changeList(
+          new Member(first, before.zone(), before.kind(), cell, EndpointState.READY, 1, rig.now));
+      rig.now += 50;
+      rig.endAttempt(rig.lastAttempt(), Outcome.RESET);
+      for (PolicyTestRig.SentAttempt retry : rig.sent.subList(1, rig.sent.size())) {
+        assertThat(retry.server()).isNotEqualTo(first);
+        assertThat(retry.server() / 4).isEqualTo(first / 4);
+      }
+    }
+  }
+
   @Test
   void attemptsStayWithinTheLimitAndOneAtATime() {
     PolicyTestRig rig = PolicyTestRig.cacheAside().withNodes(12);
