The end of a value that looks like the beginning of a status line is not taken for one

A value with too short a length whose missing end is "HTTP" was still served cut off: a part of "HTTP/1." was enough to take the bytes behind a body for a duplicate response. Found by reading the change again.

Change: all of "HTTP/1." has to be there.

--- a/src/main/java/cacheproxy/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -262,8 +262,10 @@
   }
 
   private static boolean beginsResponse(ByteBuf bytes) {
-    int length = Math.min(bytes.readableBytes(), STATUS_LINE_START.length);
-    for (int i = 0; i < length; i++) {
+    if (bytes.readableBytes() < STATUS_LINE_START.length) {
+      return false;
+    }
+    for (int i = 0; i < STATUS_LINE_START.length; i++) {
       if (bytes.getByte(bytes.readerIndex() + i) != STATUS_LINE_START[i]) {
         return false;
       }
--- a/src/test/java/cacheproxy/proxy/ShortContentLengthTest.java
+++ b/src/test/java/cacheproxy/proxy/ShortContentLengthTest.java
@@ -63,7 +63,8 @@
           stage.peer(
               line -> {
                 while (line.head() != null) {
-                  respond(line, "a whole value", arrival);
+                  respond(
+                      line, "a whole valueHTTP", arrival); // its end begins as a status line does
                 }
               });
       stage.start(
