Short answers in a row do not make a steady reader too slow; commands wait for memory

Some 400 of 640 answers were fetched and then refused; a row of eight refusals of 20 bytes is below the minimum rate for 3.2 s.

Change: an answer counts as at least 16 KiB, which extends the grace, to four times itself at most. A further command of a client that is owed an answer stays unread while its answer is not expected to fit (ResponseMemoryForecast).

--- a/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
+++ b/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
@@ -10,8 +10,12 @@
 public final class MinimumRateMonitor {
   private static final double MS_PER_SECOND = 1000;
 
+  /** A grace is extended by at most this many times itself. */
+  private static final double MAX_EXTENSION_FACTOR = 3;
+
   private final MinimumRate minimum;
   private double deficitMs;
+  private double extensionMs;
   private double updatedMs;
   private boolean open;
 
@@ -41,6 +45,7 @@
   public void transferred(double nowMs, long bytes) {
     if (open) {
       advanceTo(nowMs);
+      extensionMs = Math.max(0, extensionMs - Math.max(0, deficitMs - minimum.graceMs()));
       deficitMs = Math.max(0, deficitMs - bytes * MS_PER_SECOND / minimum.bytesPerSecond());
     }
   }
@@ -54,9 +59,20 @@
     return deficitMs;
   }
 
+  /**
+   * Extends the grace by the time that this many bytes take at the minimum rate, up to a multiple
+   * of the grace. The extension lasts beyond the transfer, until it has been used up.
+   */
+  public void extendGrace(long bytes) {
+    extensionMs =
+        Math.min(
+            MAX_EXTENSION_FACTOR * minimum.graceMs(),
+            extensionMs + bytes * MS_PER_SECOND / minimum.bytesPerSecond());
+  }
+
   /** Returns by how many milliseconds the deficit exceeds the complete grace; 0 if it does not. */
   public double overdueMs(double nowMs) {
-    return Math.max(0, deficitMs(nowMs) - minimum.graceMs());
+    return Math.max(0, deficitMs(nowMs) - minimum.graceMs() - extensionMs);
   }
 
   /**
@@ -65,7 +81,7 @@
    * @param graceFactor the fraction of the grace that is granted, from 0 to 1
    */
   public boolean isTooSlow(double nowMs, double graceFactor) {
-    return open && deficitMs(nowMs) > minimum.graceMs() * graceFactor;
+    return open && deficitMs(nowMs) > minimum.graceMs() * graceFactor + extensionMs;
   }
 
   private void advanceTo(double nowMs) {
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -7,6 +7,7 @@
 import cacheproxy.limits.DisconnectReason;
 import cacheproxy.limits.FairShare;
 import cacheproxy.limits.MinimumRateMonitor;
+import cacheproxy.limits.ResourcePressure;
 import cacheproxy.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -44,6 +45,16 @@
      */
     double errorBackoffMs(ClientConnection client);
 
+    /** A server has given the response to a request; its size is in bytes. */
+    void responseReceived(int bytes);
+
+    /**
+     * Whether a client that is owed an answer may have a further command accepted: the answer is
+     * expected to fit into memory, together with those of all open requests and one for each
+     * client.
+     */
+    boolean hasMemoryForPipelinedCommand();
+
     /**
      * There is no memory for another answer. Disconnects a client that is behind in reading its
      * answers by more than its grace, to free the memory that it holds.
@@ -63,6 +74,10 @@
    */
   private static final int MAX_PIPELINED = 16;
 
+  /** Open commands that a client may have in any case before it has read an answer. */
+  private static final int MIN_UNPROVEN_PIPELINED =
+      ResourcePressure.Level.CRITICAL.maxUnreadPipelined();
+
   /**
    * If one read contains more complete commands than this, the input is rejected as a flood and
    * none of its commands is executed.
@@ -153,6 +168,12 @@
   private boolean outputClosed;
   private boolean readPaused;
 
+  /**
+   * Input waits because no command was accepted. It may then hold more commands than one read, and
+   * is no flood.
+   */
+  private boolean inputWaiting;
+
   /** An error line waits to be sent; until then the connection is not read. */
   private boolean errorPending;
 
@@ -219,7 +240,15 @@
    * connection would lose it.
    */
   boolean isOwedAnswer() {
-    return output.isPending() || exchanges.stream().anyMatch(x -> x.command != null);
+    if (output.isPending()) {
+      return true;
+    }
+    for (Exchange exchange : exchanges) {
+      if (exchange.command != null) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -396,6 +425,7 @@
       return;
     }
     if (errorPending || !mayAcceptCommand()) {
+      inputWaiting |= !errorPending;
       pauseReading();
       return;
     }
@@ -403,7 +433,7 @@
       if (incomingWrite != null) {
         readValue(in);
       } else {
-        if (exchanges.isEmpty()) {
+        if (exchanges.isEmpty() && !inputWaiting) {
           checkFlood(in);
         }
         String line = MetaCodec.readLine(in);
@@ -412,6 +442,7 @@
           handleCommand(line);
         }
       }
+      inputWaiting &= in.isReadable();
     } catch (MetaCodec.SyntaxException e) {
       // The boundaries of the following commands are unknown.
       closing = true;
@@ -419,18 +450,30 @@
     }
   }
 
-  /** Whether another command may be accepted. */
+  /**
+   * Whether another command may be accepted. If not, it stays unread. A client that is owed nothing
+   * always has one accepted, so that each client makes progress.
+   */
   private boolean mayAcceptCommand() {
-    int maxOpenCommands =
-        output.hasBegun() && !output.isPending()
-            ? MAX_PIPELINED
-            : Math.min(MAX_PIPELINED, owner.maxUnreadPipelined());
-    return exchanges.size() < maxOpenCommands
+    return exchanges.size() < maxOpenCommands()
+        && (incomingWrite != null || isResponseMemoryFree())
         && ctx.channel().isWritable()
         && account.reservedBytes(BufferPurpose.CLIENT_RESPONSE)
             < dispatcher.limits().responseBytesPerClient();
   }
 
+  private int maxOpenCommands() {
+    return output.hasBegun() && !output.isPending()
+        ? MAX_PIPELINED
+        : Math.min(MAX_PIPELINED, owner.maxUnreadPipelined());
+  }
+
+  /** Whether memory for the answer to another command is free, or is not asked for. */
+  private boolean isResponseMemoryFree() {
+    boolean first = output.hasBegun() ? !isOwedAnswer() : exchanges.size() < MIN_UNPROVEN_PIPELINED;
+    return first || owner.hasMemoryForPipelinedCommand();
+  }
+
   /**
    * Rejects a flood of commands in one read. Counts lines only up to the first write command, as
    * its value may contain any bytes.
@@ -641,6 +684,9 @@
       answer.release();
       return;
     }
+    if (result == Metrics.Result.SERVED) {
+      owner.responseReceived(answer.readableBytes());
+    }
     exchange.answer = reserveMemory(exchange, answer);
     if (result != null) {
       boolean memoryReserved = exchange.answer == answer;
@@ -706,7 +752,8 @@
       }
       int bytes = head.answer.readableBytes();
       int held = head.reservedBytes;
-      addUnwritten(bytes);
+      output.addAnswer(bytes);
+      boundSendBuffer();
       ctx.write(head.answer).addListener(f -> writeCompleted(bytes, held));
       head.answer = null;
       wrote = true;
@@ -724,11 +771,10 @@
   }
 
   /**
-   * Adds to the unwritten bytes. Limits the socket's send buffer as soon as it could grow large;
-   * most connections end before that, and are spared two system calls.
+   * Limits the socket's send buffer as soon as it could grow large; most connections end before
+   * that, and are spared two system calls.
    */
-  private void addUnwritten(int bytes) {
-    output.add(bytes);
+  private void boundSendBuffer() {
     int maxBufferBytes = dispatcher.limits().sendBufferBytes();
     if (!sendBufferBounded && output.totalBytes() > maxBufferBytes / 4) {
       sendBufferBounded = true;
@@ -740,7 +786,8 @@
     boolean wrote = false;
     for (ByteBuf part; (part = passage.next()) != null; wrote = true) {
       int bytes = part.readableBytes();
-      addUnwritten(bytes);
+      output.add(bytes);
+      boundSendBuffer();
       ctx.write(part)
           .addListener(
               f -> {
--- a/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
+++ b/src/main/java/cacheproxy/proxy/ConnectionAdmission.java
@@ -11,6 +11,7 @@
 import cacheproxy.limits.Limits;
 import cacheproxy.limits.LoopLag;
 import cacheproxy.limits.ResourcePressure;
+import cacheproxy.limits.ResponseMemoryForecast;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
@@ -59,6 +60,7 @@
   private final LoopLag loopLag = new LoopLag();
   private final ResourcePressure pressure = new ResourcePressure();
   private final ByteAccounts accounts;
+  private final ResponseMemoryForecast responseMemory;
   private final DisconnectCounters disconnectCounters;
   private final Set<ClientConnection> clients = new LinkedHashSet<>();
   private Channel listener;
@@ -83,6 +85,7 @@
     this.dispatcher = dispatcher;
     limits = dispatcher.limits();
     accounts = dispatcher.accounts();
+    responseMemory = new ResponseMemoryForecast(accounts, MetaCodec.MAX_BUFFERED_VALUE_BYTES);
     disconnectCounters = dispatcher.disconnectCounters();
     int maxConnections = limits.maxConnections();
     policy =
@@ -239,6 +242,16 @@
     return pressure.level().maxUnreadPipelined();
   }
 
+  @Override
+  public void responseReceived(int bytes) {
+    responseMemory.recordResponse(bytes);
+  }
+
+  @Override
+  public boolean hasMemoryForPipelinedCommand() {
+    return responseMemory.hasCapacityForAnother(dispatcher.openRequests() + clients.size());
+  }
+
   /** Disconnects one client per call, because its memory is released gradually. */
   @Override
   public void responseMemoryExhausted() {
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -402,7 +402,7 @@
     return timers.pending();
   }
 
-  /** The number of requests without a final answer. For tests. */
+  /** The number of requests without a final answer. */
   int openRequests() {
     return openRequestIds.size();
   }
--- a/src/main/java/cacheproxy/proxy/OutputProgress.java
+++ b/src/main/java/cacheproxy/proxy/OutputProgress.java
@@ -16,6 +16,12 @@
    */
   private static final double COMPLETE_GRACE = 1;
 
+  /**
+   * An answer counts as at least this many bytes. A client may take each answer as steadily as any
+   * other, and behind the socket's buffer it does not show that it takes short ones.
+   */
+  private static final int MIN_COUNTED_BYTES = 16 << 10;
+
   private final MinimumRateMonitor rate;
 
   /** Bytes of answers not yet written to the socket; closing the connection would discard them. */
@@ -31,7 +37,13 @@
     rate = new MinimumRateMonitor(minimum);
   }
 
-  /** Adds an answer, or a part of one, that is about to be written. */
+  /** Adds a complete answer that is about to be written. */
+  void addAnswer(int bytes) {
+    add(bytes);
+    rate.extendGrace(Math.max(0, MIN_COUNTED_BYTES - bytes));
+  }
+
+  /** Adds a part of an answer that is about to be written. */
   void add(int bytes) {
     unwrittenBytes += bytes;
   }
--- a/src/test/java/cacheproxy/limits/MinimumRateMonitorTest.java
+++ b/src/test/java/cacheproxy/limits/MinimumRateMonitorTest.java
@@ -141,4 +141,19 @@
     assertThatThrownBy(() -> new MinimumRate(0, 1)).isInstanceOf(IllegalArgumentException.class);
     assertThatThrownBy(() -> new MinimumRate(1, -1)).isInstanceOf(IllegalArgumentException.class);
   }
+
+  /** An extension counts in addition to the grace, has an upper bound and is used up once. */
+  @Test
+  void anExtendedGraceIsBoundedAndUsedUpOnce() {
+    MinimumRateMonitor monitor = new MinimumRateMonitor(MINIMUM);
+    monitor.extendGrace(1_000_000); // much more than the bound of three graces of 2000 ms
+    monitor.begin(0);
+    assertThat(monitor.isTooSlow(8000, 1)).isFalse();
+    assertThat(monitor.overdueMs(8000)).isZero();
+    assertThat(monitor.isTooSlow(8001, 1)).isTrue();
+    assertThat(monitor.overdueMs(8001)).isEqualTo(1);
+    monitor.transferred(8001, 1_000_000); // catches up; the extension is spent
+    assertThat(monitor.isTooSlow(10_001, 1)).isFalse();
+    assertThat(monitor.isTooSlow(10_002, 1)).isTrue();
+  }
 }
