Unread input of a crowd stays within its bound while commands wait for memory

(1) 580 clients then kept 5.5 MB unread, over twice the limit of 2.6: a read of 4 KiB went on top of almost 4 KiB of read-ahead, and buffers double to 8 KiB.

Change: (1) 2 KiB a read while input is short, and only if it stays within the 4 KiB.

--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -121,8 +121,12 @@
 
   private static final double REDUCED_READ_AHEAD_UTILIZATION = 0.25;
 
-  /** Read-ahead bound while memory for input is short. */
-  private static final int MIN_READ_AHEAD_BYTES = 4 << 10;
+  /**
+   * Read-ahead bound while memory for input is short. A read is made only if a complete small
+   * buffer stays within the bound.
+   */
+  private static final int MIN_READ_AHEAD_BYTES =
+      (4 << 10) - ClientReadBufferSizer.SMALL_BUFFER_BYTES + 1;
 
   /**
    * Maximum number of reads per read-ahead. Bounds the loop for a connection that is closing: its
--- a/src/main/java/cacheproxy/proxy/ClientReadBufferSizer.java
+++ b/src/main/java/cacheproxy/proxy/ClientReadBufferSizer.java
@@ -21,8 +21,8 @@
   /** Large enough to contain a flood of commands in one read. */
   private static final int BUFFER_BYTES = 16 << 10;
 
-  /** Large enough for the longest line. */
-  private static final int SMALL_BUFFER_BYTES = MetaCodec.MAX_LINE_BYTES;
+  /** A longer line takes several reads. */
+  static final int SMALL_BUFFER_BYTES = 2 << 10;
 
   /** The fraction of the memory limit for input from which on buffers are small. */
   private static final double SMALL_FROM_UTILIZATION = 0.5;
