An id that comes again at the other process of an upgrade does not run a second time

A client that left a request open and came again with its id while two processes ran had it executed twice if the kernel gave the new connection to the other process.

Cause: RecentRequestIds was a map in each process.

An id is in it from acceptance on, and leaves it if the request was rejected or had no attempt. Without a folder as before.

Measured: TakeoverTest.anIdOfTheOldProcessDoesNotRunAgainAtTheNewOne failed with the sharing taken out and is green; ClientLeavesTest, RecentRequestIdsTest and the operators' tests green. OperatorCallHandlerTest removes one file more before it removes the folder; its check is unchanged.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -34,6 +34,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.collection.IntObjectHashMap;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -90,13 +91,11 @@
   private static final double GOLDEN_RATIO_FRACTION = 0.6180339887498949;
 
   private static final String ID_IN_USE = "the id is another open request's";
-  private static final String ID_USED = "the id is a finished request's";
+  private static final String ID_USED = "the id is an earlier request's";
 
   /** Longer than a client goes on with a request, so that its id cannot come again after that. */
   private static final double RECENT_ID_RETENTION_MS = 10_000;
 
-  private static final int MAX_RECENT_IDS = 4096;
-
   /**
    * Writes to standard error, with a bounded number of lines per minute so that long runs stay
    * readable.
@@ -128,9 +127,13 @@
   /** The ids, as given by clients, of the requests without a final answer. */
   private final Set<String> openRequestIds = new HashSet<>();
 
-  /** The ids of finished requests that may have run and must not run twice. */
-  private final RecentRequestIds recentIds =
-      new RecentRequestIds(RECENT_ID_RETENTION_MS, MAX_RECENT_IDS);
+  /**
+   * The ids of requests that must not run twice, open or finished, at this process or at another
+   * one of this proxy.
+   */
+  private RecentRequestIds recentIds =
+      new RecentRequestIds(
+          ByteBuffer.allocate(RecentRequestIds.TABLE_BYTES), RECENT_ID_RETENTION_MS);
 
   private final ArrayDeque<Runnable> pendingPolicyCalls = new ArrayDeque<>();
   private final Upstream.Dialer dialer;
@@ -230,6 +233,14 @@
     sweepTask = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Uses a table of request ids that another process of this proxy may use too. To be called before
+   * the first request.
+   */
+  void shareRequestIds(ByteBuffer table) {
+    recentIds = new RecentRequestIds(table, RECENT_ID_RETENTION_MS);
+  }
+
   /** Gives the policy access to the state that the tier of proxies shares. */
   void useTier(RoutingApi.Tier tier) {
     callPolicy(() -> policy.useTier(tier));
@@ -754,6 +765,9 @@
     exchange.idempotent = effect == Idempotency.IDEMPOTENT;
     exchange.dueMs = now + timeBudgetMs;
     exchanges.put(exchange.id, exchange);
+    if (!exchange.idempotent) {
+      recentIds.add(now, command.id);
+    }
     double costHintUs = numericExtra(command, "h", Double.NaN);
     Request request =
         new Request(
@@ -833,7 +847,7 @@
   void cancelForClosedClient(Exchange exchange) {
     if (!exchange.finished) {
       markFinished(exchange);
-      rememberId(exchange);
+      updateRecentId(exchange);
       if (exchange.streamedResponse != null) { // the rest of the response has no recipient
         Attempt attempt = exchange.streamedResponse.attempt;
         attempt.connection.abandon(attempt);
@@ -903,13 +917,13 @@
     exchange.attemptsInFlight--;
     if (streamed && !exchange.finished) {
       markFinished(exchange);
-      rememberId(exchange);
+      updateRecentId(exchange);
       exchange.client.streamingEnded(exchange, outcome == Outcome.OK);
     } else if (answer != null && (exchange.finished || exchange.streamedResponse != null)) {
       answer.release();
     } else if (answer != null) {
       markFinished(exchange);
-      rememberId(exchange);
+      updateRecentId(exchange);
       exchange.client.answer(exchange, answer, Metrics.Result.SERVED);
     }
     boolean finalAnswer = exchange.finished;
@@ -958,11 +972,17 @@
   }
 
   /**
-   * Keeps the id of a request that may have run. A client may send it again after its connection
-   * has ended, and the first one may still be on its way at a server.
+   * Keeps the id of a request that may have run from now on, and forgets that of one that has not.
+   * A client may send it again after its connection has ended, and the first one may still be on
+   * its way at a server.
    */
-  private void rememberId(Exchange exchange) {
-    if (!exchange.idempotent && !exchange.attempts.isEmpty()) {
+  private void updateRecentId(Exchange exchange) {
+    if (exchange.idempotent) {
+      return;
+    }
+    if (exchange.attempts.isEmpty()) {
+      recentIds.remove(exchange.command.id);
+    } else {
       recentIds.add(now(), exchange.command.id);
     }
   }
@@ -981,8 +1001,10 @@
       return;
     }
     markFinished(exchange);
-    if (result != Metrics.Result.REJECTED) {
-      rememberId(exchange);
+    if (result == Metrics.Result.REJECTED) {
+      recentIds.remove(exchange.command.id);
+    } else {
+      updateRecentId(exchange);
     }
     exchange.client.answer(exchange, answer, result);
     releaseIfFinished(exchange);
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -109,6 +109,7 @@
     if (operatorServer != null) {
       discovery.publishConfiguredHostNames();
       otherProcess = operatorServer.otherProcessAtStart();
+      dispatcher.shareRequestIds(operatorServer.requestIds());
       operatorServer.startPolling();
     }
     if (config.membershipTiming() != null) {
--- a/src/main/java/cacheproxy/proxy/admin/FileSharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/admin/FileSharedFolder.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.admin.ManualEjectionLog;
 import cacheproxy.admin.ProcessStatus;
+import cacheproxy.limits.RecentRequestIds;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -17,8 +18,8 @@
 import java.util.Set;
 
 /**
- * A shared folder that consists of two small files in a directory: the log of manual ejections and
- * the status of both processes.
+ * A shared folder that consists of small files in a directory: the log of manual ejections, the
+ * status of both processes, and the ids of recent requests.
  */
 final class FileSharedFolder implements SharedFolder {
   /**
@@ -29,6 +30,8 @@
 
   private static final String SLOTS_NAME = "damsonworks.slots";
 
+  private static final String REQUEST_IDS_NAME = "cacheproxy.requests";
+
   private static final String COMPACTED_SUFFIX = ".next";
 
   /** File attributes that show whether a file has been written to or replaced. */
@@ -42,6 +45,7 @@
 
   private final Path ejectionLog;
   private final ProcessSlots slots;
+  private final ByteBuffer requestIds;
 
   /**
    * The file version that {@link #changedEjections} has read last; empty to force the next call to
@@ -52,6 +56,28 @@
   FileSharedFolder(Path directory) throws IOException {
     ejectionLog = directory.resolve(EJECTION_LOG_NAME);
     slots = new ProcessSlots(directory.resolve(SLOTS_NAME));
+    requestIds = mapRequestIds(directory.resolve(REQUEST_IDS_NAME));
+  }
+
+  /**
+   * Maps the table into memory. A file that is too short is filled with zeros first: memory without
+   * space on the disk behind it could not be written later.
+   */
+  private static ByteBuffer mapRequestIds(Path path) throws IOException {
+    try (FileChannel file =
+        FileChannel.open(
+            path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+      long missing = RecentRequestIds.TABLE_BYTES - file.size();
+      if (missing > 0) {
+        file.write(ByteBuffer.allocate((int) missing), file.size());
+      }
+      return file.map(FileChannel.MapMode.READ_WRITE, 0, RecentRequestIds.TABLE_BYTES);
+    }
+  }
+
+  @Override
+  public ByteBuffer requestIds() {
+    return requestIds;
   }
 
   @Override
--- a/src/main/java/cacheproxy/proxy/admin/OperatorServer.java
+++ b/src/main/java/cacheproxy/proxy/admin/OperatorServer.java
@@ -15,6 +15,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Optional;
@@ -141,6 +142,11 @@
         .syncUninterruptibly();
   }
 
+  /** Returns the table of request ids that both processes of this proxy use. */
+  public ByteBuffer requestIds() {
+    return folder.requestIds();
+  }
+
   /** Returns the address at which the server listens. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
--- a/src/main/java/cacheproxy/proxy/admin/SharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/admin/SharedFolder.java
@@ -4,14 +4,15 @@
 import cacheproxy.admin.ProcessStatus;
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * State that the old and the new process of one proxy share during an upgrade: the log of manually
- * ejected cache nodes and the status of each process. Confined to the operator server's event loop,
- * because file access must not block the proxy's event loop.
+ * ejected cache nodes, the status of each process and the ids of recent requests. Confined to the
+ * operator server's event loop, because file access must not block the proxy's event loop.
  */
 sealed interface SharedFolder extends Closeable permits FileSharedFolder, UnsharedFolder {
   /**
@@ -36,6 +37,12 @@
    */
   Optional<Set<String>> changedEjections() throws IOException;
 
+  /**
+   * The table of {@link cacheproxy.limits.RecentRequestIds}, in memory that both processes share.
+   * Reading and writing it does not block.
+   */
+  ByteBuffer requestIds();
+
   /** Appends an action to the log and returns the nodes that are ejected after it. */
   Set<String> append(String node, ManualEjectionLog.Action action) throws IOException;
 }
--- a/src/main/java/cacheproxy/proxy/admin/UnsharedFolder.java
+++ b/src/main/java/cacheproxy/proxy/admin/UnsharedFolder.java
@@ -2,6 +2,8 @@
 
 import cacheproxy.admin.ManualEjectionLog;
 import cacheproxy.admin.ProcessStatus;
+import cacheproxy.limits.RecentRequestIds;
+import java.nio.ByteBuffer;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -29,6 +31,11 @@
     return new LinkedHashSet<>(ejectedNodes);
   }
 
+  @Override
+  public ByteBuffer requestIds() {
+    return ByteBuffer.allocate(RecentRequestIds.TABLE_BYTES);
+  }
+
   @Override
   public void close() {}
 }
--- a/src/test/java/cacheproxy/proxy/TakeoverTest.java
+++ b/src/test/java/cacheproxy/proxy/TakeoverTest.java
@@ -6,11 +6,15 @@
 import java.net.ServerSocket;
 import java.net.SocketException;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** An upgrade: an old and a new process of one proxy listen at the same address. */
 class TakeoverTest {
+  /** Enough for one of them to come again at the other process. */
+  private static final int CONNECTIONS_TO_BOTH = 12;
+
   @TempDir Path folder;
 
   @Test
@@ -72,6 +76,55 @@
     }
   }
 
+  /**
+   * Guards against a second run of a request whose id comes again at the other process, after its
+   * client has left the first one.
+   */
+  @Test
+  void anIdOfTheOldProcessDoesNotRunAgainAtTheNewOne() throws Exception {
+    try (Stage stage = new Stage()) {
+      AtomicInteger writes = new AtomicInteger();
+      Peer origin =
+          stage.peer(
+              line -> {
+                while (line.head() != null) {
+                  line.bytes(3);
+                  writes.incrementAndGet();
+                  Thread.sleep(200);
+                  line.http("200 OK", "", "r1");
+                }
+              });
+      String config =
+          stage.config(
+              stage.quietDiscovery().address(),
+              Stage.cache("s-1", stage.emptyCache()),
+              Stage.origin(origin));
+      int oldControl = freePort();
+      Program old =
+          stage.keep(
+              new Program(folder, withControl(config, oldControl), 0, "cacheproxy.Main", "serve"));
+      Stage.await(() -> ready(oldControl));
+      int nextControl = freePort();
+      stage.keep(
+          new Program(
+              folder, old.port, withControl(config, nextControl), "cacheproxy.Main", "serve"));
+      Stage.await(() -> ready(nextControl));
+      // The kernel deals new connections out to both processes.
+      for (int i = 0; i < CONNECTIONS_TO_BOTH; i++) {
+        try (Peer.Line first = OperatorCallsTest.line(old.port)) {
+          int before = writes.get();
+          first.write(Stage.write("a", "w" + i, "pay", "xyz"));
+          Stage.await(() -> writes.get() > before);
+        }
+        try (Peer.Line again = OperatorCallsTest.line(old.port)) {
+          again.write(Stage.write("a", "w" + i, "pay", "xyz"));
+          assertThat(again.read()).startsWith("CLIENT_ERROR ");
+        }
+      }
+      assertThat(writes).hasValue(CONNECTIONS_TO_BOTH);
+    }
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket free = new ServerSocket(0)) {
       return free.getLocalPort();
--- a/src/test/java/cacheproxy/proxy/admin/OperatorCallHandlerTest.java
+++ b/src/test/java/cacheproxy/proxy/admin/OperatorCallHandlerTest.java
@@ -141,6 +141,7 @@
     Path lost = Files.createDirectory(directory.resolve("lost"));
     try (SharedFolder folder = SharedFolder.open(Optional.of(lost))) {
       Files.delete(lost.resolve("damsonworks.slots"));
+      Files.delete(lost.resolve("cacheproxy.requests"));
       Files.delete(lost);
       assertThat(call(folder, HttpMethod.PUT, "/ops/cache-nodes/down", "s-1"))
           .startsWith("500 the call can't be kept: ");
