The steps of socket buffers do not make a steady reader too slow

Of a step only the time that the client was behind counted.

Change: for answers, what a buffer accepts beyond the deficit counts for later, up to three graces together with the extension for short answers. The rates of clients that send and of servers are as before.

Measured: SteadyReadersTest.stepsOfTheSocketBuffers... failed before, green after; MinimumRateMonitorTest, SlowPeersTest, SlowReaderUnderPressureTest green. Cost: a client that never reads holds its memory for up to 12 s in place of 3.

--- a/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
+++ b/src/main/java/cacheproxy/limits/MinimumRateMonitor.java
@@ -4,17 +4,21 @@
  * Measures how far a peer has fallen behind its minimum rate, as a time deficit. While a transfer
  * is open, the deficit grows with the elapsed time. Each transferred byte reduces it by the time
  * that the byte takes at the minimum rate, but never below 0. A burst therefore earns no credit for
- * later, and the result does not depend on when or how often the deficit is read. Not thread-safe:
- * used only on the event loop thread. Does not allocate memory.
+ * later, unless a buffer makes it ({@link #accepted}), and the result does not depend on when or
+ * how often the deficit is read. Not thread-safe: used only on the event loop thread. Does not
+ * allocate memory.
  */
 public final class MinimumRateMonitor {
   private static final double MS_PER_SECOND = 1000;
 
-  /** A grace is extended by at most this many times itself. */
+  /** A grace is extended by at most this many times itself, with what counts for later. */
   private static final double MAX_EXTENSION_FACTOR = 3;
 
   private final MinimumRate minimum;
+
+  /** Below 0 if bytes count for later. */
   private double deficitMs;
+
   private double extensionMs;
   private double updatedMs;
   private boolean open;
@@ -28,15 +32,14 @@
   public void begin(double nowMs) {
     if (!open) {
       open = true;
-      deficitMs = 0;
       updatedMs = nowMs;
     }
   }
 
-  /** Ends the open transfer and resets the deficit. */
+  /** Ends the open transfer and resets the deficit; what counts for later is kept. */
   public void end() {
     open = false;
-    deficitMs = 0;
+    deficitMs = Math.min(0, deficitMs);
   }
 
   /**
@@ -46,7 +49,21 @@
     if (open) {
       advanceTo(nowMs);
       extensionMs = Math.max(0, extensionMs - Math.max(0, deficitMs - minimum.graceMs()));
-      deficitMs = Math.max(0, deficitMs - bytes * MS_PER_SECOND / minimum.bytesPerSecond());
+      deficitMs = Math.max(Math.min(0, deficitMs), deficitMs - requiredMs(bytes));
+    }
+  }
+
+  /**
+   * Records that a buffer has accepted {@code bytes} bytes for the peer. As it accepts bytes in
+   * large steps, however evenly the peer takes them, those beyond the deficit count for later.
+   */
+  public void accepted(double nowMs, long bytes) {
+    if (open) {
+      double surplusMs = requiredMs(bytes) - Math.max(0, deficitMs(nowMs));
+      transferred(nowMs, bytes);
+      if (surplusMs > 0) {
+        deficitMs = Math.max(extensionMs - maxExtensionMs(), deficitMs - surplusMs);
+      }
     }
   }
 
@@ -56,7 +73,7 @@
       return 0;
     }
     advanceTo(nowMs);
-    return deficitMs;
+    return Math.max(0, deficitMs);
   }
 
   /**
@@ -64,10 +81,17 @@
    * of the grace. The extension lasts beyond the transfer, until it has been used up.
    */
   public void extendGrace(long bytes) {
-    extensionMs =
-        Math.min(
-            MAX_EXTENSION_FACTOR * minimum.graceMs(),
-            extensionMs + bytes * MS_PER_SECOND / minimum.bytesPerSecond());
+    double keptMs = Math.max(0, -deficitMs);
+    extensionMs = Math.min(maxExtensionMs() - keptMs, extensionMs + requiredMs(bytes));
+  }
+
+  private double maxExtensionMs() {
+    return MAX_EXTENSION_FACTOR * minimum.graceMs();
+  }
+
+  /** The time that these bytes take at the minimum rate. */
+  private double requiredMs(long bytes) {
+    return bytes * MS_PER_SECOND / minimum.bytesPerSecond();
   }
 
   /** Returns by how many milliseconds the deficit exceeds the complete grace; 0 if it does not. */
--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -851,7 +851,7 @@
    */
   private void writeCompleted(int bytes, int held) {
     account.release(BufferPurpose.CLIENT_RESPONSE, held);
-    output.written(bytes);
+    output.written(dispatcher.now(), bytes);
     if (!output.isPending() && (closing || dispatcher.shouldCloseForDrain(drainDraw))) {
       ctx.executor().execute(this::finishIfDone); // not within the flush that wrote the answer
     }
--- a/src/main/java/cacheproxy/proxy/OutputProgress.java
+++ b/src/main/java/cacheproxy/proxy/OutputProgress.java
@@ -57,9 +57,10 @@
    * Records that an answer, or a part of one, was written or discarded with the connection. The
    * measurement ends with the last one.
    */
-  void written(int bytes) {
+  void written(double nowMs, int bytes) {
     unwrittenBytes -= bytes;
     writtenBytes += bytes;
+    creditUpTo(nowMs, writtenBytes);
     if (unwrittenBytes == 0) {
       rate.end();
     }
@@ -100,10 +101,13 @@
   /** Credits the rate with the bytes written since the last call. */
   private void credit(double nowMs, Channel channel) {
     ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-    long written = writtenBytes + (buffer == null ? 0 : buffer.currentProgress());
-    if (written > creditedBytes) {
-      rate.transferred(nowMs, written - creditedBytes);
-      creditedBytes = written;
+    creditUpTo(nowMs, writtenBytes + (buffer == null ? 0 : buffer.currentProgress()));
+  }
+
+  private void creditUpTo(double nowMs, long bytes) {
+    if (bytes > creditedBytes) {
+      rate.accepted(nowMs, bytes - creditedBytes);
+      creditedBytes = bytes;
     }
   }
 }
--- a/src/test/java/cacheproxy/limits/MinimumRateMonitorTest.java
+++ b/src/test/java/cacheproxy/limits/MinimumRateMonitorTest.java
@@ -156,4 +156,16 @@
     assertThat(monitor.isTooSlow(10_001, 1)).isFalse();
     assertThat(monitor.isTooSlow(10_002, 1)).isTrue();
   }
+
+  /** Guards against taking the steps of a socket's buffer for pauses of the client. */
+  @Test
+  void bytesThatABufferAcceptsInStepsExtendTheGrace() {
+    MinimumRateMonitor monitor = new MinimumRateMonitor(new MinimumRate(1000, 3000));
+    monitor.begin(0);
+    for (int second = 0; second < 100; second += 5) {
+      assertThat(monitor.isTooSlow(second * 1000, 1)).isFalse();
+      monitor.accepted(second * 1000, 5000);
+    }
+    assertThat(monitor.isTooSlow(95_000 + 3000 + 3 * 3000 + 1, 1)).isTrue();
+  }
 }
--- a/src/test/java/cacheproxy/proxy/SteadyReadersTest.java
+++ b/src/test/java/cacheproxy/proxy/SteadyReadersTest.java
@@ -27,6 +27,14 @@
   /** All short answers together take longer than the grace. */
   private static final int SHORT_ANSWER_PAUSE_MS = 400;
 
+  private static final int SHORT_READ_GRACE_MS = 800;
+
+  /** More than the buffers of the sockets hold. */
+  private static final int STEADY_ANSWERS = 14;
+
+  /** At this pause a client reads ten times as fast as the minimum rate. */
+  private static final int STEADY_PAUSE_MS = 400;
+
   /** More than all answers that can be on their way from the server. */
   private static final int READING_BYTES = 16 << 20;
 
@@ -121,6 +129,31 @@
     }
   }
 
+  /**
+   * Guards against disconnecting a client that reads evenly because the buffers of the sockets pass
+   * that on in large steps, of which one takes longer than the grace.
+   */
+  @Test
+  void stepsOfTheSocketBuffersDoNotMakeASteadyReaderTooSlow() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.limits = l -> Stage.withReadGrace(l, SHORT_READ_GRACE_MS);
+      stage.start(stage.quietDiscovery(), Stage.cache("s-1", stage.fullCache()));
+      Peer.Line client = stage.client();
+      StringBuilder commands = new StringBuilder();
+      for (int i = 0; i < STEADY_ANSWERS; i++) {
+        commands.append(Stage.read("long" + i, "s" + i));
+      }
+      client.write(commands.toString());
+      for (int i = 0; i < STEADY_ANSWERS; i++) {
+        Thread.sleep(STEADY_PAUSE_MS);
+        assertThat(client.read()).isEqualTo("VA 65536 Os" + i);
+        assertThat(client.bytes(Stage.LONG.length())).isEqualTo(Stage.LONG);
+        assertThat(client.read()).isEmpty();
+      }
+      assertThat(stage.cuts(DisconnectReason.SLOW_READER)).isZero();
+    }
+  }
+
   private static void readByAllClients(Stage stage, String serviceClass, int pauseMs)
       throws InterruptedException {
     List<CompletableFuture<Void>> readers = new ArrayList<>();
