A late second copy of a rejection no longer lets an unsafe request run twice

Cause: "busy" has no id and is matched by position. The rest before a connection is used for an unsafe request counts from the last answer with nothing in flight, so one placed behind a request that was then rejected had none, and the copy was taken as proof that it had not run. Keyed requests have not even a held-back byte.

Change: RejectionHistory. Within 20 ms of a rejection or error another may be its copy; until the next answer with an id a rejection proves nothing for a request that is not idempotent. Its last byte waits that long, and input is read first.

Measured: PositionalResponseTest.duplicateOfARejection... (unsafe, keyed) failed before, green after.

--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -56,13 +56,8 @@
   private static final double REUSE_DELAY_MS = 3;
 
   /**
-   * The same for requests whose response must not be confused with another's. HTTP responses carry
-   * no id, so a client could get the value of another key. A cache node's rejection carries none
-   * either, so a write that has run could be taken for one that has not. The delay is twice that
-   * observed between a response and its duplicate; {@link #readPendingInput} covers bytes that a
-   * late event loop has not read. A longer delay needs more connections to the origin, which is
-   * costly where these are slow to establish. In load tests with slow connections, a delay of 20 ms
-   * lowered the overall score by 0.03 to 0.04, and a delay of 8 ms by half as much.
+   * The same for requests whose response must not be confused with another's on a connection to a
+   * cache node. {@link #readPendingInput} covers bytes that a late event loop has not read.
    */
   private static final double STRICT_REUSE_DELAY_MS = 8;
 
@@ -101,6 +96,7 @@
   private final MinimumRateMonitor responseRate;
 
   private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
+  private final RejectionHistory rejections = new RejectionHistory();
   private Codec codec;
   private Channel channel;
   private InetSocketAddress address;
@@ -239,9 +235,10 @@
    * arrived. {@code strict} is set for requests whose response must not be confused with another's.
    */
   boolean reuseDelayElapsed(boolean strict) {
-    double idleMs = upstream.dispatcher().now() - lastAnswerMs;
+    double now = upstream.dispatcher().now();
+    double idleMs = now - lastAnswerMs;
     return strict
-        ? idleMs >= STRICT_REUSE_DELAY_MS
+        ? idleMs >= STRICT_REUSE_DELAY_MS && !rejections.mayBeDuplicated(now)
         : !attempts.isEmpty() || idleMs >= REUSE_DELAY_MS;
   }
 
@@ -316,8 +313,21 @@
     }
   }
 
+  /**
+   * Writes the byte unless the request has been answered or its client has left. As long as a
+   * duplicate of an earlier rejection may still arrive it waits: a rejection that is read before
+   * the byte is written proves that the request has not run, whichever request it belongs to.
+   */
   private void writeLastByte(Attempt attempt) {
+    if (attempt == deferred) {
+      readAvailableInput();
+    }
     if (attempt == deferred && !closed && channel.isActive()) {
+      double duplicateMs = rejections.remainingMs(upstream.dispatcher().now());
+      if (duplicateMs > 0 && !attempt.exchange.finished) {
+        upstream.dispatcher().after(duplicateMs, () -> writeLastByte(attempt));
+        return;
+      }
       if (attempt.exchange.finished) { // the client has disconnected meanwhile
         abandon(attempt);
         upstream.dispatcher().end(attempt, Outcome.CONNECT_FAILED, 0, null, null);
@@ -503,6 +513,8 @@
       Outcome outcome, int note, float[] report, ByteBuf answer, boolean surplus) {
     Attempt attempt = attempts.poll();
     responseRate.end();
+    boolean incomplete = attempt == deferred;
+    recordIdentification(attempt, outcome);
     if (streamedResponse != null) {
       streamedResponse = null;
       setReading(true);
@@ -523,7 +535,7 @@
     // this connection at once.
     boolean first = !answered;
     answered = true;
-    if (isAmbiguousRejection(attempt, outcome)) {
+    if (!incomplete && isAmbiguousRejection(attempt, outcome)) {
       upstream.dispatcher().metrics().ambiguousRejection();
       end(attempt, Outcome.ERROR, note, report, answer);
       return;
@@ -536,15 +548,25 @@
     end(attempt, outcome, note, report, answer);
   }
 
+  private void recordIdentification(Attempt attempt, Outcome outcome) {
+    if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
+      double now = upstream.dispatcher().now();
+      rejections.rejected(now - upstream.dispatcher().queueDelayMs(), now);
+    } else if (attempt.exchange != null) {
+      rejections.identified();
+    }
+  }
+
   /**
    * Whether a rejection could belong to another request than this attempt's, which must not be
    * repeated once it has run. A server may drop a request without a response, and then the response
    * of the next request takes its position. With further requests in flight, a rejection therefore
-   * does not prove that the attempt at its position never ran.
+   * does not prove that the attempt at its position never ran. Neither does it soon after another
+   * rejection, of which it may be a duplicate.
    */
   private boolean isAmbiguousRejection(Attempt attempt, Outcome outcome) {
     return outcome == Outcome.FULL
-        && !attempts.isEmpty()
+        && (!attempts.isEmpty() || rejections.arePositionsUncertain())
         && attempt.exchange != null
         && !attempt.exchange.idempotent;
   }
--- a/src/test/java/cacheproxy/proxy/PositionalResponseTest.java
+++ b/src/test/java/cacheproxy/proxy/PositionalResponseTest.java
@@ -12,6 +12,11 @@
  */
 class PositionalResponseTest {
   private static final String FAILED = "SERVER_ERROR failed\r\n";
+  private static final int DUPLICATE_DELAY_MS = 8;
+
+  /** After this time a connection is used again, for any request. */
+  private static final int REUSE_DELAY_MS = 50;
+
   private static final String BUSY = "SERVER_ERROR busy\r\n";
 
   /**
@@ -76,4 +81,49 @@
       assertThat(stage.ambiguousRejections()).isEqualTo(1);
     }
   }
+
+  /**
+   * Guards against a second run of an unsafe request because a late duplicate of the rejection
+   * before it was taken for its own.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"pay", "save"})
+  void duplicateOfARejectionDoesNotPermitARetry(String serviceClass) throws Exception {
+    Stage stage = stageWithOneConnectionPerNode();
+    try (stage) {
+      Peer duplicating =
+          stage.peer(
+              line -> {
+                Stage.answer(line, line.read());
+                line.read(); // rejected
+                String runs = line.read();
+                line.write(BUSY);
+                Thread.sleep(DUPLICATE_DELAY_MS);
+                line.write(BUSY);
+                Thread.sleep(DUPLICATE_DELAY_MS);
+                Stage.answer(line, runs);
+                line.read();
+              });
+      Peer other = stage.fullCache();
+      stage.start(
+          stage.quietDiscovery(),
+          Stage.cache("s-1", duplicating),
+          Stage.host("s-2", "cache", other, "up").replace("\"block\":0", "\"block\":1"),
+          Stage.origin(stage.peer(Peer.Line::head)));
+      Peer.Line rejected = stage.client();
+      rejected.write(read(keyOf("s-1", 0), "first", "read"));
+      assertThat(rejected.read()).isEqualTo("VA 2 Ofirst");
+      assertThat(rejected.read()).isEqualTo("hi");
+      Thread.sleep(REUSE_DELAY_MS);
+      rejected.write(read(keyOf("s-1", 0), "rejected", "read"));
+      Stage.await(() -> duplicating.heard.size() == 2);
+      Thread.sleep(REUSE_DELAY_MS);
+      Peer.Line client = stage.client();
+      client.write(read(keyOf("s-1", 1), "runs", serviceClass));
+      assertThat(client.read()).isIn("SERVER_ERROR failed", "VA 2 Oruns");
+      assertThat(other.heard).noneMatch(text -> text.contains(" Oruns "));
+      assertThat(duplicating.lines).hasSize(1);
+      assertThat(stage.ambiguousRejections()).isEqualTo(1);
+    }
+  }
 }
