A late second copy of the origin's answer is not served to another request

Cause: HTTP answers have no id. The connection rested 8 ms, a figure taken from the latest copy measured. And an answer that came before the held-back last byte of a write was taken for its receipt, though the origin had not begun it.

A served or failed answer to an incomplete request ends the connection; the attempt never ran and is retried.

--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -61,6 +61,12 @@
    */
   private static final double STRICT_REUSE_DELAY_MS = 8;
 
+  /**
+   * The same on a connection to the origin. HTTP responses carry no id, so a duplicate could give a
+   * client the value of another key.
+   */
+  private static final double ORIGIN_REUSE_DELAY_MS = RejectionHistory.MAX_DUPLICATE_DELAY_MS;
+
   /**
    * The last byte of a non-idempotent request is delayed by twice the time that the connection took
    * to be established, within these bounds. If the server has closed or lost the connection, its
@@ -237,6 +243,9 @@
   boolean reuseDelayElapsed(boolean strict) {
     double now = upstream.dispatcher().now();
     double idleMs = now - lastAnswerMs;
+    if (upstream.origin) {
+      return idleMs >= ORIGIN_REUSE_DELAY_MS;
+    }
     return strict
         ? idleMs >= STRICT_REUSE_DELAY_MS && !rejections.mayBeDuplicated(now)
         : !attempts.isEmpty() || idleMs >= REUSE_DELAY_MS;
@@ -511,6 +520,13 @@
    */
   void responseComplete(
       Outcome outcome, int note, float[] report, ByteBuf answer, boolean surplus) {
+    if (isForeign(outcome)) {
+      if (answer != null) {
+        answer.release();
+      }
+      onProtocolError("response to an incomplete request");
+      return;
+    }
     Attempt attempt = attempts.poll();
     responseRate.end();
     boolean incomplete = attempt == deferred;
@@ -548,6 +564,17 @@
     end(attempt, outcome, note, report, answer);
   }
 
+  /**
+   * Whether a response of the origin cannot belong to the request at its position, as that has not
+   * been written completely: it is a late duplicate. The request has not run.
+   */
+  private boolean isForeign(Outcome outcome) {
+    return upstream.origin
+        && deferred != null
+        && attempts.peek() == deferred
+        && outcome != Outcome.FULL;
+  }
+
   private void recordIdentification(Attempt attempt, Outcome outcome) {
     if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
       double now = upstream.dispatcher().now();
