Move the bounds of reading ahead and the check for floods out of ClientConnection

ClientReadBufferSizer now has both bounds on unread input side by side, and CommandFlood the check for too many commands at once.

--- a/src/main/java/cacheproxy/proxy/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/ClientConnection.java
@@ -72,18 +72,12 @@
    * Open commands per connection. Bounds memory against a client that sends commands without
    * reading answers.
    */
-  private static final int MAX_PIPELINED = 16;
+  static final int MAX_PIPELINED = 16;
 
   /** Open commands that a client may have in any case before it has read an answer. */
   private static final int MIN_UNPROVEN_PIPELINED =
       ResourcePressure.Level.CRITICAL.maxUnreadPipelined();
 
-  /**
-   * If one read contains more complete commands than this, the input is rejected as a flood and
-   * none of its commands is executed.
-   */
-  private static final int FLOOD_COMMANDS = 2 * MAX_PIPELINED;
-
   /**
    * After closing its output, the proxy waits this long for the client to close its side. An
    * immediate close with unread input would send a reset, which could discard the last answer.
@@ -106,28 +100,6 @@
    */
   private static final double GAP_DECAY = 0.9;
 
-  /**
-   * To notice that a client has disconnected, the proxy must read all input that precedes the end
-   * of the stream; it reads ahead up to this many bytes, which is several values of the maximum
-   * length. The bound limits memory for clients that keep sending.
-   */
-  private static final int READ_AHEAD_BYTES = 512 << 10;
-
-  /**
-   * Read-ahead bound while the input of all clients takes {@link #REDUCED_READ_AHEAD_UTILIZATION}
-   * of its memory limit or more.
-   */
-  private static final int REDUCED_READ_AHEAD_BYTES = 16 << 10;
-
-  private static final double REDUCED_READ_AHEAD_UTILIZATION = 0.25;
-
-  /**
-   * Read-ahead bound while memory for input is short. A read is made only if a complete small
-   * buffer stays within the bound.
-   */
-  private static final int MIN_READ_AHEAD_BYTES =
-      (4 << 10) - ClientReadBufferSizer.SMALL_BUFFER_BYTES + 1;
-
   /**
    * Maximum number of reads per read-ahead. Bounds the loop for a connection that is closing: its
    * input is dropped, so the byte bound is never reached.
@@ -299,7 +271,7 @@
     }
     readingAhead = true;
     inputReceived = true;
-    int maxBytes = maxReadAheadBytes();
+    int maxBytes = ClientReadBufferSizer.maxReadAheadBytes(dispatcher.accounts());
     for (int i = 0;
         i < MAX_READ_AHEAD_READS
             && inputReceived
@@ -312,16 +284,6 @@
     readingAhead = false;
   }
 
-  private int maxReadAheadBytes() {
-    if (ClientReadBufferSizer.isInputMemoryShort(dispatcher.accounts())) {
-      return MIN_READ_AHEAD_BYTES;
-    }
-    boolean memoryFree =
-        dispatcher.accounts().reservedBytes(BufferPurpose.INPUT)
-            < REDUCED_READ_AHEAD_UTILIZATION * dispatcher.limits().requestValueBytes();
-    return memoryFree ? READ_AHEAD_BYTES : REDUCED_READ_AHEAD_BYTES;
-  }
-
   /** Decodes the buffered input, unless the client has disconnected in the meantime. */
   private void resumeDecoding() {
     readAhead();
@@ -438,7 +400,7 @@
         readValue(in);
       } else {
         if (exchanges.isEmpty() && !inputWaiting) {
-          checkFlood(in);
+          CommandFlood.check(in);
         }
         String line = MetaCodec.readLine(in);
         if (line != null) {
@@ -478,22 +440,6 @@
     return first || owner.hasMemoryForPipelinedCommand();
   }
 
-  /**
-   * Rejects a flood of commands in one read. Counts lines only up to the first write command, as
-   * its value may contain any bytes.
-   */
-  private static void checkFlood(ByteBuf in) throws MetaCodec.SyntaxException {
-    int lines = 0;
-    for (int at = in.readerIndex(); lines <= FLOOD_COMMANDS; lines++) {
-      int end = in.indexOf(at, in.writerIndex(), (byte) '\n');
-      if (end < 0 || end > at + 1 && in.getByte(at) == 'm' && in.getByte(at + 1) == 's') {
-        return;
-      }
-      at = end + 1;
-    }
-    throw new MetaCodec.SyntaxException("too many commands at once");
-  }
-
   private void handleCommand(String line) throws MetaCodec.SyntaxException {
     if (line.equals("mn")) {
       answerLocally("MN");
