An attempt waits for a connection that has just been used, where no further one may be opened

Cause: Upstream.send failed an attempt as "can't connect" if all connections rested and none could be opened. Change: the attempt waits for the rest, at most one for each connection. It ends as unsent when the node drains, moves or goes, when nobody wants its answer any more, or at its time.

Measured: LateOriginResponseTest.requestsWaitUntil... failed before ("SERVER_ERROR busy" for the 13th) and is green after; UpstreamTest, CrossingsTest, PositionalResponseTest, ClientLeavesTest and the drains' tests green.

--- a/src/main/java/cacheproxy/proxy/Upstream.java
+++ b/src/main/java/cacheproxy/proxy/Upstream.java
@@ -1,11 +1,14 @@
 package cacheproxy.proxy;
 
 import cacheproxy.proxy.Exchange.Attempt;
+import cacheproxy.routing.RoutingApi.Outcome;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A server of the endpoint list and the connections to it. An attempt takes the idle connection
@@ -42,6 +45,10 @@
   private static final double CONNECTION_SLOT_RETRY_MS = 5000;
 
   private final List<UpstreamConnection> connections = new ArrayList<>(2);
+
+  /** Attempts that wait until a connection may be used again, at most one for each. */
+  private final Set<Attempt> waiting = new LinkedHashSet<>();
+
   private double noConnectionSlotUntilMs;
 
   Upstream(
@@ -65,21 +72,61 @@
     return dispatcher;
   }
 
-  /** Sends the attempt; returns false if no connection can take it. */
+  /**
+   * Sends the attempt, as soon as a connection may be used again if none may be used now. Returns
+   * false if no connection can take it.
+   */
   boolean send(Attempt attempt) {
-    // A response without an id is matched to its request by its position alone.
-    boolean strict = origin || attempt.exchange != null && !attempt.exchange.idempotent;
+    UpstreamConnection connection = connectionFor(attempt);
+    if (connection == null) {
+      return waitForReuse(attempt);
+    }
+    connection.send(attempt);
+    return true;
+  }
+
+  /** A response without an id is matched to its request by its position alone. */
+  private boolean isStrict(Attempt attempt) {
+    return origin || attempt.exchange != null && !attempt.exchange.idempotent;
+  }
+
+  private UpstreamConnection connectionFor(Attempt attempt) {
+    boolean strict = isStrict(attempt);
     UpstreamConnection best = chooseConnection(strict);
     while (best != null && strict && !best.readPendingInput()) {
       best = chooseConnection(true);
     }
-    if (best == null) {
+    return best;
+  }
+
+  /** Keeps the attempt if there is a connection that may be used again soon. */
+  private boolean waitForReuse(Attempt attempt) {
+    boolean strict = isStrict(attempt);
+    double delayMs = Double.POSITIVE_INFINITY;
+    int resting = 0;
+    for (UpstreamConnection connection : connections) {
+      if (connection.isUsable(maxDepth)) {
+        resting++;
+        delayMs = Math.min(delayMs, connection.remainingReuseDelayMs(strict));
+      }
+    }
+    if (resting <= waiting.size()) {
       return false;
     }
-    best.send(attempt);
+    waiting.add(attempt);
+    dispatcher.after(delayMs, () -> sendWaiting(attempt));
     return true;
   }
 
+  private void sendWaiting(Attempt attempt) {
+    if (!waiting.remove(attempt) || attempt.ended) {
+      return;
+    }
+    if (!UpstreamConnection.isWanted(attempt) || !send(attempt)) {
+      dispatcher.end(attempt, Outcome.CONNECT_FAILED, 0, null, null);
+    }
+  }
+
   private UpstreamConnection chooseConnection(boolean strict) {
     UpstreamConnection best = null;
     UpstreamConnection resting = null;
@@ -92,7 +139,7 @@
       if (!connection.isUsable(maxDepth)) {
         continue;
       }
-      if (!connection.reuseDelayElapsed(strict)) {
+      if (connection.remainingReuseDelayMs(strict) > 0) {
         resting = connection;
       } else if (best == null || connection.isPreferredTo(best)) {
         best = connection;
@@ -179,11 +226,11 @@
     List.copyOf(connections).forEach(UpstreamConnection::retire);
   }
 
-  /**
-   * Ends the attempts that wait for a connection to be established, so that they can go to other
-   * servers.
-   */
+  /** Ends the attempts that wait for a connection, so that they can go to other servers. */
   void failUnsent() {
+    List<Attempt> unsent = List.copyOf(waiting);
+    waiting.clear();
+    unsent.forEach(attempt -> dispatcher.end(attempt, Outcome.CONNECT_FAILED, 0, null, null));
     List.copyOf(connections).forEach(UpstreamConnection::failUnsent);
   }
 
--- a/src/main/java/cacheproxy/proxy/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/UpstreamConnection.java
@@ -180,7 +180,7 @@
   }
 
   /** Whether the attempt's request still needs an answer; a health check always does. */
-  private static boolean isWanted(Attempt attempt) {
+  static boolean isWanted(Attempt attempt) {
     return attempt.exchange == null
         || !attempt.exchange.finished && attempt.exchange.streamedResponse == null;
   }
@@ -237,18 +237,20 @@
   }
 
   /**
-   * Whether enough time has passed since the last response for stray bytes behind it to have
-   * arrived. {@code strict} is set for requests whose response must not be confused with another's.
+   * The time until all stray bytes behind the last response have arrived, in milliseconds; 0 if it
+   * has passed. {@code strict} is set for requests whose response must not be confused with
+   * another's.
    */
-  boolean reuseDelayElapsed(boolean strict) {
+  double remainingReuseDelayMs(boolean strict) {
     double now = upstream.dispatcher().now();
     double idleMs = now - lastAnswerMs;
     if (upstream.origin) {
-      return idleMs >= ORIGIN_REUSE_DELAY_MS;
+      return Math.max(0, ORIGIN_REUSE_DELAY_MS - idleMs);
     }
-    return strict
-        ? idleMs >= STRICT_REUSE_DELAY_MS && !rejections.mayBeDuplicated(now)
-        : !attempts.isEmpty() || idleMs >= REUSE_DELAY_MS;
+    if (strict) {
+      return Math.max(STRICT_REUSE_DELAY_MS - idleMs, rejections.remainingMs(now));
+    }
+    return attempts.isEmpty() ? Math.max(0, REUSE_DELAY_MS - idleMs) : 0;
   }
 
   /**
--- a/src/test/java/cacheproxy/proxy/LateOriginResponseTest.java
+++ b/src/test/java/cacheproxy/proxy/LateOriginResponseTest.java
@@ -11,6 +11,9 @@
 class LateOriginResponseTest {
   private static final int ROUNDS = 20;
 
+  /** What a proxy opens to the origin where there are a hundred. */
+  private static final int MAX_CONNECTIONS_OF_MANY_PROXIES = 4;
+
   /** A duplicate comes some milliseconds after its response. */
   private static final int DUPLICATE_DELAY_MS = 12;
 
@@ -71,4 +74,26 @@
       assertThat(writes).hasValue(2);
     }
   }
+
+  /** Guards against failing requests because all connections to the origin have just been used. */
+  @Test
+  void requestsWaitUntilAConnectionMayBeUsedAgain() throws Exception {
+    try (Stage stage = new Stage()) {
+      stage.change = config -> config.replace("\"balancers\":2", "\"balancers\":100");
+      Peer origin =
+          stage.peer(
+              line -> {
+                for (String head; (head = line.head()) != null; ) {
+                  line.http("200 OK", "", path(head));
+                }
+              });
+      stage.start(
+          stage.quietDiscovery(), Stage.cache("s-1", stage.emptyCache()), Stage.origin(origin));
+      Peer.Line client = stage.client();
+      for (int i = 0; i < ROUNDS; i++) {
+        Stage.serves(client, "r" + i, "key-" + i);
+      }
+      assertThat(origin.lines).hasSizeLessThanOrEqualTo(MAX_CONNECTIONS_OF_MANY_PROXIES);
+    }
+  }
 }
