Split graceful shutdown from Proxy, and the ids of requests from Dispatcher

No change of behavior but one text: a command whose id belongs to an earlier request is told so in both places where that is found.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -6,7 +6,6 @@
 import cacheproxy.limits.ByteAccounts;
 import cacheproxy.limits.DisconnectCounters;
 import cacheproxy.limits.Limits;
-import cacheproxy.limits.RecentRequestIds;
 import cacheproxy.overload.CpuLoadShedder;
 import cacheproxy.proxy.Exchange.Attempt;
 import cacheproxy.proxy.Exchange.Command;
@@ -34,7 +33,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.collection.IntObjectHashMap;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -90,12 +88,6 @@
    */
   private static final double GOLDEN_RATIO_FRACTION = 0.6180339887498949;
 
-  private static final String ID_IN_USE = "the id is another open request's";
-  private static final String ID_USED = "the id is an earlier request's";
-
-  /** Longer than a client goes on with a request, so that its id cannot come again after that. */
-  private static final double RECENT_ID_RETENTION_MS = 10_000;
-
   /**
    * Writes to standard error, with a bounded number of lines per minute so that long runs stay
    * readable.
@@ -124,16 +116,7 @@
   /** Servers that are no longer listed, kept until their last connection is closed. */
   private final Set<Upstream> retiredUpstreams = new HashSet<>();
 
-  /** The ids, as given by clients, of the requests without a final answer. */
-  private final Set<String> openRequestIds = new HashSet<>();
-
-  /**
-   * The ids of requests that must not run twice, open or finished, at this process or at another
-   * one of this proxy.
-   */
-  private RecentRequestIds recentIds =
-      new RecentRequestIds(
-          ByteBuffer.allocate(RecentRequestIds.TABLE_BYTES), RECENT_ID_RETENTION_MS);
+  private final RequestIds requestIds = new RequestIds();
 
   private final ArrayDeque<Runnable> pendingPolicyCalls = new ArrayDeque<>();
   private final Upstream.Dialer dialer;
@@ -233,12 +216,9 @@
     sweepTask = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  /**
-   * Uses a table of request ids that another process of this proxy may use too. To be called before
-   * the first request.
-   */
-  void shareRequestIds(ByteBuffer table) {
-    recentIds = new RecentRequestIds(table, RECENT_ID_RETENTION_MS);
+  /** The ids of requests, as given by clients. */
+  RequestIds requestIds() {
+    return requestIds;
   }
 
   /** Gives the policy access to the state that the tier of proxies shares. */
@@ -415,7 +395,7 @@
 
   /** The number of requests without a final answer. */
   int openRequests() {
-    return openRequestIds.size();
+    return requestIds.openCount();
   }
 
   /**
@@ -447,7 +427,7 @@
         policy == null ? new RoutingApi.EndpointCounts(0, 0) : policy.endpointCounts(now());
     return metrics.toJson(
         new Metrics.Gauges(
-            openRequestIds.size(), counts.listed(), counts.unavailable(), read, refused));
+            requestIds.openCount(), counts.listed(), counts.unavailable(), read, refused));
   }
 
   /** Replaces the set of nodes that operators have ejected. */
@@ -696,10 +676,7 @@
         && MetaCodec.parameter(command.extras, "k") == null) {
       return "no idempotency key";
     }
-    if (openRequestIds.contains(command.id)) {
-      return ID_IN_USE;
-    }
-    return recentIds.contains(now(), command.id) ? ID_USED : null;
+    return requestIds.validationError(now(), command.id);
   }
 
   /**
@@ -723,9 +700,7 @@
    */
   double errorDueWithinMs(Command command, String error) {
     double timeBudgetMs =
-        error.equals(ID_IN_USE) || error.equals(ID_USED)
-            ? numericExtra(command, "d", 0)
-            : Double.POSITIVE_INFINITY;
+        RequestIds.isError(error) ? numericExtra(command, "d", 0) : Double.POSITIVE_INFINITY;
     return timeBudgetMs - Math.min(ANSWER_MARGIN_MS, timeBudgetMs / 10);
   }
 
@@ -736,14 +711,15 @@
   void submit(Exchange exchange) {
     Command command = exchange.command;
     double now = now();
-    if (recentIds.contains(now, command.id) || !openRequestIds.add(command.id)) {
+    String idError = requestIds.validationError(now, command.id);
+    if (idError != null) {
       // A request with this id was accepted after this one had been validated.
       exchange.finished = true;
       exchange.client.releaseCommand(exchange.command);
       exchange.client.answer(
           exchange,
           MetaCodec.asciiBuffer(
-              UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR " + ID_IN_USE + "\r\n"),
+              UnpooledByteBufAllocator.DEFAULT, "CLIENT_ERROR " + idError + "\r\n"),
           null);
       return;
     }
@@ -765,9 +741,7 @@
     exchange.idempotent = effect == Idempotency.IDEMPOTENT;
     exchange.dueMs = now + timeBudgetMs;
     exchanges.put(exchange.id, exchange);
-    if (!exchange.idempotent) {
-      recentIds.add(now, command.id);
-    }
+    requestIds.accepted(now, command.id, exchange.idempotent);
     double costHintUs = numericExtra(command, "h", Double.NaN);
     Request request =
         new Request(
@@ -847,7 +821,6 @@
   void cancelForClosedClient(Exchange exchange) {
     if (!exchange.finished) {
       markFinished(exchange);
-      updateRecentId(exchange);
       if (exchange.streamedResponse != null) { // the rest of the response has no recipient
         Attempt attempt = exchange.streamedResponse.attempt;
         attempt.connection.abandon(attempt);
@@ -917,13 +890,11 @@
     exchange.attemptsInFlight--;
     if (streamed && !exchange.finished) {
       markFinished(exchange);
-      updateRecentId(exchange);
       exchange.client.streamingEnded(exchange, outcome == Outcome.OK);
     } else if (answer != null && (exchange.finished || exchange.streamedResponse != null)) {
       answer.release();
     } else if (answer != null) {
       markFinished(exchange);
-      updateRecentId(exchange);
       exchange.client.answer(exchange, answer, Metrics.Result.SERVED);
     }
     boolean finalAnswer = exchange.finished;
@@ -966,25 +937,13 @@
   }
 
   private void markFinished(Exchange exchange) {
-    exchange.finished = true;
-    openRequestIds.remove(exchange.command.id);
-    stop(exchange.deadlineTimer);
+    markFinished(exchange, !exchange.attempts.isEmpty());
   }
 
-  /**
-   * Keeps the id of a request that may have run from now on, and forgets that of one that has not.
-   * A client may send it again after its connection has ended, and the first one may still be on
-   * its way at a server.
-   */
-  private void updateRecentId(Exchange exchange) {
-    if (exchange.idempotent) {
-      return;
-    }
-    if (exchange.attempts.isEmpty()) {
-      recentIds.remove(exchange.command.id);
-    } else {
-      recentIds.add(now(), exchange.command.id);
-    }
+  private void markFinished(Exchange exchange, boolean mayHaveRun) {
+    exchange.finished = true;
+    requestIds.finished(now(), exchange.command.id, exchange.idempotent, mayHaveRun);
+    stop(exchange.deadlineTimer);
   }
 
   private void finish(Exchange exchange, String text) {
@@ -1000,12 +959,7 @@
       answer.release();
       return;
     }
-    markFinished(exchange);
-    if (result == Metrics.Result.REJECTED) {
-      recentIds.remove(exchange.command.id);
-    } else {
-      updateRecentId(exchange);
-    }
+    markFinished(exchange, result != Metrics.Result.REJECTED && !exchange.attempts.isEmpty());
     exchange.client.answer(exchange, answer, result);
     releaseIfFinished(exchange);
   }
--- a/src/main/java/cacheproxy/proxy/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/Proxy.java
@@ -1,6 +1,5 @@
 package cacheproxy.proxy;
 
-import cacheproxy.admin.ListenerTakeover;
 import cacheproxy.admin.ProcessStatus;
 import cacheproxy.proxy.admin.KnownNodeNames;
 import cacheproxy.proxy.admin.OperatorServer;
@@ -9,7 +8,6 @@
 import cacheproxy.proxy.peers.MembershipLink;
 import cacheproxy.proxy.peers.PeerSocket;
 import cacheproxy.proxy.peers.SharedStateLink;
-import cacheproxy.routing.RoutingApi.ServiceClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
@@ -26,7 +24,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.ArrayList;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -38,14 +35,12 @@
  * down gracefully.
  */
 public final class Proxy {
-  private static final int BACKLOG = 512;
+  /** Connections that the kernel keeps until they are accepted. */
+  static final int BACKLOG = 512;
 
   /** Interval at which the status that another process of this proxy reads is updated. */
   private static final long STATUS_INTERVAL_MS = 50;
 
-  /** How much longer than a drain a long value may take that is still being written. */
-  private static final double MAX_STREAM_DRAIN_MS = 30_000;
-
   /**
    * Exit code when the event loop has ended unexpectedly, in which case nothing is served any more.
    */
@@ -72,7 +67,6 @@
 
   private final DiscoveryClient discovery;
   private final ConnectionAdmission connectionAdmission;
-  private final CountDownLatch drained = new CountDownLatch(1);
   private final Listener listener;
 
   /** Null if the configuration has no control address. */
@@ -84,10 +78,6 @@
   private volatile ProcessStatus otherProcess = ProcessStatus.ABSENT;
   private volatile int loadedConfigs = 1;
   private volatile int invalidConfigs;
-  private double drainEndsMs;
-  private double drainStartMs;
-  private double idleEndsMs;
-  private volatile double longestDeadlineMs;
 
   private Proxy(Config config, ByteBufAllocator allocator, LifecycleSignals<Proxy> signals)
       throws InterruptedException, IOException {
@@ -109,7 +99,7 @@
     if (operatorServer != null) {
       discovery.publishConfiguredHostNames();
       otherProcess = operatorServer.otherProcessAtStart();
-      dispatcher.shareRequestIds(operatorServer.requestIds());
+      dispatcher.requestIds().share(operatorServer.requestIds());
       operatorServer.startPolling();
     }
     if (config.membershipTiming() != null) {
@@ -416,71 +406,29 @@
     }
   }
 
-  // ---- graceful shutdown
-
   /**
-   * Shuts the proxy down gracefully: accepts connections for as long as new ones may still arrive,
-   * answers all requests and closes each connection between requests. Returns when no connection is
-   * left, or no answer could meet its deadline any more.
+   * Shuts the proxy down gracefully. Returns when no connection is left, or no answer could meet
+   * its deadline any more.
    */
   void drain() {
-    double longest = 0;
-    for (ServiceClass c : config.settings().classes()) {
-      longest = Math.max(longest, c.deadlineMs());
-    }
-    longestDeadlineMs = longest;
     ready = false;
+    GracefulShutdown shutdown =
+        new GracefulShutdown(
+            loop,
+            dispatcher,
+            connectionAdmission,
+            listener,
+            () -> otherProcess,
+            GracefulShutdown.longestDeadlineMs(config.settings()));
     loop.execute(
         () -> {
-          drainStartMs = dispatcher.now();
-          idleEndsMs = Double.POSITIVE_INFINITY;
-          drainEndsMs = Double.POSITIVE_INFINITY;
           // While another process of this proxy runs, the member stays in the tier.
           if (memberLink != null && otherProcess.isAbsent()) {
             memberLink.startLeaving();
           }
-          dispatcher.capDeadlines(
-              drainStartMs + ListenerTakeover.answerWithinMs(longestDeadlineMs));
-          continueDrain();
+          shutdown.start();
         });
-    try {
-      drained.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private void continueDrain() {
-    double now = dispatcher.now();
-    boolean accepting = ListenerTakeover.acceptsConnections(now - drainStartMs, otherProcess);
-    if (!dispatcher.draining() && (otherProcess.serving() || !accepting)) {
-      dispatcher.drain(now, ListenerTakeover.drainSpreadMs(otherProcess));
-      idleEndsMs = now + ListenerTakeover.idleGraceMs(otherProcess);
-      drainEndsMs = idleEndsMs + ListenerTakeover.cappedDeadlineMs(longestDeadlineMs) + 150;
-    }
-    if (!accepting && listener.isOpen()) {
-      listener.acceptBacklogAndClose(BACKLOG / ConnectionAdmission.maxAcceptsPerRound());
-    }
-    if (now >= idleEndsMs) {
-      for (ClientConnection c : new ArrayList<>(connectionAdmission.clients())) {
-        if (c.isIdle()
-            && !c.readAvailableInput()) { // a request that has arrived meanwhile is answered first
-          c.finish();
-        }
-      }
-      if (connectionAdmission.clients().isEmpty() && !listener.isOpen()
-          || now >= drainEndsMs + MAX_STREAM_DRAIN_MS
-          || now >= drainEndsMs && !isAnyClientOwedAnswer()) {
-        drained.countDown();
-        return;
-      }
-    }
-    loop.schedule(this::continueDrain, 20, TimeUnit.MILLISECONDS);
-  }
-
-  /** By the end of the drain all deadlines are over; what is left are long values on their way. */
-  private boolean isAnyClientOwedAnswer() {
-    return connectionAdmission.clients().stream().anyMatch(ClientConnection::isOwedAnswer);
+    shutdown.awaitCompletion();
   }
 
   /** For tests. State owned by the event loop may only be read on the event loop. */
