Standard terms in site, fleet, simulator, limits and proxy; what is left is named

Ledger.Effect is IDEMPOTENT, IDEMPOTENCY_KEY and NOT_IDEMPOTENT as in RoutingApi; some comments follow. Texts in logs, files and on the wire stay. Left: package model with its tests. "Power loss" is the field's own term in storage.

--- a/src/main/java/cacheproxy/fleet/DatagramRelay.java
+++ b/src/main/java/cacheproxy/fleet/DatagramRelay.java
@@ -24,7 +24,7 @@
  * Relays all datagrams between the proxies. The relay has one socket for each proxy, and the
  * proxies know each other only by the addresses of these sockets (the {@code peers} of their
  * configuration). A datagram that arrives at the receiver's socket is identified by its source
- * address, passes through {@link LinkFaults}, and is sent on from the sender's socket. One more
+ * address, passes through {@link LinkFaults}, and is forwarded from the sender's socket. One more
  * socket forwards each datagram to all proxies. All work runs on one event loop, and datagrams to
  * be delayed are dropped while {@link #MAX_IN_FLIGHT} others are waiting.
  */
--- a/src/main/java/cacheproxy/fleet/Fleet.java
+++ b/src/main/java/cacheproxy/fleet/Fleet.java
@@ -312,8 +312,10 @@
         openAttempts.put(id, new OpenAttempt(target, site.nowMs()));
         Ledger.Effect effect =
             kind.idempotent()
-                ? Ledger.Effect.SAFE
-                : kind.hasIdempotencyKey() ? Ledger.Effect.KEYED : Ledger.Effect.UNSAFE;
+                ? Ledger.Effect.IDEMPOTENT
+                : kind.hasIdempotencyKey()
+                    ? Ledger.Effect.IDEMPOTENCY_KEY
+                    : Ledger.Effect.NOT_IDEMPOTENT;
         synchronized (ledger) {
           ledger.requestAccepted(id, effect, idempotency, site.nowMs(), site.nowMs() + timeoutMs);
         }
--- a/src/main/java/cacheproxy/limits/ByteAccounts.java
+++ b/src/main/java/cacheproxy/limits/ByteAccounts.java
@@ -88,13 +88,13 @@
     return highest;
   }
 
-  /** Returns the reserved bytes of each purpose, keyed by {@link BufferPurpose#logName()}. */
+  /** Returns the reserved bytes of each purpose, by {@link BufferPurpose#logName()}. */
   public Map<String, Long> reservedByLogName() {
     return byLogName(reservedBytes);
   }
 
   /**
-   * Returns the peak of each purpose, keyed by {@link BufferPurpose#logName()}. The peaks may have
+   * Returns the peak of each purpose, by {@link BufferPurpose#logName()}. The peaks may have
    * occurred at different times.
    */
   public Map<String, Long> peaksByLogName() {
--- a/src/main/java/cacheproxy/proxy/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/OriginCodec.java
@@ -250,8 +250,8 @@
 
   /**
    * Ends a response that more bytes have followed. If they begin another response, such as a
-   * duplicate, the first one is whole. Otherwise they may be the rest of a body whose stated length
-   * is too short, which is malformed.
+   * duplicate, the first one is complete. Otherwise they may be the rest of a body whose stated
+   * length is too short, which is malformed.
    */
   private void endWithSurplus(ByteBuf surplus) {
     if (beginsResponse(surplus)) {
--- a/src/main/java/cacheproxy/simulator/SettingsParser.java
+++ b/src/main/java/cacheproxy/simulator/SettingsParser.java
@@ -130,13 +130,13 @@
 
   private ServiceClass serviceClass(String prefix) {
     Idempotency effect = choice(prefix + "idempotency", EFFECTS);
-    boolean keyed =
+    boolean hasIdempotencyKey =
         effect == Idempotency.IDEMPOTENCY_KEY; // group and window say something of these alone
     return new ServiceClass(
         text(prefix + "name"),
         effect,
-        keyed ? choice(prefix + "group", GROUPS) : IdempotencyScope.ALL,
-        keyed ? number(prefix + "window") : 0,
+        hasIdempotencyKey ? choice(prefix + "group", GROUPS) : IdempotencyScope.ALL,
+        hasIdempotencyKey ? number(prefix + "window") : 0,
         number(prefix + "promise"),
         number(prefix + "deadline"),
         number(prefix + "gain", DEFAULT_CLASS_WORTH),
--- a/src/main/java/cacheproxy/simulator/SimulateCommand.java
+++ b/src/main/java/cacheproxy/simulator/SimulateCommand.java
@@ -21,7 +21,7 @@
    *     read or write, with one line on standard error
    */
   public static int run() {
-    // not System.out: a reply is written and flushed as a whole, past any buffer or encoding
+    // not System.out: a complete reply is written and flushed, past any buffer or encoding
     try {
       new SimulatorAdapter(
               new BufferedInputStream(System.in, INPUT_BUFFER_BYTES),
--- a/src/main/java/cacheproxy/site/Breach.java
+++ b/src/main/java/cacheproxy/site/Breach.java
@@ -6,7 +6,7 @@
  * <ol>
  *   <li>A client gets one final answer in time, and no copy of its request reaches a server after
  *       that answer.
- *   <li>A request that is not safe to repeat takes effect at most once, and not at all if it was
+ *   <li>A request that is not idempotent takes effect at most once, and not at all if it was
  *       refused.
  *   <li>A server that is draining or removed receives no new requests.
  *   <li>A server in its warm-up is not overloaded.
--- a/src/main/java/cacheproxy/site/Ledger.java
+++ b/src/main/java/cacheproxy/site/Ledger.java
@@ -15,14 +15,14 @@
  */
 public final class Ledger {
   /**
-   * Whether a request may take effect more than once: {@code SAFE} requests may run any number of
-   * times, {@code KEYED} requests carry an idempotency key by which servers drop repeats, and
-   * {@code UNSAFE} requests may take effect once at most.
+   * Whether a request may take effect more than once: {@code IDEMPOTENT} requests may run any
+   * number of times, {@code IDEMPOTENCY_KEY} requests carry an idempotency key by which servers
+   * drop repeats, and {@code NOT_IDEMPOTENT} requests may take effect once at most.
    */
   public enum Effect {
-    SAFE,
-    KEYED,
-    UNSAFE
+    IDEMPOTENT,
+    IDEMPOTENCY_KEY,
+    NOT_IDEMPOTENT
   }
 
   /** The kind of the final answer that a client received. */
@@ -187,7 +187,7 @@
   private void checkEffect(Request request, String server, double nowMs) {
     Execution earlier =
         request.executions.stream().filter(Execution::tookEffect).findFirst().orElse(null);
-    if (request.effect != Effect.SAFE && earlier != null) {
+    if (request.effect != Effect.IDEMPOTENT && earlier != null) {
       recordBreach(
           2,
           nowMs,
@@ -197,7 +197,7 @@
           earlier.atMs() / 1000,
           server);
     }
-    if (request.effect == Effect.KEYED && request.key != null) {
+    if (request.effect == Effect.IDEMPOTENCY_KEY && request.key != null) {
       KeyUse keyUse = idempotencyKeys.get(request.key);
       if (keyUse != null
           && !keyUse.requestId().equals(request.id)
@@ -323,7 +323,7 @@
               Execution effect =
                   r.executions.stream().filter(Execution::tookEffect).findFirst().orElse(null);
               if (r.finalAnswer == FinalAnswer.REFUSED
-                  && r.effect != Effect.SAFE
+                  && r.effect != Effect.IDEMPOTENT
                   && effect != null) {
                 recordBreach(
                     2,
--- a/src/main/java/cacheproxy/site/Scenario.java
+++ b/src/main/java/cacheproxy/site/Scenario.java
@@ -14,7 +14,7 @@
 
 /**
  * Faults to inject and their times, parsed from TOML tables {@code [[fault]]}. A file with any
- * error is rejected as a whole. Where nodes or proxies are drawn at random, the same seed draws the
+ * error is rejected completely. Where nodes or proxies are drawn at random, the same seed draws the
  * same ones.
  */
 public final class Scenario {
--- a/src/main/java/cacheproxy/site/SelectTimes.java
+++ b/src/main/java/cacheproxy/site/SelectTimes.java
@@ -7,7 +7,7 @@
 /**
  * Records when the event loop polls its sockets, to tell when data arrived at the earliest. Netty
  * calls {@link #calculateStrategy} once per round of the loop. If the loop was kept from running,
- * it reads data long after its arrival, and a judgement by the time of reading would blame the
+ * it reads data long after its arrival, and a verdict by the time of reading would blame the
  * sender. Data that is read in one round was not there when the previous round polled, so it
  * arrived after the start of the previous round. Used on the event loop only.
  */
--- a/src/test/java/cacheproxy/site/LedgerTest.java
+++ b/src/test/java/cacheproxy/site/LedgerTest.java
@@ -44,34 +44,34 @@
 
   @ParameterizedTest(name = "{0}")
   @CsvSource({
-    "a served read,                    SAFE,   taken@0 ran-a@5 served@9 settled@9999, 0",
-    "a read copied to two nodes,       SAFE,   taken@0 ran-a@5 ran-b@30 served@40 settled@9999, 0",
-    "a read refused after it ran,      SAFE,   taken@0 ran-a@5 refused@9 settled@9999, 0",
-    "a failed write that runs later,   UNSAFE, taken@0 sent-a@5 failed@100 effect-a@900 settled@9999, 0",
-    "a refused write that runs later,  UNSAFE, taken@0 sent-a@5 refused@100 effect-a@400 settled@9999, 2",
-    "a read sent after its answer,     SAFE,   taken@0 ran-a@5 served@9 sent-a@200 settled@9999, 1",
-    "arrived in time and read late,    SAFE,   taken@0 ran-a@5 served@90 sent-a-read-late@380 settled@9999, 0",
-    "arrived late and read later,      SAFE,   taken@0 ran-a@5 served@90 sent-a-read-late@450 settled@9999, 1",
-    "never answered,                   SAFE,   taken@0 ran-a@5 settled@9999, 1",
-    "not yet answered,                 SAFE,   taken@0 ran-a@5 settled@940, 0",
-    "closed by its client,             SAFE,   taken@0 left@9 settled@9999, 0",
-    "answered late,                    SAFE,   taken@0 ran-a@5 served@899 settled@9999, 0",
-    "answered after the late limit,    SAFE,   taken@0 ran-a@5 served@901 settled@9999, 1",
-    "late owing to an injected fault,  SAFE,   taken@0 ran-a@5 left@9 served@901 settled@9999, 0",
-    "answered twice despite a fault,   SAFE,   taken@0 ran-a@5 left@9 served@901 failed@902 settled@9999, 1",
-    "answered twice,                   SAFE,   taken@0 ran-a@5 served@9 refused@10 settled@9999, 1",
-    "served and run by no server,      SAFE,   taken@0 served@9 settled@9999, 1",
-    "closed by the proxy,              SAFE,   taken@0 cut@9 settled@9999, 1",
-    "sent after its answer,            SAFE,   taken@0 refused@9 ran-a@60 settled@9999, 1",
-    "a write that took effect twice,   UNSAFE, taken@0 ran-a@5 ran-b@9 served@12 settled@9999, 2",
-    "a write refused after its effect, UNSAFE, taken@0 ran-a@5 refused@9 settled@9999, 2",
-    "a write failed after its effect,  UNSAFE, taken@0 ran-a@5 failed@9 settled@9999, 0",
-    "a repeat dropped by a server,     KEYED,  taken@0 ran-a@5 repeat-b@9 served@12 settled@9999, 0",
-    "a key that took effect twice,     KEYED,  taken@0 ran-a@5 served@9 another@20 another-ran-b@30 left@31, 2",
-    "a key reused after its window,    KEYED,  taken@0 ran-a@5 served@9 settled@6000 another@6000 another-ran-b@6001 left@6002, 0",
-    "a request within the drain grace, SAFE,   a-leaves@0 taken@900 ran-a@990 served@995 settled@9999, 0",
-    "a request after the drain grace,  SAFE,   a-leaves@0 taken@900 ran-a@1001 served@1005 settled@9999, 3",
-    "a request to a returned server,   SAFE,   a-leaves@0 a-returns@500 taken@900 ran-a@1001 served@1005 settled@9999, 0"
+    "a served read,                    IDEMPOTENT,   taken@0 ran-a@5 served@9 settled@9999, 0",
+    "a read copied to two nodes,       IDEMPOTENT,   taken@0 ran-a@5 ran-b@30 served@40 settled@9999, 0",
+    "a read refused after it ran,      IDEMPOTENT,   taken@0 ran-a@5 refused@9 settled@9999, 0",
+    "a failed write that runs later,   NOT_IDEMPOTENT, taken@0 sent-a@5 failed@100 effect-a@900 settled@9999, 0",
+    "a refused write that runs later,  NOT_IDEMPOTENT, taken@0 sent-a@5 refused@100 effect-a@400 settled@9999, 2",
+    "a read sent after its answer,     IDEMPOTENT,   taken@0 ran-a@5 served@9 sent-a@200 settled@9999, 1",
+    "arrived in time and read late,    IDEMPOTENT,   taken@0 ran-a@5 served@90 sent-a-read-late@380 settled@9999, 0",
+    "arrived late and read later,      IDEMPOTENT,   taken@0 ran-a@5 served@90 sent-a-read-late@450 settled@9999, 1",
+    "never answered,                   IDEMPOTENT,   taken@0 ran-a@5 settled@9999, 1",
+    "not yet answered,                 IDEMPOTENT,   taken@0 ran-a@5 settled@940, 0",
+    "closed by its client,             IDEMPOTENT,   taken@0 left@9 settled@9999, 0",
+    "answered late,                    IDEMPOTENT,   taken@0 ran-a@5 served@899 settled@9999, 0",
+    "answered after the late limit,    IDEMPOTENT,   taken@0 ran-a@5 served@901 settled@9999, 1",
+    "late owing to an injected fault,  IDEMPOTENT,   taken@0 ran-a@5 left@9 served@901 settled@9999, 0",
+    "answered twice despite a fault,   IDEMPOTENT,   taken@0 ran-a@5 left@9 served@901 failed@902 settled@9999, 1",
+    "answered twice,                   IDEMPOTENT,   taken@0 ran-a@5 served@9 refused@10 settled@9999, 1",
+    "served and run by no server,      IDEMPOTENT,   taken@0 served@9 settled@9999, 1",
+    "closed by the proxy,              IDEMPOTENT,   taken@0 cut@9 settled@9999, 1",
+    "sent after its answer,            IDEMPOTENT,   taken@0 refused@9 ran-a@60 settled@9999, 1",
+    "a write that took effect twice,   NOT_IDEMPOTENT, taken@0 ran-a@5 ran-b@9 served@12 settled@9999, 2",
+    "a write refused after its effect, NOT_IDEMPOTENT, taken@0 ran-a@5 refused@9 settled@9999, 2",
+    "a write failed after its effect,  NOT_IDEMPOTENT, taken@0 ran-a@5 failed@9 settled@9999, 0",
+    "a repeat dropped by a server,     IDEMPOTENCY_KEY,  taken@0 ran-a@5 repeat-b@9 served@12 settled@9999, 0",
+    "a key that took effect twice,     IDEMPOTENCY_KEY,  taken@0 ran-a@5 served@9 another@20 another-ran-b@30 left@31, 2",
+    "a key reused after its window,    IDEMPOTENCY_KEY,  taken@0 ran-a@5 served@9 settled@6000 another@6000 another-ran-b@6001 left@6002, 0",
+    "a request within the drain grace, IDEMPOTENT,   a-leaves@0 taken@900 ran-a@990 served@995 settled@9999, 0",
+    "a request after the drain grace,  IDEMPOTENT,   a-leaves@0 taken@900 ran-a@1001 served@1005 settled@9999, 3",
+    "a request to a returned server,   IDEMPOTENT,   a-leaves@0 a-returns@500 taken@900 ran-a@1001 served@1005 settled@9999, 0"
   })
   void reportsTheExpectedBreach(String description, Effect effect, String steps, int rule) {
     Ledger ledger = ledger();
@@ -93,7 +93,7 @@
   void forgetsJudgedRequestsAndLimitsRecordedBreaches() {
     Ledger ledger = ledger();
     for (int i = 0; i < 50_000; i++) {
-      ledger.requestAccepted("r" + i, Effect.KEYED, "k" + i, i, i + 400);
+      ledger.requestAccepted("r" + i, Effect.IDEMPOTENCY_KEY, "k" + i, i, i + 400);
       ledger.arrivedAndRan("r" + i, "a", i, true);
       ledger.judgeExpiredRequests(i);
     }
--- a/src/test/java/cacheproxy/site/SiteTest.java
+++ b/src/test/java/cacheproxy/site/SiteTest.java
@@ -121,8 +121,8 @@
     try (Site site = site(1);
         Caller node = new Caller(addressOf(site, "s-0001"));
         Caller origin = new Caller(addressOf(site, "s-origin"))) {
-      requestAccepted(site, 60_000, Ledger.Effect.SAFE, "r1", "r2", "r3", "r4");
-      requestAccepted(site, 60_000, Ledger.Effect.UNSAFE, "w1");
+      requestAccepted(site, 60_000, Ledger.Effect.IDEMPOTENT, "r1", "r2", "r3", "r4");
+      requestAccepted(site, 60_000, Ledger.Effect.NOT_IDEMPOTENT, "w1");
       assertThat(node.sendAndReadLine("mg a v Or1 Pc=text,d=99\r\n")).isEqualTo("EN Or1 h0");
       assertThat(requestFromOrigin(origin, "GET", "a", "r1")).startsWith("HTTP/1.1 200");
       answered(site, "r1", Ledger.FinalAnswer.SERVED);
@@ -176,13 +176,13 @@
     try (Site site = site(2);
         Caller node = new Caller(addressOf(site, "s-0001"));
         Caller origin = new Caller(addressOf(site, "s-origin"))) {
-      requestAccepted(site, Ledger.Effect.SAFE, "lost", "unasked");
+      requestAccepted(site, Ledger.Effect.IDEMPOTENT, "lost", "unasked");
       answered(
           site,
           "unasked",
           Ledger.FinalAnswer
               .SERVED); // rule 1 twice: "unasked" was run by no server, "lost" gets no answer
-      requestAccepted(site, Ledger.Effect.UNSAFE, "twice");
+      requestAccepted(site, Ledger.Effect.NOT_IDEMPOTENT, "twice");
       requestFromOrigin(origin, "PUT", "a", "twice");
       requestFromOrigin(origin, "PUT", "a", "twice"); // breaks rule 2: the write takes effect twice
       answered(site, "twice", Ledger.FinalAnswer.SERVED);
@@ -195,7 +195,7 @@
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < 20_000; i++) {
           text.append("mg k").append(i).append(" v Ob").append(i).append(" Pc=text,d=99\r\n");
-          requestAccepted(site, Ledger.Effect.SAFE, "b" + i);
+          requestAccepted(site, Ledger.Effect.IDEMPOTENT, "b" + i);
           synchronized (site.ledger()) {
             site.ledger().noAnswerOwed("b" + i); // its client closed the connection
           }
@@ -206,7 +206,7 @@
 
       site.drain("s-0001");
       Thread.sleep((long) (Site.DRAIN_GRACE_MS + Site.ANSWER_GRACE_MS + 200));
-      requestAccepted(site, Ledger.Effect.SAFE, "late");
+      requestAccepted(site, Ledger.Effect.IDEMPOTENT, "late");
       assertThat(node.sendAndReadLine("mg a v Olate Pc=text,d=99\r\n"))
           .isEqualTo("SERVER_ERROR busy"); // breaks rule 3: a new request to a draining node
       assertThat(site.judgeRequests()).extracting(Breach::rule).contains(3);
@@ -233,7 +233,7 @@
         Caller node = new Caller(addressOf(site, "s-0001"));
         Caller origin = new Caller(addressOf(site, "s-origin"))) {
       assertThat(node.sendAndReadLine("mn\r\n")).isEqualTo("MN");
-      requestAccepted(site, 60_000, Ledger.Effect.SAFE, "before", "ahead");
+      requestAccepted(site, 60_000, Ledger.Effect.IDEMPOTENT, "before", "ahead");
       requestFromOrigin(origin, "GET", "a", "ahead");
       InetSocketAddress at = addressOf(site, "s-0001");
       assertThat(node.sendAndReadLine("mg a v Obefore Pc=text,d=99\r\n"))
@@ -273,7 +273,7 @@
       for (;
           site.judgeRequests().isEmpty() && attempts < 100;
           attempts++) { // retries if a delay of the machine left the arrival time undecided
-        requestAccepted(site, 60_000, Ledger.Effect.SAFE, "after" + attempts);
+        requestAccepted(site, 60_000, Ledger.Effect.IDEMPOTENT, "after" + attempts);
         answered(site, "after" + attempts, Ledger.FinalAnswer.REFUSED);
         Thread.sleep((long) (2 * Site.ANSWER_GRACE_MS));
         assertThat(node.sendAndReadLine("mg a v Oafter" + attempts + " Pc=text,d=99\r\n"))
